--- /dev/null
+++ b/cmd/apply.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+)
+
+type applyCommand struct {
+	target
+	File string        `arg:"positional,required" help:"declaration, JSON with comments"`
+	Base *uint64       `arg:"--base" help:"revision that you saw; refused if another is in force"`
+	Wait time.Duration `arg:"--wait" default:"10s" help:"how long to wait until every node has it"`
+	JSON bool          `arg:"--json" help:"print the result as JSON"`
+}
+
+func (c *applyCommand) run(ctx context.Context, env environment) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	done, err := c.submit(ctx, c.File, text, c.Base)
+	if c.JSON {
+		if err := env.printJSON(done); err != nil {
+			return err
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if !c.JSON {
+		env.printf("revision %d accepted\n", done.Revision)
+	}
+	return c.await(ctx, env, done.Revision)
+}
+
+// await waits until every reachable node has revision.
+func (c *applyCommand) await(ctx context.Context, env environment, revision uint64) error {
+	const pause = 100 * time.Millisecond
+	clk := systemclock.New()
+	for end := clk.Now().Add(c.Wait); clk.Now().Before(end); {
+		s, err := c.status(ctx)
+		if err == nil && s.Revision >= revision && s.InForce == len(s.Nodes) {
+			if !c.JSON {
+				env.printf("in force on %d of %d nodes\n", s.InForce, len(s.Nodes))
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-clk.After(pause):
+		}
+	}
+	return errors.Errorf("revision %d is accepted but not yet in force on every node; see `auburnnotch status`", revision)
+}
--- /dev/null
+++ b/cmd/entries.go
@@ -0,0 +1,27 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+type entriesCommand struct {
+	target
+	JSON bool `arg:"--json" help:"print as JSON"`
+}
+
+func (c *entriesCommand) run(ctx context.Context, env environment) error {
+	var e wire.Entries
+	if err := receive(ctx, c.sling().Get("/v1/entries"), &e); err != nil {
+		return err
+	}
+	if c.JSON {
+		return env.printJSON(e)
+	}
+	for _, n := range e.Entries {
+		env.printf("%-22s %-20s %s\n", n.Address, n.Name, n.DataCentre)
+	}
+	env.printf("keep for %g s\n", e.KeepSeconds)
+	return nil
+}
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,97 @@
+// Package cmd is the command line of auburnnotch, one file for each command.
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/juju/errors"
+)
+
+// The exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// environment is what a command may use besides its arguments.
+type environment struct {
+	out, err io.Writer
+}
+
+// printJSON writes v in a form for machines.
+func (e environment) printJSON(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return errors.Trace(enc.Encode(v))
+}
+
+func (e environment) printf(format string, args ...any) { fmt.Fprintf(e.out, format, args...) }
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, env environment) error
+}
+
+type arguments struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run the daemon of an entry VM"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a declaration or settings file"`
+	Apply   *applyCommand   `arg:"subcommand:apply" help:"submit a declaration"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show nodes, the revision in force and leaving VMs"`
+	Entries *entriesCommand `arg:"subcommand:entries" help:"show the addresses that callers are told"`
+	Drain   *drainCommand   `arg:"subcommand:drain" help:"declare when a VM leaves"`
+	Plan    *planCommand    `arg:"subcommand:plan" help:"show how the leaving VMs are emptied"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "auburnnotch routes language-model traffic with long shared prompts.\nExit codes: 0 done, 1 failed, 2 wrong use."
+}
+
+// errUsage marks an error of the command line.
+const errUsage = errors.ConstError("wrong use")
+
+// Execute runs the command that args name and returns the exit code.
+func Execute(args []string, out, errOut io.Writer) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "auburnnotch", Out: out, Exit: func(int) {}}, &a)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
+		return exitDone
+	case err != nil:
+		fmt.Fprintf(errOut, "auburnnotch: %v\n", err)
+		_ = p.WriteUsageForSubcommand(errOut, p.SubcommandNames()...)
+		return exitUsage
+	}
+	c, ok := p.Subcommand().(command)
+	if !ok {
+		p.WriteHelp(errOut)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = c.run(ctx, environment{out: out, err: errOut})
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(errOut, "auburnnotch: %v\n", err)
+		return exitUsage
+	default:
+		fmt.Fprintf(errOut, "auburnnotch: %v\n", err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,54 @@
+package cmd
+
+import (
+	"context"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburnnotch/auburnnotch/internal/loader"
+	"github.com/auburnnotch/auburnnotch/internal/logger"
+	"github.com/auburnnotch/auburnnotch/internal/node"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/pkg/config"
+)
+
+type serveCommand struct {
+	Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
+}
+
+// loadSettings reads, completes and checks the settings of a node.
+func loadSettings(path string) (config.Settings, error) {
+	var s config.Settings
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return s, errors.Annotate(err, "read the settings")
+	}
+	l := loader.New(path, text)
+	problems := l.Load(&s)
+	if len(problems) == 0 {
+		problems = s.Check()
+	}
+	if len(problems) > 0 {
+		return s, loader.Join(l.Locate(problems))
+	}
+	return s.WithDefaults(), nil
+}
+
+func (c *serveCommand) run(ctx context.Context, env environment) error {
+	s, err := loadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := logger.New(env.err, s.LogLevel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n, err := node.New(s, systemclock.New(), log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	log.WithFields(logrus.Fields{"event": "listening", "node": s.Name, "callers": n.Addr(), "peers": n.PeerAddr()}).Info("serving")
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,147 @@
+// Package catalog turns a declaration into the immutable tables that requests
+// are looked up in.
+package catalog
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/pkg/config"
+	"github.com/auburnnotch/auburnnotch/pkg/hasher"
+	"github.com/auburnnotch/auburnnotch/pkg/router"
+)
+
+// ServicePool is the prefix of the pool that holds a service's back ends.
+const ServicePool = "service:"
+
+// Catalog is the view of one revision.
+type Catalog struct {
+	Revision    uint64
+	Declaration config.Declaration
+	Hasher      hasher.Hasher
+
+	keys      map[[sha256.Size]byte]int
+	models    map[string][]config.Pool
+	pools     map[string]config.Pool
+	routes    map[string]config.Route
+	upstreams map[string]config.Upstream
+	leaves    map[string]config.VM
+}
+
+// New returns the Catalog of d, which has passed its checks.
+func New(revision uint64, d config.Declaration) *Catalog {
+	d = d.WithDefaults()
+	c := &Catalog{
+		Revision: revision, Declaration: d, Hasher: hasher.New(d.PieceBytes),
+		keys: map[[sha256.Size]byte]int{}, models: map[string][]config.Pool{}, pools: map[string]config.Pool{},
+		routes: map[string]config.Route{}, upstreams: map[string]config.Upstream{}, leaves: map[string]config.VM{},
+	}
+	for i, w := range d.Workspaces {
+		for _, k := range w.KeyHashes {
+			var sum [sha256.Size]byte
+			if _, err := hex.Decode(sum[:], []byte(k)); err == nil {
+				c.keys[sum] = i
+			}
+		}
+	}
+	for _, p := range d.Pools {
+		c.models[p.Model] = append(c.models[p.Model], p)
+		c.pools[p.Name] = p
+	}
+	for _, s := range d.Services {
+		for _, r := range s.Routes {
+			c.routes[s.Name+r.Path] = r
+		}
+	}
+	for _, u := range d.Upstreams {
+		c.upstreams[u.Name] = u
+	}
+	for _, v := range d.VMs {
+		c.leaves[v.Name] = v
+	}
+	return c
+}
+
+// Workspace returns the workspace whose key is given. The lookup is by digest
+// and the last comparison takes constant time.
+func (c *Catalog) Workspace(key string) (config.Workspace, bool) {
+	sum := sha256.Sum256([]byte(key))
+	i, ok := c.keys[sum]
+	if !ok {
+		return config.Workspace{}, false
+	}
+	w := c.Declaration.Workspaces[i]
+	for _, k := range w.KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(k), []byte(hex.EncodeToString(sum[:]))) == 1 {
+			return w, true
+		}
+	}
+	return config.Workspace{}, false
+}
+
+// Pool returns the first pool of model, which its fallbacks follow.
+func (c *Catalog) Pool(model string) (config.Pool, bool) {
+	pools := c.models[model]
+	if len(pools) == 0 {
+		return config.Pool{}, false
+	}
+	return pools[0], true
+}
+
+// Fallback returns the pool to use in place of name.
+func (c *Catalog) Fallback(name string) (config.Pool, bool) {
+	p, ok := c.pools[c.pools[name].Fallback]
+	return p, ok
+}
+
+// Route returns the route of a plain service.
+func (c *Catalog) Route(service, path string) (config.Route, bool) {
+	r, ok := c.routes[service+path]
+	return r, ok
+}
+
+// Upstream returns an upstream by name.
+func (c *Catalog) Upstream(name string) (config.Upstream, bool) {
+	u, ok := c.upstreams[name]
+	return u, ok
+}
+
+// VM returns a VM by name.
+func (c *Catalog) VM(name string) config.VM { return c.leaves[name] }
+
+// Engines returns what the router must know of the upstreams. live tells the
+// platform's state of a VM; one that the platform lists as gone is left out.
+func (c *Catalog) Engines(live func(vm string) bool) []router.Engine {
+	var out []router.Engine
+	for _, u := range c.Declaration.Upstreams {
+		v := c.leaves[u.VM]
+		if !live(v.Name) {
+			continue
+		}
+		e := router.Engine{ID: u.Name, Pool: u.Pool, Slots: u.Slots}
+		if u.Service != "" {
+			e.Pool = ServicePool + u.Service
+		}
+		if v.DrainFrom != nil {
+			e.LeavesAt = *v.DrainFrom
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// Salt returns the cache salt of a workspace, which the name alone decides.
+func Salt(workspace string) string {
+	sum := sha256.Sum256([]byte("salt\x00" + workspace))
+	return hex.EncodeToString(sum[:16])
+}
+
+// LeavesAt returns when the VM of an upstream must be empty, zero for never.
+func (c *Catalog) LeavesAt(upstream string) time.Time {
+	if v := c.leaves[c.upstreams[upstream].VM]; v.LeavesAt != nil {
+		return *v.LeavesAt
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/front/job.go
@@ -0,0 +1,240 @@
+package front
+
+import (
+	"encoding/binary"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
+
+	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/token"
+	"github.com/auburnnotch/auburnnotch/pkg/claimer"
+	"github.com/auburnnotch/auburnnotch/pkg/config"
+	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/hasher"
+	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+// job is a request of a caller after its checks.
+type job struct {
+	id          string
+	accepted    time.Time
+	deadline    time.Time
+	workspace   config.Workspace
+	class       config.Class
+	method      string
+	path        string // on the upstream
+	contentType string
+	body        []byte
+	pool        string
+	model       bool // an engine answers it
+	streaming   bool
+	repeatable  bool
+	continues   bool // another engine can go on with its stream
+	tokens      int
+	chain       hasher.Chain
+	fingerprint quarantiner.Fingerprint
+	key         string
+	claim       claimer.Request
+	resume      *token.Point
+}
+
+const (
+	bytesPerToken       = 4
+	defaultAnswerTokens = 256
+	maxPromptTokens     = 1 << 20
+	maxKeyLength        = 255
+)
+
+func (f *Front) parse(r *http.Request) (*job, error) {
+	c := f.config.Current()
+	if c == nil {
+		return nil, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
+	}
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	ws, ok := c.Workspace(key)
+	if !ok {
+		return nil, failure.New(failure.Unauthorized, "send Authorization: Bearer with a key of a declared workspace")
+	}
+	j := &job{
+		id: uuid.NewString(), accepted: f.clk.Now(), workspace: ws,
+		method: r.Method, contentType: r.Header.Get("Content-Type"),
+	}
+	if err := f.readBody(r, j); err != nil {
+		return nil, err
+	}
+	if err := f.setDeadline(r, j); err != nil {
+		return nil, err
+	}
+	service, rest, isService := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
+	var err error
+	if isService && strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		err = f.parseService(c, r, j, service, "/"+rest)
+	} else {
+		err = f.parseCompletion(c, r, j)
+	}
+	if err != nil {
+		return nil, err
+	}
+	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(ws.Name+j.path) ^ xxhash.Sum64(j.body))
+	return j, nil
+}
+
+func (f *Front) readBody(r *http.Request, j *job) error {
+	limit := f.limits.BodyBytes
+	if r.ContentLength > limit {
+		return failure.New(failure.TooLarge, "the body has %d bytes; %d is the limit", r.ContentLength, limit)
+	}
+	if r.ContentLength > 0 {
+		j.body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, j.body); err != nil {
+			return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
+		}
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
+	}
+	if int64(len(body)) > limit {
+		return failure.New(failure.TooLarge, "the body has more than %d bytes, the limit", limit)
+	}
+	j.body = body
+	return nil
+}
+
+func (f *Front) setDeadline(r *http.Request, j *job) error {
+	d := config.Seconds(f.limits.RequestSeconds)
+	if raw := r.Header.Get(wire.HeaderDeadline); raw != "" {
+		s, err := strconv.ParseFloat(raw, 64)
+		if err != nil || s <= 0 || config.Seconds(s) > d {
+			return failure.New(failure.BadRequest, "%s: %q is no number of seconds from 0 to %v", wire.HeaderDeadline, raw, d.Seconds())
+		}
+		d = config.Seconds(s)
+	}
+	j.deadline = j.accepted.Add(d)
+	return nil
+}
+
+func (f *Front) parseCompletion(c *catalog.Catalog, r *http.Request, j *job) error {
+	if !gjson.ValidBytes(j.body) {
+		return failure.New(failure.BadRequest, "body: is no valid JSON; send an OpenAI completion request")
+	}
+	j.path, j.contentType, j.model, j.repeatable = r.URL.Path, "application/json", true, true
+	prompt := "prompt"
+	if strings.HasSuffix(j.path, "/chat/completions") {
+		prompt = "messages"
+	}
+	fields := gjson.GetManyBytes(j.body, "model", "stream", "max_tokens", prompt)
+	name := fields[0].String()
+	pool, ok := c.Pool(name)
+	if !ok || !mayCall(j.workspace, name) {
+		return failure.New(failure.UnknownModel, "model: %q is not declared for this workspace", name)
+	}
+	text := fields[3].Raw
+	if text == "" || prompt == "messages" && !fields[3].IsArray() {
+		return failure.New(failure.BadRequest, "%s: is missing or of the wrong type", prompt)
+	}
+	j.pool, j.streaming, j.continues = pool.Name, fields[1].Bool(), true
+	j.class = pool.Class
+	if err := setClass(r, j); err != nil {
+		return err
+	}
+	answer := int(fields[2].Int())
+	if answer <= 0 {
+		answer = defaultAnswerTokens
+	}
+	j.tokens = len(text)/bytesPerToken + answer
+	if j.tokens > maxPromptTokens {
+		return failure.New(failure.TooLarge, "%s: about %d tokens; %d is the limit", prompt, j.tokens, maxPromptTokens)
+	}
+	seed := c.Hasher.Seed(hasher.Scope{Salt: catalog.Salt(j.workspace.Name), Model: pool.Model, Version: pool.Version})
+	j.chain = c.Hasher.Append(nil, seed, []byte(text))
+	return f.setResume(r, j)
+}
+
+func mayCall(w config.Workspace, model string) bool {
+	for _, m := range w.Models {
+		if m == model {
+			return true
+		}
+	}
+	return len(w.Models) == 0
+}
+
+func setClass(r *http.Request, j *job) error {
+	raw := config.Class(r.Header.Get(wire.HeaderClass))
+	switch raw {
+	case "":
+	case config.Interactive, config.Standard, config.Batch:
+		j.class = raw
+	default:
+		return failure.New(failure.BadRequest, "%s: %q is none of interactive, standard, batch", wire.HeaderClass, raw)
+	}
+	return nil
+}
+
+func (f *Front) setResume(r *http.Request, j *job) error {
+	raw := r.Header.Get(wire.HeaderLastEventID)
+	if raw == "" {
+		return nil
+	}
+	p, err := f.signer.Parse(j.workspace.Name, raw)
+	if err != nil || !j.streaming {
+		return failure.New(failure.BadRequest, "%s: is no event ID of a stream of this workspace", wire.HeaderLastEventID)
+	}
+	j.resume = &p
+	return nil
+}
+
+func (f *Front) parseService(c *catalog.Catalog, r *http.Request, j *job, service, path string) error {
+	route, ok := c.Route(service, path)
+	if !ok {
+		return failure.New(failure.UnknownRoute, "service %q has no route %q", service, path)
+	}
+	j.path, j.pool, j.class, j.repeatable = path, catalog.ServicePool+service, route.Class, route.Repeatable
+	j.tokens = 1
+	if err := setClass(r, j); err != nil || route.Repeatable {
+		return err
+	}
+	j.key = r.Header.Get(wire.HeaderIdempotencyKey)
+	if j.key == "" || len(j.key) > maxKeyLength {
+		return failure.New(failure.MissingKey, "%s: this route may not be repeated; send a key of 1 to %d characters that is unique for the request", wire.HeaderIdempotencyKey, maxKeyLength)
+	}
+	j.claim = claimer.Request{
+		Key:    digest(j.workspace.Name, service, path, j.key),
+		Digest: claimer.Digest(digest(j.method, j.contentType, string(j.body))),
+		Nonce:  f.ledger.NewNonce(), Holder: f.ledger.Holder(),
+	}
+	return nil
+}
+
+// digest hashes parts to 16 bytes, each part after its length.
+func digest(parts ...string) claimer.Key {
+	var (
+		k claimer.Key
+		b []byte
+	)
+	for _, p := range parts {
+		b = binary.LittleEndian.AppendUint32(b, uint32(len(p)))
+		b = append(b, p...)
+	}
+	sum := sha256Sum(b)
+	copy(k[:], sum[:])
+	return k
+}
+
+func asFailure(err error) (failure.Kind, string) {
+	k := failure.KindOf(err)
+	if k == failure.Internal {
+		return k, "internal error; see the log of the entry under this request ID"
+	}
+	return k, err.Error()
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,258 @@
+// Package gossiper runs the membership machine over the peer link.
+package gossiper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/auburnnotch/auburnnotch/internal/peerlink"
+	"github.com/auburnnotch/auburnnotch/internal/ring"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/member"
+)
+
+// RevisionHeard is called for each revision that a peer says it has.
+type RevisionHeard func(peerAddress string, revision uint64)
+
+const (
+	tick     = 100 * time.Millisecond
+	inFlight = 16 // probes that may wait for their answer
+	// pauseLimit is the gap between two ticks after which the process must
+	// have been stopped; it then knows less than its timers say.
+	pauseLimit = 2 * time.Second
+)
+
+// Gossiper is a kernel service.
+type Gossiper struct {
+	clk      clock.Clock
+	log      logrus.FieldLogger
+	link     *peerlink.Link
+	seeds    []string
+	revision func() uint64
+	heard    RevisionHeard
+	changed  *ring.Ring[struct{}]
+
+	mu      sync.Mutex
+	machine *member.Member
+	ticked  time.Time // when the duty last ran
+	woke    time.Time // when it last found that the process had been paused
+}
+
+// New returns a Gossiper of machine. seeds are peer addresses that are probed
+// while no member is known; revision tells the configuration in force.
+func New(clk clock.Clock, log logrus.FieldLogger, link *peerlink.Link, machine *member.Member, seeds []string, revision func() uint64, heard RevisionHeard) *Gossiper {
+	return &Gossiper{
+		clk: clk, log: log, link: link, machine: machine, seeds: seeds,
+		revision: revision, heard: heard, changed: ring.New[struct{}](1),
+	}
+}
+
+// Name implements kernel.Service.
+func (g *Gossiper) Name() string { return "gossiper" }
+
+// Run probes peers until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	probes, ctx := errgroup.WithContext(ctx)
+	probes.SetLimit(inFlight)
+	last, seedAt := g.clk.Now(), 0
+	for {
+		select {
+		case <-ctx.Done():
+			return probes.Wait()
+		case <-g.clk.After(tick):
+		}
+		now := g.clk.Now()
+		if now.Sub(last) > pauseLimit {
+			g.log.WithField("event", "pausedProcess").WithField("gap", now.Sub(last)).Warn("process was paused")
+			g.setWoke(now)
+		}
+		last = now
+		g.setTicked(now)
+		for _, a := range g.handle(member.Ticked{}) {
+			p, ok := a.(member.Probe)
+			if ok {
+				probes.TryGo(func() error { g.probe(ctx, p); return nil })
+			}
+		}
+		if len(g.Live()) == 1 && len(g.seeds) > 0 {
+			seed := g.seeds[seedAt%len(g.seeds)]
+			seedAt++
+			probes.TryGo(func() error { g.greet(ctx, seed); return nil })
+		}
+	}
+}
+
+func (g *Gossiper) setWoke(t time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.woke = t
+}
+
+func (g *Gossiper) setTicked(t time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ticked = t
+}
+
+// settleTime is how long a process that was paused listens to its peers
+// before it accepts work again.
+const settleTime = 300 * time.Millisecond
+
+// Settle waits, if the process was just paused, until it has heard its peers.
+func (g *Gossiper) Settle(ctx context.Context) error {
+	for {
+		now := g.clk.Now()
+		g.mu.Lock()
+		fresh := g.ticked.IsZero() || now.Sub(g.ticked) < pauseLimit
+		settled := now.Sub(g.woke) >= settleTime
+		g.mu.Unlock()
+		if fresh && settled {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.clk.After(tick):
+		}
+	}
+}
+
+// Node is a member and what it answered to a survey.
+type Node struct {
+	Info     member.Info
+	Revision uint64
+	Reached  bool
+}
+
+// Survey asks every live member for its revision.
+func (g *Gossiper) Survey(ctx context.Context) []Node {
+	live := g.Live()
+	nodes := make([]Node, len(live))
+	var eg errgroup.Group
+	eg.SetLimit(inFlight)
+	for i, m := range live {
+		nodes[i] = Node{Info: m}
+		if m.Name == g.Self().Name {
+			nodes[i].Revision, nodes[i].Reached = g.revision(), true
+			continue
+		}
+		eg.Go(func() error {
+			out, err := g.link.Exchange(ctx, m.Address, &peerlink.Message{Digest: g.digest()})
+			if err == nil && out.Digest != nil {
+				nodes[i].Revision, nodes[i].Reached = out.Digest.Revision, true
+			}
+			return nil
+		})
+	}
+	_ = eg.Wait()
+	return nodes
+}
+
+func (g *Gossiper) handle(e member.Event) []member.Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	actions := append([]member.Action(nil), g.machine.Handle(g.clk.Now(), e)...)
+	for _, a := range actions {
+		if _, ok := a.(member.Changed); ok {
+			g.changed.Offer(struct{}{})
+		}
+	}
+	return actions
+}
+
+func (g *Gossiper) digest() *member.Digest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.machine.Digest(g.revision())
+	return &d
+}
+
+func (g *Gossiper) probe(ctx context.Context, p member.Probe) {
+	if g.greet(ctx, p.Peer.Address) {
+		return
+	}
+	for _, h := range p.Helpers {
+		m, err := g.link.Exchange(ctx, h.Address, &peerlink.Message{Indirect: &p.Peer})
+		if err == nil && m.OK {
+			return
+		}
+	}
+	if ctx.Err() == nil {
+		g.handle(member.ProbeFailed{Peer: p.Peer.Name})
+	}
+}
+
+func (g *Gossiper) greet(ctx context.Context, addr string) bool {
+	m, err := g.link.Exchange(ctx, addr, &peerlink.Message{Digest: g.digest()})
+	if err != nil || m.Digest == nil {
+		return false
+	}
+	g.take(m.Digest)
+	return true
+}
+
+func (g *Gossiper) take(d *member.Digest) {
+	g.handle(member.Heard{Digest: *d})
+	g.heard(d.From.Address, d.Revision)
+}
+
+// Answer answers the messages of the membership, nil for others.
+func (g *Gossiper) Answer(ctx context.Context, m *peerlink.Message) *peerlink.Message {
+	switch {
+	case m.Digest != nil:
+		g.take(m.Digest)
+		return &peerlink.Message{Digest: g.digest()}
+	case m.Indirect != nil:
+		return &peerlink.Message{OK: g.greet(ctx, m.Indirect.Address)}
+	}
+	return nil
+}
+
+// Live returns the members that are not removed, this node among them.
+func (g *Gossiper) Live() []member.Info {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Live()
+}
+
+// Self returns what this node says of itself.
+func (g *Gossiper) Self() member.Info {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Self()
+}
+
+// Leave tells the others that this node takes no new work.
+func (g *Gossiper) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Leave()
+}
+
+// Tell sends m to up to n random members and returns how many took it.
+func (g *Gossiper) Tell(ctx context.Context, n int, m *peerlink.Message) int {
+	g.mu.Lock()
+	peers := g.machine.Sample(n)
+	g.mu.Unlock()
+	var (
+		eg    errgroup.Group
+		mu    sync.Mutex
+		taken int
+	)
+	for _, p := range peers {
+		eg.Go(func() error {
+			if _, err := g.link.Exchange(ctx, p.Address, m); err == nil {
+				mu.Lock()
+				taken++
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = eg.Wait()
+	return taken
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,167 @@
+// Package platform is the client of the platform's key-value service.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// Errors of a call. Uncertain means that a write may have taken effect.
+const (
+	Conflict    = errors.ConstError("version conflict")
+	Unavailable = errors.ConstError("platform unavailable")
+	Uncertain   = errors.ConstError("platform reply lost")
+)
+
+// Entry is the state of one key. Version 0 means that the key is absent.
+type Entry struct {
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// Lease is a granted lease.
+type Lease struct {
+	ID         string `json:"id"`
+	TTLSeconds int    `json:"ttlSeconds"`
+}
+
+// Line names the budget that a call is charged to.
+type Line string
+
+// The budget lines.
+const (
+	LineConfig Line = "config"
+	LineLedger Line = "ledger"
+	LineOrders Line = "orders"
+	LineVMs    Line = "vms"
+)
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	base  *sling.Sling
+	http  *http.Client
+	scope tally.Scope
+}
+
+const maxValueBytes = 1 << 20
+
+// New returns a Client of the service at url. Each call is counted in scope by
+// its budget line.
+func New(url string, hc *http.Client, scope tally.Scope) *Client {
+	return &Client{base: sling.New().Base(url).Client(hc), http: hc, scope: scope}
+}
+
+// Get reads key.
+func (c *Client) Get(ctx context.Context, line Line, key string) (Entry, error) {
+	return c.read(ctx, line, c.base.New().Get("/v1/kv/"+key))
+}
+
+type watchParams struct {
+	After       uint64 `url:"after"`
+	WaitSeconds int    `url:"waitSeconds"`
+}
+
+// Watch waits up to wait until key has a version other than after and returns
+// its state then, changed or not.
+func (c *Client) Watch(ctx context.Context, line Line, key string, after uint64, wait time.Duration) (Entry, error) {
+	q := &watchParams{After: after, WaitSeconds: int(wait / time.Second)}
+	return c.read(ctx, line, c.base.New().Get("/v1/kv/"+key).QueryStruct(q))
+}
+
+func (c *Client) read(ctx context.Context, line Line, s *sling.Sling) (Entry, error) {
+	var e Entry
+	status, err := c.do(ctx, line, s, &e)
+	switch {
+	case err != nil || status >= http.StatusInternalServerError:
+		return Entry{}, Unavailable
+	case status == http.StatusNotFound:
+		return Entry{}, nil
+	case status != http.StatusOK:
+		return Entry{}, errors.Errorf("platform answered %d", status)
+	}
+	return e, nil
+}
+
+type casParams struct {
+	Version uint64 `url:"version"`
+	Lease   string `url:"lease,omitempty"`
+}
+
+// CompareAndSwap writes value if key still has version (0: is absent) and
+// returns the new version. lease, if not empty, removes the key when it ends.
+func (c *Client) CompareAndSwap(ctx context.Context, line Line, key string, value []byte, version uint64, lease string) (uint64, error) {
+	s := c.base.New().Put("/v1/kv/" + key).QueryStruct(&casParams{Version: version, Lease: lease}).
+		BodyJSON(&Entry{Value: value})
+	var e Entry
+	status, err := c.do(ctx, line, s, &e)
+	switch {
+	case err != nil || status >= http.StatusInternalServerError:
+		return 0, Uncertain
+	case status == http.StatusConflict:
+		return 0, Conflict
+	case status != http.StatusOK:
+		return 0, errors.Errorf("platform answered %d", status)
+	}
+	return e.Version, nil
+}
+
+// Grant makes a lease of ttl.
+func (c *Client) Grant(ctx context.Context, line Line, ttl time.Duration) (Lease, error) {
+	var l Lease
+	s := c.base.New().Post("/v1/leases").BodyJSON(&Lease{TTLSeconds: int(ttl / time.Second)})
+	status, err := c.do(ctx, line, s, &l)
+	if err != nil || status != http.StatusOK {
+		return Lease{}, Unavailable
+	}
+	return l, nil
+}
+
+// KeepAlive extends a lease; NotFound means that it has lapsed.
+func (c *Client) KeepAlive(ctx context.Context, line Line, id string) error {
+	status, err := c.do(ctx, line, c.base.New().Put("/v1/leases/"+id), nil)
+	switch {
+	case err != nil || status >= http.StatusInternalServerError:
+		return Unavailable
+	case status == http.StatusNotFound:
+		return errors.NotFoundf("lease")
+	}
+	return nil
+}
+
+// Revoke ends a lease.
+func (c *Client) Revoke(ctx context.Context, line Line, id string) error {
+	_, err := c.do(ctx, line, c.base.New().Delete("/v1/leases/"+id), nil)
+	return errors.Trace(err)
+}
+
+func (c *Client) do(ctx context.Context, line Line, s *sling.Sling, dst any) (int, error) {
+	c.scope.Tagged(map[string]string{"line": string(line)}).Counter("platform_calls").Inc(1)
+	req, err := s.Request()
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	resp, err := c.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxValueBytes))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if resp.StatusCode == http.StatusOK && dst != nil {
+		return resp.StatusCode, errors.Trace(json.Unmarshal(body, dst))
+	}
+	return resp.StatusCode, nil
+}
+
+// ParseVersion reads a version from text.
+func ParseVersion(s string) (uint64, error) { return strconv.ParseUint(s, 10, 64) }
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,44 @@
+// Package ring gives the bounded queue that joins two duties.
+package ring
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// Ring is a bounded first-in first-out queue, safe for concurrent use. Put
+// waits while it is full (back-pressure); Offer drops and counts.
+type Ring[T any] struct {
+	items   chan T
+	dropped atomic.Int64
+}
+
+// New returns a Ring that holds up to size items.
+func New[T any](size int) *Ring[T] { return &Ring[T]{items: make(chan T, size)} }
+
+// Put adds v and waits for room until ctx ends.
+func (r *Ring[T]) Put(ctx context.Context, v T) error {
+	select {
+	case r.items <- v:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Offer adds v if there is room and reports whether it did.
+func (r *Ring[T]) Offer(v T) bool {
+	select {
+	case r.items <- v:
+		return true
+	default:
+		r.dropped.Add(1)
+		return false
+	}
+}
+
+// Items returns the receiving end.
+func (r *Ring[T]) Items() <-chan T { return r.items }
+
+// Dropped returns how many items Offer has dropped.
+func (r *Ring[T]) Dropped() int64 { return r.dropped.Load() }
--- /dev/null
+++ b/internal/scheduler/messages.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/pkg/admitter"
+	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/hasher"
+	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
+	"github.com/auburnnotch/auburnnotch/pkg/router"
+)
+
+type command interface{ command() }
+
+type admit struct {
+	work  admitter.Work
+	reply chan failure.Kind
+}
+
+type abandon struct{ ticket uint64 }
+
+type leave struct{ pool string }
+
+type pick struct {
+	query       router.Query
+	fingerprint quarantiner.Fingerprint
+	retry       bool
+	chain       hasher.Chain
+	reply       chan Picked
+}
+
+type began struct{ run Run }
+
+type ended struct {
+	run    Run
+	result Result
+}
+
+type crashed struct {
+	run   Run
+	reply chan []quarantiner.Report
+}
+
+type report struct {
+	id     string
+	report router.Report
+}
+
+type engines struct{ list []router.Engine }
+
+type suspects struct{ reports []quarantiner.Report }
+
+type look struct{ reply chan View }
+
+func (admit) command()    {}
+func (abandon) command()  {}
+func (leave) command()    {}
+func (pick) command()     {}
+func (began) command()    {}
+func (ended) command()    {}
+func (crashed) command()  {}
+func (report) command()   {}
+func (engines) command()  {}
+func (suspects) command() {}
+func (look) command()     {}
+
+// Run is one attempt that was given an upstream.
+type Run struct {
+	Choice      router.Choice
+	id          uint64
+	fingerprint quarantiner.Fingerprint
+	began       bool
+}
+
+// WithBegan returns r after its first token.
+func (r Run) WithBegan() Run {
+	r.began = true
+	return r
+}
+
+// Picked answers Pick. Wait says to ask again after a pause.
+type Picked struct {
+	Run        Run
+	Kind       failure.Kind
+	Wait       bool
+	Quarantine bool
+}
+
+// Result is how a run ended.
+type Result struct {
+	Failed bool
+	// Refused says that the upstream did not run it.
+	Refused bool
+	// CachedPieces is the upstream's own count of reused pieces; -1 if it
+	// didn't say.
+	CachedPieces int
+	Incarnation  string
+}
+
+// View is a look at the scheduler's state.
+type View struct {
+	Waiting int
+	Running int
+	Flights []Flight
+	At      time.Time
+}
+
+// Flight is how many requests of this node run at an upstream.
+type Flight struct {
+	Upstream string
+	Requests int
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,298 @@
+// Package scheduler owns the decisions of a node: admission, routing, the
+// retry budget and the quarantine. One goroutine takes its commands from a
+// bounded ring, so that the decision packages need no locks.
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/ring"
+	"github.com/auburnnotch/auburnnotch/pkg/admitter"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/hasher"
+	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
+	"github.com/auburnnotch/auburnnotch/pkg/retrier"
+	"github.com/auburnnotch/auburnnotch/pkg/router"
+)
+
+const (
+	commands     = 4096 // a full ring holds callers back
+	tick         = 50 * time.Millisecond
+	retryRatio   = 0.1
+	retryLimit   = 64
+	suspectLimit = 4096
+)
+
+type flight struct {
+	runs map[uint64]quarantiner.Fingerprint
+}
+
+// Scheduler is a kernel service.
+type Scheduler struct {
+	clk         clock.Clock
+	commands    *ring.Ring[command]
+	router      *router.Router
+	admitter    *admitter.Admitter
+	retrier     *retrier.Retrier
+	quarantiner *quarantiner.Quarantiner
+	waiting     map[uint64]chan failure.Kind
+	flights     map[string]*flight
+	pools       map[string]bool
+	runs        uint64
+}
+
+// New returns a Scheduler without upstreams that lets up to queueLength
+// requests wait.
+func New(clk clock.Clock, queueLength int, rnd *rand.Rand) *Scheduler {
+	return &Scheduler{
+		clk: clk, commands: ring.New[command](commands),
+		router:      router.New(router.DefaultWeights(), router.IndexEntries, rnd),
+		admitter:    admitter.New(queueLength),
+		retrier:     retrier.New(retryRatio, retryLimit),
+		quarantiner: quarantiner.New(suspectLimit),
+		waiting:     map[uint64]chan failure.Kind{}, flights: map[string]*flight{}, pools: map[string]bool{},
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Scheduler) Name() string { return "scheduler" }
+
+// Run takes commands until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	next := s.clk.After(tick)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-s.commands.Items():
+			s.handle(c)
+		case <-next:
+			s.updateRooms()
+			s.perform(s.admitter.Handle(s.clk.Now(), admitter.Ticked{}))
+			next = s.clk.After(tick)
+		}
+	}
+}
+
+func (s *Scheduler) handle(c command) {
+	now := s.clk.Now()
+	switch c := c.(type) {
+	case admit:
+		s.waiting[c.work.Ticket] = c.reply
+		s.perform(s.admitter.Handle(now, admitter.Arrived{Work: c.work}))
+	case abandon:
+		delete(s.waiting, c.ticket)
+		s.perform(s.admitter.Handle(now, admitter.Abandoned{Ticket: c.ticket}))
+	case leave:
+		s.perform(s.admitter.Handle(now, admitter.Ended{Pool: c.pool}))
+	case pick:
+		c.reply <- s.pick(now, c)
+	case began:
+		s.router.Began(c.run.Choice)
+	case ended:
+		s.ended(now, c)
+	case crashed:
+		c.reply <- s.crashed(now, c.run)
+	case report:
+		s.router.Reported(now, c.id, c.report)
+	case engines:
+		s.setEngines(c.list)
+	case suspects:
+		for _, r := range c.reports {
+			s.quarantiner.Heard(r)
+		}
+	case look:
+		c.reply <- s.view(now)
+	}
+}
+
+func (s *Scheduler) setEngines(list []router.Engine) {
+	s.router.SetEngines(list)
+	clear(s.pools)
+	for _, e := range list {
+		s.pools[e.Pool] = true
+	}
+	s.updateRooms()
+}
+
+func (s *Scheduler) updateRooms() {
+	now := s.clk.Now()
+	for name := range s.pools {
+		slots, occupied := s.router.Room(now, name)
+		s.perform(s.admitter.Handle(now, admitter.Room{Pool: name, Slots: slots, Occupied: occupied}))
+	}
+}
+
+func (s *Scheduler) perform(actions []admitter.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case admitter.Admit:
+			s.tell(a.Ticket, failure.None)
+		case admitter.Refuse:
+			s.tell(a.Ticket, a.Kind)
+		}
+	}
+}
+
+func (s *Scheduler) tell(ticket uint64, k failure.Kind) {
+	if ch, ok := s.waiting[ticket]; ok {
+		delete(s.waiting, ticket)
+		ch <- k
+	}
+}
+
+func (s *Scheduler) pick(now time.Time, p pick) Picked {
+	p.query.Apart = -1
+	switch s.quarantiner.Judge(now, p.fingerprint) {
+	case quarantiner.Quarantined:
+		return Picked{Quarantine: true}
+	case quarantiner.Wait:
+		return Picked{Wait: true}
+	case quarantiner.Apart:
+		p.query.Apart = s.quarantiner.Rank(now, p.fingerprint)
+	}
+	if p.retry && !s.retrier.Allow() {
+		return Picked{Kind: failure.Overloaded}
+	}
+	c, ok := s.router.Pick(now, &p.query)
+	if !ok {
+		return Picked{Kind: failure.NoUpstream, Wait: p.query.Apart >= 0}
+	}
+	s.runs++
+	run := Run{Choice: c, id: s.runs, fingerprint: p.fingerprint}
+	s.router.Sent(c, p.chain)
+	s.quarantiner.Started(p.fingerprint)
+	f, ok := s.flights[c.ID]
+	if !ok {
+		f = &flight{runs: map[uint64]quarantiner.Fingerprint{}}
+		s.flights[c.ID] = f
+	}
+	f.runs[run.id] = p.fingerprint
+	return Picked{Run: run}
+}
+
+func (s *Scheduler) ended(now time.Time, e ended) {
+	c := e.run.Choice
+	s.router.Ended(c, e.run.began)
+	s.router.Observe(now, c.ID, e.result.Incarnation)
+	if f, ok := s.flights[c.ID]; ok {
+		delete(f.runs, e.run.id)
+	}
+	switch {
+	case e.result.Refused:
+		s.quarantiner.Stopped(e.run.fingerprint)
+	case e.result.Failed:
+		s.quarantiner.Stopped(e.run.fingerprint)
+		s.router.Failed(now, c.ID)
+	default:
+		s.quarantiner.Ended(e.run.fingerprint)
+		s.router.Succeeded(c.ID)
+		s.retrier.Succeeded()
+		if e.result.CachedPieces >= 0 {
+			s.router.Found(c, e.result.CachedPieces)
+		}
+	}
+}
+
+// crashed strikes every request that was in flight at the upstream of run. A
+// run that was struck already is a late detection of the same crash.
+func (s *Scheduler) crashed(now time.Time, run Run) []quarantiner.Report {
+	f, ok := s.flights[run.Choice.ID]
+	if !ok {
+		return nil
+	}
+	if _, ok := f.runs[run.id]; !ok {
+		return nil
+	}
+	flight := make([]quarantiner.Fingerprint, 0, len(f.runs))
+	seen := map[quarantiner.Fingerprint]bool{}
+	for _, fp := range f.runs {
+		if !seen[fp] {
+			seen[fp] = true
+			flight = append(flight, fp)
+		}
+	}
+	clear(f.runs)
+	s.router.Crashed(now, run.Choice.ID)
+	return s.quarantiner.Crashed(now, flight)
+}
+
+func (s *Scheduler) view(now time.Time) View {
+	v := View{Waiting: s.admitter.Waiting(), At: now}
+	for id, f := range s.flights {
+		if len(f.runs) > 0 {
+			v.Flights = append(v.Flights, Flight{Upstream: id, Requests: len(f.runs)})
+			v.Running += len(f.runs)
+		}
+	}
+	return v
+}
+
+// Admit waits for admission. The kind is failure.None when the request may go
+// on; it then holds a place of its pool until Leave.
+func (s *Scheduler) Admit(ctx context.Context, w admitter.Work) (failure.Kind, error) {
+	reply := make(chan failure.Kind, 1)
+	if err := s.commands.Put(ctx, admit{work: w, reply: reply}); err != nil {
+		return failure.CallerGone, err
+	}
+	select {
+	case k := <-reply:
+		return k, nil
+	case <-ctx.Done():
+	}
+	_ = s.commands.Put(context.WithoutCancel(ctx), abandon{ticket: w.Ticket})
+	select {
+	case k := <-reply:
+		if k == failure.None {
+			s.Leave(w.Pool)
+		}
+	default:
+	}
+	return failure.CallerGone, ctx.Err()
+}
+
+// Leave gives back the place that Admit gave.
+func (s *Scheduler) Leave(pool string) { s.put(leave{pool: pool}) }
+
+func (s *Scheduler) put(c command) { _ = s.commands.Put(context.Background(), c) }
+
+// Pick chooses an upstream for an attempt.
+func (s *Scheduler) Pick(q router.Query, chain hasher.Chain, f quarantiner.Fingerprint, retry bool) Picked {
+	reply := make(chan Picked, 1)
+	q.Chain = chain
+	s.put(pick{query: q, chain: chain, fingerprint: f, retry: retry, reply: reply})
+	return <-reply
+}
+
+// Began says that an attempt has its first token.
+func (s *Scheduler) Began(r Run) { s.put(began{run: r}) }
+
+// Ended says how an attempt ended.
+func (s *Scheduler) Ended(r Run, result Result) { s.put(ended{run: r, result: result}) }
+
+// Crashed says that the upstream of r died, and returns what peers should
+// hear; nothing if the crash was known.
+func (s *Scheduler) Crashed(r Run) []quarantiner.Report {
+	reply := make(chan []quarantiner.Report, 1)
+	s.put(crashed{run: r, reply: reply})
+	return <-reply
+}
+
+// Reported takes a load report.
+func (s *Scheduler) Reported(id string, r router.Report) { s.put(report{id: id, report: r}) }
+
+// SetEngines replaces the upstreams.
+func (s *Scheduler) SetEngines(list []router.Engine) { s.put(engines{list: list}) }
+
+// Heard takes reports of peers.
+func (s *Scheduler) Heard(reports []quarantiner.Report) { s.put(suspects{reports: reports}) }
+
+// View returns a look at the state.
+func (s *Scheduler) View() View {
+	reply := make(chan View, 1)
+	s.put(look{reply: reply})
+	return <-reply
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,437 @@
+// Package engine is the stand-in of a model engine: streaming completions with
+// offsets, a bounded prefix cache, load reports, orders and switchable faults.
+// Its answers are a function of the prompt, so that a test can compare them.
+package engine
+
+import (
+	"container/list"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
+
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/hasher"
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+// Options sets the size and speed of an engine.
+type Options struct {
+	Name          string
+	Model         string
+	Version       string
+	Slots         int
+	CachePieces   int
+	PieceBytes    int
+	PieceTime     time.Duration // prefill of one missed piece
+	TokenTime     time.Duration // one decoded token
+	ChecksFencing bool
+	// PoisonText crashes the engine when a prompt contains it.
+	PoisonText string
+}
+
+// Faults is what the engine does wrong.
+type Faults struct {
+	// SilentAfter stops a stream for good after that many tokens, 0 never.
+	SilentAfter int `json:"silentAfter"`
+	// CutAfter breaks a stream after that many tokens, 0 never.
+	CutAfter int `json:"cutAfter"`
+	// Truncate ends a stream cleanly but without its end mark, with CutAfter.
+	Truncate bool `json:"truncate"`
+	// Duplicate sends each chunk twice.
+	Duplicate bool `json:"duplicate"`
+	// Refuse answers 503 with the not-run mark.
+	Refuse bool `json:"refuse"`
+	// Times is how many streams are hit; 0 is all.
+	Times int `json:"times"`
+}
+
+// Engine is an http.Handler.
+type Engine struct {
+	opts  Options
+	clk   clock.Clock
+	slots chan struct{}
+	mux   *http.ServeMux
+
+	mu          sync.Mutex
+	incarnation string
+	crashed     chan struct{}
+	cache       map[uint64]*list.Element
+	recent      *list.List
+	attempts    map[string]bool
+	orders      []wire.Order
+	token       uint64
+	running     int
+	waiting     int
+	pending     int
+	leaving     bool
+	faults      Faults
+	runs        int
+}
+
+// New returns an Engine that is empty.
+func New(opts Options, clk clock.Clock) *Engine {
+	e := &Engine{opts: opts, clk: clk, slots: make(chan struct{}, opts.Slots), mux: http.NewServeMux()}
+	e.reset()
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("POST /v1/completions", e.complete)
+	e.mux.HandleFunc("DELETE /v1/attempts/{id}", e.cancel)
+	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("POST /orders", e.order)
+	e.mux.HandleFunc("PUT /faults", e.putFaults)
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+func (e *Engine) reset() {
+	e.incarnation = uuid.NewString()
+	e.crashed = make(chan struct{})
+	e.cache = map[uint64]*list.Element{}
+	e.recent = list.New()
+	e.attempts = map[string]bool{}
+}
+
+// Crash breaks every connection and comes back empty under the same address.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.crashed)
+	e.reset()
+}
+
+// SetFaults switches the faults.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Runs returns how many completions began here.
+func (e *Engine) Runs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
+// Orders returns the orders that took effect.
+func (e *Engine) Orders() []wire.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]wire.Order(nil), e.orders...)
+}
+
+type job struct {
+	attempt  string
+	base     string // prompt without a partial answer
+	from     int
+	total    int
+	stream   bool
+	chat     bool
+	cached   int
+	pieces   int
+	resumed  bool
+	faults   Faults
+	crashed  chan struct{}
+	identity string
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	refuse := e.leaving || e.hit(e.faults.Refuse)
+	e.mu.Unlock()
+	if refuse {
+		w.Header().Set(wire.HeaderNotRun, "true")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	if e.opts.PoisonText != "" && strings.Contains(string(body), e.opts.PoisonText) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	j, ok := e.admit(r, body)
+	if !ok {
+		w.Header().Set(wire.HeaderNotRun, "true")
+		http.Error(w, "unknown attempt", http.StatusGone)
+		return
+	}
+	e.slots <- struct{}{}
+	defer func() { <-e.slots }()
+	e.start()
+	defer e.end()
+	e.wait(r, j, time.Duration(j.pieces-j.cached)*e.opts.PieceTime)
+	w.Header().Set(wire.HeaderIncarnation, j.identity)
+	if j.stream {
+		e.stream(w, r, j)
+		return
+	}
+	e.whole(w, r, j)
+}
+
+func (e *Engine) hit(on bool) bool {
+	if !on {
+		return false
+	}
+	if e.faults.Times > 0 {
+		if e.faults.Times--; e.faults.Times == 0 {
+			e.faults = Faults{}
+		}
+	}
+	return true
+}
+
+func (e *Engine) admit(r *http.Request, body []byte) (*job, bool) {
+	doc := gjson.ParseBytes(body)
+	j := &job{attempt: r.Header.Get(wire.HeaderAttempt), stream: doc.Get("stream").Bool(), chat: strings.Contains(r.URL.Path, "chat")}
+	j.total = int(doc.Get("max_tokens").Int())
+	if j.total <= 0 {
+		j.total = 16
+	}
+	text := doc.Get("prompt").Raw
+	if j.chat {
+		text = doc.Get("messages").Raw
+	}
+	j.base = text
+	if sent := doc.Get("continue_text"); sent.Exists() {
+		j.from = len(strings.Fields(sent.String()))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting++
+	e.runs++
+	j.identity, j.crashed = e.incarnation, e.crashed
+	if e.hit(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.Duplicate) {
+		j.faults = e.faults
+	}
+	if raw := r.Header.Get(wire.HeaderResumeFrom); raw != "" {
+		if !e.attempts[j.attempt] {
+			e.waiting--
+			return nil, false
+		}
+		j.from, _ = strconv.Atoi(raw)
+		j.resumed = true
+		return j, true
+	}
+	e.attempts[j.attempt] = true
+	h := hasher.New(e.opts.PieceBytes)
+	seed := h.Seed(hasher.Scope{Salt: r.Header.Get(wire.HeaderSalt), Model: e.opts.Model, Version: e.opts.Version})
+	chain := h.Append(nil, seed, []byte(text))
+	j.pieces, j.cached = len(chain), e.lookup(chain)
+	e.pending += j.pieces - j.cached
+	return j, true
+}
+
+func (e *Engine) lookup(chain hasher.Chain) int {
+	hits := 0
+	for _, h := range chain {
+		if el, ok := e.cache[h]; ok {
+			e.recent.MoveToFront(el)
+			hits++
+			continue
+		}
+		e.cache[h] = e.recent.PushFront(h)
+		if e.recent.Len() > e.opts.CachePieces {
+			last := e.recent.Back()
+			delete(e.cache, e.recent.Remove(last).(uint64))
+		}
+	}
+	return hits
+}
+
+func (e *Engine) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	e.running++
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+func (e *Engine) wait(r *http.Request, j *job, d time.Duration) {
+	select {
+	case <-e.clk.After(d):
+	case <-j.crashed:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+	}
+	e.mu.Lock()
+	e.pending = max(0, e.pending-(j.pieces-j.cached))
+	j.pieces = j.cached
+	e.mu.Unlock()
+}
+
+var words = strings.Fields("red twill cotton selvage hem pennant bunting thread grommet canvas felt fringe tassel appliqué dye loom weft warp typha reed lake shore plot bale boat permit")
+
+// Token returns token i of the answer to prompt, the raw JSON of the prompt or
+// messages field.
+func Token(prompt string, i int) string {
+	h := xxhash.Sum64String(prompt + "#" + strconv.Itoa(i))
+	return words[h%uint64(len(words))] + " "
+}
+
+// Answer returns the first n tokens of the answer to prompt.
+func Answer(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        *delta  `json:"delta,omitempty"`
+	Message      *delta  `json:"message,omitempty"`
+	Text         string  `json:"text,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type details struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type usage struct {
+	PromptTokens     int     `json:"prompt_tokens"`
+	CompletionTokens int     `json:"completion_tokens"`
+	Details          details `json:"prompt_tokens_details"`
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+const bytesPerToken = 4
+
+func (e *Engine) usage(j *job) *usage {
+	perPiece := e.opts.PieceBytes / bytesPerToken
+	return &usage{PromptTokens: len(j.base) / bytesPerToken, CompletionTokens: j.total, Details: details{CachedTokens: j.cached * perPiece}}
+}
+
+func (e *Engine) chunk(j *job, text string) chunk {
+	c := chunk{ID: j.attempt, Object: "text_completion", Model: e.opts.Model, Choices: []choice{{Text: text}}}
+	if j.chat {
+		c.Object = "chat.completion.chunk"
+		c.Choices = []choice{{Delta: &delta{Content: text}}}
+	}
+	return c
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, j *job) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for i := j.from; i < j.total; i++ {
+		e.wait(r, j, e.opts.TokenTime)
+		if r.Context().Err() != nil {
+			return
+		}
+		sent := i - j.from
+		switch {
+		case j.faults.CutAfter > 0 && sent >= j.faults.CutAfter:
+			if j.faults.Truncate {
+				return
+			}
+			panic(http.ErrAbortHandler)
+		case j.faults.SilentAfter > 0 && sent >= j.faults.SilentAfter:
+			<-r.Context().Done()
+			return
+		}
+		data, _ := json.Marshal(e.chunk(j, Token(j.base, i)))
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
+		if j.faults.Duplicate {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
+		}
+		_ = rc.Flush()
+	}
+	stop := "stop"
+	last := e.chunk(j, "")
+	last.Choices[0].FinishReason = &stop
+	last.Usage = e.usage(j)
+	data, _ := json.Marshal(last)
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\ndata: [DONE]\n\n", j.total, data)
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, j *job) {
+	e.wait(r, j, time.Duration(j.total-j.from)*e.opts.TokenTime)
+	stop := "stop"
+	c := chunk{ID: j.attempt, Object: "text_completion", Model: e.opts.Model, Usage: e.usage(j)}
+	text := Answer(j.base, j.total)
+	c.Choices = []choice{{Text: text, FinishReason: &stop}}
+	if j.chat {
+		c.Object = "chat.completion"
+		c.Choices = []choice{{Message: &delta{Content: text}, FinishReason: &stop}}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(c)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.attempts, r.PathValue("id"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	l := wire.Load{
+		Incarnation: e.incarnation, Running: e.running, Waiting: e.waiting,
+		PendingPieces: e.pending, Leaving: e.leaving, Model: e.opts.Model, Version: e.opts.Version,
+	}
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o wire.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing && o.FencingToken < e.token {
+		http.Error(w, "old fencing token", http.StatusConflict)
+		return
+	}
+	e.token = max(e.token, o.FencingToken)
+	e.orders = append(e.orders, o)
+	if o.Kind == wire.OrderDrain {
+		e.leaving = true
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
--- /dev/null
+++ b/internal/standin/kvstore/kvstore.go
@@ -0,0 +1,264 @@
+// Package kvstore is the stand-in of the platform's key-value service:
+// compare-and-swap, leases and watches over HTTP, with switchable faults.
+package kvstore
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+)
+
+// Faults is what the stand-in does wrong.
+type Faults struct {
+	Down        bool `json:"down"`
+	DelayMillis int  `json:"delayMillis"`
+	// LoseReplies takes effect on writes: it applies them and then breaks the
+	// connection.
+	LoseReplies bool `json:"loseReplies"`
+}
+
+type item struct {
+	platform.Entry
+	lease string
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store keeps the keys in memory. It is an http.Handler.
+type Store struct {
+	clk      clock.Clock
+	mu       sync.Mutex
+	version  uint64
+	items    map[string]item
+	leases   map[string]lease
+	changed  chan struct{}
+	faults   Faults
+	calls    map[string]int64
+	handlers *http.ServeMux
+}
+
+// New returns an empty Store.
+func New(clk clock.Clock) *Store {
+	s := &Store{
+		clk: clk, items: map[string]item{}, leases: map[string]lease{},
+		changed: make(chan struct{}), calls: map[string]int64{}, handlers: http.NewServeMux(),
+	}
+	s.handlers.HandleFunc("GET /v1/kv/{key...}", s.get)
+	s.handlers.HandleFunc("PUT /v1/kv/{key...}", s.put)
+	s.handlers.HandleFunc("POST /v1/leases", s.grant)
+	s.handlers.HandleFunc("PUT /v1/leases/{id}", s.keepAlive)
+	s.handlers.HandleFunc("DELETE /v1/leases/{id}", s.revoke)
+	s.handlers.HandleFunc("PUT /faults", s.setFaults)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	s.calls[r.Method]++
+	s.mu.Unlock()
+	if r.URL.Path != "/faults" {
+		if f.DelayMillis > 0 {
+			<-s.clk.After(time.Duration(f.DelayMillis) * time.Millisecond)
+		}
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if f.LoseReplies && r.Method == http.MethodPut {
+			s.handlers.ServeHTTP(&deafWriter{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	s.handlers.ServeHTTP(w, r)
+}
+
+type deafWriter struct{ header http.Header }
+
+func (d *deafWriter) Header() http.Header         { return d.header }
+func (d *deafWriter) Write(b []byte) (int, error) { return len(b), nil }
+func (d *deafWriter) WriteHeader(int)             {}
+
+// SetFaults switches the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Rollback forgets everything but the values of keep, as a platform does that
+// lost its latest writes.
+func (s *Store) Rollback(keep map[string]platform.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = map[string]item{}
+	for k, e := range keep {
+		s.items[k] = item{Entry: e}
+	}
+	s.signal()
+}
+
+// Peek returns the state of key.
+func (s *Store) Peek(key string) platform.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Entry
+}
+
+// Calls returns the number of calls by method so far.
+func (s *Store) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int64, len(s.calls))
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) expire() {
+	now := s.clk.Now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *Store) drop(id string) {
+	delete(s.leases, id)
+	for k, it := range s.items {
+		if it.lease == id {
+			delete(s.items, k)
+			s.signal()
+		}
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	after, err := platform.ParseVersion(r.URL.Query().Get("after"))
+	watching := err == nil
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitSeconds"))
+	timeout := s.clk.After(time.Duration(wait) * time.Second)
+	for {
+		s.mu.Lock()
+		s.expire()
+		it, changed := s.items[key], s.changed
+		s.mu.Unlock()
+		if !watching || it.Version != after {
+			reply(w, it.Entry)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			watching = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, e platform.Entry) {
+	if e.Version == 0 {
+		http.Error(w, "absent", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, e)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+const maxValueBytes = 1 << 20
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	var in platform.Entry
+	body, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(body, &in) != nil || len(in.Value) > maxValueBytes {
+		http.Error(w, "bad value", http.StatusBadRequest)
+		return
+	}
+	want, err := platform.ParseVersion(r.URL.Query().Get("version"))
+	if err != nil {
+		http.Error(w, "bad version", http.StatusBadRequest)
+		return
+	}
+	key, id := r.PathValue("key"), r.URL.Query().Get("lease")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if _, ok := s.leases[id]; id != "" && !ok || s.items[key].Version != want {
+		http.Error(w, "conflict", http.StatusConflict)
+		return
+	}
+	s.version++
+	s.items[key] = item{Entry: platform.Entry{Value: in.Value, Version: s.version}, lease: id}
+	s.signal()
+	writeJSON(w, platform.Entry{Version: s.version})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var in platform.Lease
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.TTLSeconds <= 0 {
+		http.Error(w, "bad lease", http.StatusBadRequest)
+		return
+	}
+	in.ID = uuid.NewString()
+	ttl := time.Duration(in.TTLSeconds) * time.Second
+	s.mu.Lock()
+	s.leases[in.ID] = lease{ttl: ttl, expires: s.clk.Now().Add(ttl)}
+	s.mu.Unlock()
+	writeJSON(w, in)
+}
+
+func (s *Store) keepAlive(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, ok := s.leases[r.PathValue("id")]
+	if !ok {
+		http.Error(w, "lapsed", http.StatusNotFound)
+		return
+	}
+	l.expires = s.clk.Now().Add(l.ttl)
+	s.leases[r.PathValue("id")] = l
+	writeJSON(w, struct{}{})
+}
+
+func (s *Store) revoke(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(r.PathValue("id"))
+	writeJSON(w, struct{}{})
+}
+
+func (s *Store) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	writeJSON(w, f)
+}
--- /dev/null
+++ b/internal/systemclock/systemclock.go
@@ -0,0 +1,23 @@
+// Package systemclock is the clock of the machine.
+package systemclock
+
+import (
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+)
+
+// SystemClock implements clock.Clock with the machine's clock.
+type SystemClock struct{}
+
+// New returns the clock of the machine.
+func New() SystemClock { return SystemClock{} }
+
+// Now implements clock.Clock.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// After implements clock.Clock.
+func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// AfterFunc implements clock.Clock.
+func (SystemClock) AfterFunc(d time.Duration, f func()) clock.Timer { return time.AfterFunc(d, f) }
--- /dev/null
+++ b/internal/testlib/caller.go
@@ -0,0 +1,148 @@
+package testlib
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/tidwall/gjson"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Chat is the body of a chat completion.
+type Chat struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Messages  []Message `json:"messages"`
+}
+
+// NewChat returns a streamed chat of n tokens with a shared prefix and a
+// question.
+func NewChat(prefix, question string, n int) Chat {
+	return Chat{Model: "assistant", Stream: true, MaxTokens: n, Messages: []Message{
+		{Role: "system", Content: prefix}, {Role: "user", Content: question},
+	}}
+}
+
+// MessagesJSON returns the raw JSON of the messages, from which the stand-in
+// engine makes its answer.
+func (c Chat) MessagesJSON() string {
+	b, _ := json.Marshal(c.Messages)
+	return string(b)
+}
+
+// Reply is what a caller received.
+type Reply struct {
+	Status   int
+	Header   http.Header
+	Body     string // of an answer that was no stream
+	Text     string
+	LastID   string
+	Complete bool // the end mark was seen
+	Error    wire.ErrorDetail
+	Cached   int // cached tokens, as the engine counted
+	Prompt   int // prompt tokens
+}
+
+// Caller calls one entry.
+type Caller struct {
+	Addr string
+	Key  string
+	HTTP *http.Client
+	// OnToken, if set, receives each token. An error ends the reading.
+	OnToken func(text string) error
+}
+
+// NewCaller returns a Caller of the workspace "bench" at addr.
+func NewCaller(addr string) *Caller { return &Caller{Addr: addr, Key: Key, HTTP: &http.Client{}} }
+
+// Post sends body to path with header and returns the open response.
+func (c *Caller) Post(ctx context.Context, path string, body []byte, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("Content-Type", "application/json")
+	return c.HTTP.Do(req)
+}
+
+// Call posts body and reads the whole answer.
+func (c *Caller) Call(ctx context.Context, path string, body []byte, header http.Header) (Reply, error) {
+	resp, err := c.Post(ctx, path, body, header)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	r := Reply{Status: resp.StatusCode, Header: resp.Header}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		err := c.readStream(resp.Body, &r)
+		return r, err
+	}
+	data, err := io.ReadAll(resp.Body)
+	r.Body = string(data)
+	if resp.StatusCode >= http.StatusBadRequest {
+		var e wire.ErrorBody
+		_ = json.Unmarshal(data, &e)
+		r.Error = e.Error
+	}
+	return r, errors.Trace(err)
+}
+
+func (c *Caller) readStream(body io.Reader, r *Reply) error {
+	for ev, err := range sse.Read(body, nil) {
+		if err != nil {
+			return errors.Trace(err)
+		}
+		switch {
+		case ev.Type == "error":
+			var e wire.ErrorBody
+			if err := json.Unmarshal([]byte(ev.Data), &e); err != nil {
+				return errors.Trace(err)
+			}
+			r.Error = e.Error
+			continue
+		case ev.Data == "[DONE]":
+			r.Complete = true
+			continue
+		}
+		r.LastID = ev.LastEventID
+		text := gjson.Get(ev.Data, "choices.0.delta.content").String()
+		r.Text += text
+		if u := gjson.Get(ev.Data, "usage"); u.Exists() {
+			r.Prompt = int(u.Get("prompt_tokens").Int())
+			r.Cached = int(u.Get("prompt_tokens_details.cached_tokens").Int())
+		}
+		if c.OnToken != nil && text != "" {
+			if err := c.OnToken(text); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Chat sends a chat completion.
+func (c *Caller) Chat(ctx context.Context, chat Chat, header http.Header) (Reply, error) {
+	body, err := json.Marshal(chat)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	return c.Call(ctx, "/v1/chat/completions", body, header)
+}
--- /dev/null
+++ b/internal/testlib/fleet.go
@@ -0,0 +1,290 @@
+// Package testlib starts the processes of a small deployment on loopback, for
+// the demonstration and for tests.
+package testlib
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/pkg/config"
+	"github.com/auburnnotch/auburnnotch/pkg/declare"
+)
+
+// Key is the bearer key of the workspace "bench" of a Fleet.
+const Key = "bench-key"
+
+// Process is a started program.
+type Process struct {
+	Name string
+	Addr string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Wait waits for the process to end and returns its error.
+func (p *Process) Wait() error {
+	<-p.done
+	return p.err
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Dir       string
+	Platform  *Process
+	Engines   []*Process
+	Service   *Process
+	Nodes     []*Process
+	settings  []string
+	router    string
+	standin   string
+	log       io.Writer
+	mu        sync.Mutex
+	processes []*Process
+}
+
+// Build compiles the two programs of the module at root into dir.
+func Build(ctx context.Context, root, dir string) error {
+	for name, pkg := range map[string]string{"auburnnotch": ".", "standin": "./cmd/standin"} {
+		c := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, name), pkg)
+		c.Dir = root
+		if out, err := c.CombinedOutput(); err != nil {
+			return errors.Annotatef(err, "build %s: %s", name, out)
+		}
+	}
+	return nil
+}
+
+// Start starts a platform, engines and nodes with the programs in dir. log
+// receives what they print.
+func Start(dir string, engines, nodes int, log io.Writer, engineArgs ...string) (*Fleet, error) {
+	f := &Fleet{Dir: dir, router: filepath.Join(dir, "auburnnotch"), standin: filepath.Join(dir, "standin"), log: log}
+	var err error
+	if f.Platform, err = f.standIn("platform", "platform"); err != nil {
+		return f, err
+	}
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i+1)
+		e, err := f.standIn(name, append([]string{"engine", "--name", name}, engineArgs...)...)
+		if err != nil {
+			return f, err
+		}
+		f.Engines = append(f.Engines, e)
+	}
+	if f.Service, err = f.standIn("orders", "service"); err != nil {
+		return f, err
+	}
+	return f, f.startNodes(nodes)
+}
+
+func (f *Fleet) standIn(name string, args ...string) (*Process, error) {
+	return f.start(name, f.standin, args, func(line string) string {
+		_, addr, _ := strings.Cut(line, "listening on ")
+		return addr
+	})
+}
+
+// start runs a program and waits until a line that it prints gives its
+// address.
+func (f *Fleet) start(name, path string, args []string, address func(line string) string) (*Process, error) {
+	c := exec.Command(path, args...)
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	c.Stdout, c.Stderr = w, w
+	if err := c.Start(); err != nil {
+		return nil, errors.Annotatef(err, "start %s", name)
+	}
+	_ = w.Close()
+	p := &Process{Name: name, cmd: c, done: make(chan struct{})}
+	f.mu.Lock()
+	f.processes = append(f.processes, p)
+	f.mu.Unlock()
+	found := make(chan string, 1)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		sc := bufio.NewScanner(r)
+		for sc.Scan() {
+			if a := address(sc.Text()); a != "" {
+				select {
+				case found <- a:
+				default:
+				}
+			}
+			fmt.Fprintf(f.log, "%s: %s\n", name, sc.Text())
+		}
+		p.err = c.Wait()
+		close(p.done)
+	})
+	const limit = 10 * time.Second
+	select {
+	case p.Addr = <-found:
+		return p, nil
+	case <-p.done:
+		return p, errors.Errorf("%s ended at its start: %v", name, p.err)
+	case <-time.After(limit):
+		return p, errors.Errorf("%s gave no address in %s", name, limit)
+	}
+}
+
+func freePort(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket(network, "127.0.0.1:0")
+		if err != nil {
+			return "", errors.Trace(err)
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	ln, err := net.Listen(network, "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func (f *Fleet) startNodes(n int) error {
+	peers := make([]string, n)
+	for i := range peers {
+		var err error
+		if peers[i], err = freePort("udp"); err != nil {
+			return err
+		}
+	}
+	for i := range n {
+		listen, err := freePort("tcp")
+		if err != nil {
+			return err
+		}
+		s := config.Settings{
+			Name: fmt.Sprintf("entry-%d", i+1), DataCentre: "dc-1", Listen: listen, PeerListen: peers[i],
+			Peers: peers, PeerSecret: "a secret of the demonstration", Platform: "http://" + f.Platform.Addr,
+			Limits: config.Limits{EntrySeconds: 1},
+		}
+		path := filepath.Join(f.Dir, s.Name+".json")
+		text, err := json.MarshalIndent(s, "", "  ")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return errors.Trace(err)
+		}
+		f.settings = append(f.settings, path)
+		p, err := f.startNode(i)
+		if err != nil {
+			return err
+		}
+		f.Nodes = append(f.Nodes, p)
+	}
+	return f.awaitMembers(n)
+}
+
+// awaitMembers waits until every node knows n nodes.
+func (f *Fleet) awaitMembers(n int) error {
+	const (
+		tries = 100
+		pause = 50 * time.Millisecond
+	)
+	for _, node := range f.Nodes {
+		known := 0
+		for range tries {
+			out, err := f.Command("status", "--json", "--node", node.Addr)
+			if err != nil {
+				return err
+			}
+			if known = strings.Count(out, `"reached": true`); known == n {
+				break
+			}
+			time.Sleep(pause)
+		}
+		if known != n {
+			return errors.Errorf("%s knows %d of %d nodes", node.Name, known, n)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startNode(i int) (*Process, error) {
+	return f.start(fmt.Sprintf("entry-%d", i+1), f.router, []string{"serve", f.settings[i]}, func(line string) string {
+		_, rest, ok := strings.Cut(line, "callers=\"")
+		if !ok {
+			return ""
+		}
+		addr, _, _ := strings.Cut(rest, "\"")
+		return addr
+	})
+}
+
+// Restart starts node i again, which must have ended.
+func (f *Fleet) Restart(i int) error {
+	p, err := f.startNode(i)
+	if err == nil {
+		f.Nodes[i] = p
+	}
+	return err
+}
+
+// Declaration returns a declaration of the fleet's upstreams.
+func (f *Fleet) Declaration() declare.Declaration {
+	d := declare.New().
+		WithDataCentre("dc-1", "region-1").
+		WithModel("assistant", "v1").
+		WithVM(declare.VM("vm-service", "dc-1")).
+		WithPool(declare.Pool("assistant", "assistant", "v1", config.Interactive)).
+		WithService("orders", declare.Once("/commit", config.Interactive), declare.Repeatable("/stock", config.Interactive)).
+		WithUpstream(declare.BackEnd("orders-1", "vm-service", "http://"+f.Service.Addr, "orders", 16)).
+		WithWorkspace(declare.Workspace("bench", 2, declare.HashKey(Key)))
+	for i, e := range f.Engines {
+		vm := fmt.Sprintf("vm-%d", i+1)
+		d = d.WithVM(declare.VM(vm, "dc-1")).
+			WithUpstream(declare.Engine(e.Name, vm, "http://"+e.Addr, "assistant", 16, i%2 == 0))
+	}
+	return d
+}
+
+// Apply submits d with the command line to the first running node.
+func (f *Fleet) Apply(d declare.Declaration) (string, error) {
+	path := filepath.Join(f.Dir, "declaration.json")
+	var b strings.Builder
+	if err := d.Print(&b); err != nil {
+		return "", err
+	}
+	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+		return "", errors.Trace(err)
+	}
+	return f.Command("apply", "--node", f.Nodes[0].Addr, path)
+}
+
+// Command runs the command line and returns what it prints.
+func (f *Fleet) Command(args ...string) (string, error) {
+	out, err := exec.Command(f.router, args...).CombinedOutput()
+	return string(out), errors.Annotatef(err, "auburnnotch %s: %s", strings.Join(args, " "), out)
+}
+
+// Stop ends every process that Start has started.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
--- /dev/null
+++ b/pkg/failure/failure.go
@@ -0,0 +1,130 @@
+// Package failure holds the closed list of error kinds and the table from kind
+// to the answer that a caller receives.
+package failure
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Kind is one entry of the closed list of errors.
+type Kind uint8
+
+// The kinds. Their answers stand in the table below.
+const (
+	None Kind = iota
+	BadRequest
+	Unauthorized
+	UnknownModel
+	UnknownRoute
+	MissingKey
+	KeyReused
+	KeyExpired
+	TooLarge
+	RateLimited
+	Overloaded
+	DeadlinePassed
+	NoUpstream
+	PlatformDown
+	LedgerFull
+	Draining
+	Quarantined
+	UpstreamFailed
+	OutcomeUnknown
+	StreamLost
+	Conflict
+	CallerGone
+	Internal
+	kindCount
+)
+
+// Verdict tells what is known about the execution of a refused request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// NotRun means that no byte of the request reached an upstream, or that
+	// the upstream itself refused it before running it.
+	NotRun Verdict = iota + 1
+	// Unknown means that the request may have been run.
+	Unknown
+)
+
+// Answer is what a caller receives for a kind.
+type Answer struct {
+	Name       string
+	Status     int
+	Verdict    Verdict
+	RetryAfter time.Duration
+}
+
+var answers = [kindCount]Answer{
+	None:           {Name: "none", Status: 200, Verdict: Unknown},
+	BadRequest:     {Name: "badRequest", Status: 400, Verdict: NotRun},
+	Unauthorized:   {Name: "unauthorized", Status: 401, Verdict: NotRun},
+	UnknownModel:   {Name: "unknownModel", Status: 404, Verdict: NotRun},
+	UnknownRoute:   {Name: "unknownRoute", Status: 404, Verdict: NotRun},
+	MissingKey:     {Name: "missingIdempotencyKey", Status: 400, Verdict: NotRun},
+	KeyReused:      {Name: "idempotencyKeyReused", Status: 422, Verdict: NotRun},
+	KeyExpired:     {Name: "idempotencyKeyExpired", Status: 409, Verdict: Unknown},
+	TooLarge:       {Name: "tooLarge", Status: 413, Verdict: NotRun},
+	RateLimited:    {Name: "rateLimited", Status: 429, Verdict: NotRun, RetryAfter: time.Second},
+	Overloaded:     {Name: "overloaded", Status: 503, Verdict: NotRun, RetryAfter: time.Second},
+	DeadlinePassed: {Name: "deadlinePassed", Status: 504, Verdict: NotRun},
+	NoUpstream:     {Name: "noUpstream", Status: 503, Verdict: NotRun, RetryAfter: time.Second},
+	PlatformDown:   {Name: "platformDown", Status: 503, Verdict: NotRun, RetryAfter: 2 * time.Second},
+	LedgerFull:     {Name: "ledgerFull", Status: 503, Verdict: NotRun, RetryAfter: time.Minute},
+	Draining:       {Name: "draining", Status: 503, Verdict: NotRun, RetryAfter: time.Second},
+	Quarantined:    {Name: "quarantined", Status: 422, Verdict: NotRun},
+	UpstreamFailed: {Name: "upstreamFailed", Status: 502, Verdict: Unknown},
+	OutcomeUnknown: {Name: "outcomeUnknown", Status: 502, Verdict: Unknown},
+	StreamLost:     {Name: "streamLost", Status: 410, Verdict: Unknown},
+	Conflict:       {Name: "conflict", Status: 409, Verdict: NotRun},
+	CallerGone:     {Name: "callerGone", Status: 499, Verdict: Unknown},
+	Internal:       {Name: "internal", Status: 500, Verdict: Unknown},
+}
+
+// Answer returns the answer of k; a value outside the list answers as Internal.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the name of k as it stands in error bodies and metrics.
+func (k Kind) String() string { return k.Answer().Name }
+
+type kindError struct {
+	kind Kind
+	err  error
+}
+
+func (e *kindError) Error() string { return e.err.Error() }
+func (e *kindError) Unwrap() error { return e.err }
+
+// New returns an error of kind k with a message that tells what to do.
+func New(k Kind, format string, args ...any) error {
+	return &kindError{kind: k, err: errors.Errorf(format, args...)}
+}
+
+// Wrap gives err the kind k. It returns nil for a nil err.
+func Wrap(k Kind, err error, msg string) error {
+	if err == nil {
+		return nil
+	}
+	return &kindError{kind: k, err: errors.Annotate(err, msg)}
+}
+
+// KindOf returns the kind of err, Internal where it has none and None for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return None
+	}
+	var e *kindError
+	if errors.As(err, &e) {
+		return e.kind
+	}
+	return Internal
+}
--- /dev/null
+++ b/pkg/hasher/hasher.go
@@ -0,0 +1,70 @@
+// Package hasher turns a prompt into the chain of hashes of its pieces, the
+// identity under which engines cache them.
+package hasher
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Chain holds one hash for each whole piece of a prompt; entry i covers the
+// salt and the pieces 0 to i.
+type Chain []uint64
+
+// Scope names everything besides the text that a cached piece depends on.
+type Scope struct {
+	Salt    string // workspace salt
+	Model   string
+	Version string // weights version
+}
+
+// Hasher hashes prompts in pieces of a fixed size. It is immutable and safe
+// for concurrent use.
+type Hasher struct {
+	pieceBytes int
+}
+
+// New returns a Hasher that cuts prompts into pieces of pieceBytes bytes.
+func New(pieceBytes int) Hasher { return Hasher{pieceBytes: max(1, pieceBytes)} }
+
+// WithPieceBytes returns a Hasher for another piece size.
+func (h Hasher) WithPieceBytes(n int) Hasher { return New(n) }
+
+// PieceBytes returns the size of a piece in bytes.
+func (h Hasher) PieceBytes() int { return h.pieceBytes }
+
+// Seed returns the hash that the chain of scope starts from.
+func (h Hasher) Seed(s Scope) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [...]string{s.Salt, s.Model, s.Version} {
+		var n [4]byte
+		binary.LittleEndian.PutUint32(n[:], uint32(len(part)))
+		_, _ = d.Write(n[:])
+		_, _ = d.WriteString(part)
+	}
+	return d.Sum64()
+}
+
+// Append adds the chain of prompt under seed to dst and returns it. The last,
+// partial piece gets no entry; a prompt shorter than one piece gets one entry
+// for its whole text, so that repeats of it stay together.
+func (h Hasher) Append(dst Chain, seed uint64, prompt []byte) Chain {
+	if len(prompt) < h.pieceBytes {
+		return append(dst, link(seed, prompt))
+	}
+	for len(prompt) >= h.pieceBytes {
+		seed = link(seed, prompt[:h.pieceBytes])
+		dst = append(dst, seed)
+		prompt = prompt[h.pieceBytes:]
+	}
+	return dst
+}
+
+func link(prev uint64, piece []byte) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], prev)
+	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64(piece))
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/pkg/member/member.go
@@ -0,0 +1,318 @@
+// Package member is the state machine of the membership: it probes one peer a
+// period, suspects before it removes, and lets news ride on the probes, so
+// that the traffic of a node doesn't grow with the fleet. The method is SWIM
+// (Das, Gupta, Motivala, 2002); docs/DESIGN.md has the measurement.
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// State is what is believed of a member.
+type State uint8
+
+// The states, in the order in which they override each other.
+const (
+	Alive State = iota + 1
+	Suspect
+	Leaving // alive, but takes no new work
+	Dead
+)
+
+// Info describes a member.
+type Info struct {
+	Name        string `msgpack:"n"`
+	Address     string `msgpack:"a"` // for peers
+	Entry       string `msgpack:"e"` // for callers
+	DataCentre  string `msgpack:"d"`
+	Incarnation uint64 `msgpack:"i"`
+	// Boot tells one start of the node from another.
+	Boot  uint64 `msgpack:"b"`
+	State State  `msgpack:"s"`
+}
+
+// WithState returns i in state s.
+func (i Info) WithState(s State) Info {
+	i.State = s
+	return i
+}
+
+func (i Info) overrides(old Info) bool {
+	if i.Incarnation != old.Incarnation {
+		return i.Incarnation > old.Incarnation
+	}
+	return i.State > old.State
+}
+
+// Digest rides on every message.
+type Digest struct {
+	From     Info   `msgpack:"f"`
+	News     []Info `msgpack:"n,omitempty"`
+	Revision uint64 `msgpack:"r"` // of the configuration
+}
+
+// Event is an input of the machine.
+type Event interface{ event() }
+
+// Ticked lets time pass; it is expected a few times in a period.
+type Ticked struct{}
+
+// Heard is a digest that a peer sent, as a probe or as an answer.
+type Heard struct{ Digest Digest }
+
+// ProbeFailed says that a probe of Peer, direct and through helpers, had no
+// answer.
+type ProbeFailed struct{ Peer string }
+
+func (Ticked) event()      {}
+func (Heard) event()       {}
+func (ProbeFailed) event() {}
+
+// Action is an output of the machine.
+type Action interface{ action() }
+
+// Probe asks for one exchange of digests with Peer; Helpers may try in its
+// place if the peer doesn't answer.
+type Probe struct {
+	Peer    Info
+	Helpers []Info
+}
+
+// Changed says that the list of members has changed.
+type Changed struct{}
+
+func (Probe) action()   {}
+func (Changed) action() {}
+
+// Timing sets the periods.
+type Timing struct {
+	Period  time.Duration // between probes
+	Suspect time.Duration // a suspect is removed after it
+	Forget  time.Duration // a removed member is forgotten after it
+}
+
+// DefaultTiming finds a dead member within a few seconds.
+func DefaultTiming() Timing {
+	return Timing{Period: 500 * time.Millisecond, Suspect: 2 * time.Second, Forget: time.Minute}
+}
+
+const (
+	newsPerMessage = 12 // bounds a digest to about a kilobyte
+	helpers        = 2
+	newsFactor     = 3 // sends of one piece of news, times log2 of the members
+)
+
+type record struct {
+	info  Info
+	since time.Time
+	sends int
+}
+
+// Member is the machine. It is not safe for concurrent use.
+type Member struct {
+	self    Info
+	timing  Timing
+	rnd     *rand.Rand
+	others  map[string]*record
+	order   []string // probe order, shuffled each round
+	at      int
+	next    time.Time
+	selfNew int // sends left of the news about oneself
+	out     []Action
+}
+
+// New returns the machine of self, whose Incarnation must be higher than at
+// any earlier start under the same name.
+func New(self Info, timing Timing, rnd *rand.Rand) *Member {
+	self.State = Alive
+	return &Member{self: self, timing: timing, rnd: rnd, others: map[string]*record{}}
+}
+
+// Self returns what this node says of itself.
+func (m *Member) Self() Info { return m.self }
+
+// Leave marks this node as leaving.
+func (m *Member) Leave() {
+	m.self.State = Leaving
+	m.selfNew = m.budget()
+}
+
+// Live returns this node and the others that are not removed, ordered by name.
+func (m *Member) Live() []Info {
+	live := []Info{m.self}
+	for _, r := range m.others {
+		if r.info.State != Dead {
+			live = append(live, r.info)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	return live
+}
+
+// Digest returns the message to send now.
+func (m *Member) Digest(revision uint64) Digest {
+	d := Digest{From: m.self, Revision: revision}
+	var fresh []*record
+	for _, r := range m.others {
+		if r.sends > 0 {
+			fresh = append(fresh, r)
+		}
+	}
+	sort.Slice(fresh, func(i, j int) bool {
+		if fresh[i].sends != fresh[j].sends {
+			return fresh[i].sends > fresh[j].sends
+		}
+		return fresh[i].info.Name < fresh[j].info.Name
+	})
+	for _, r := range fresh[:min(len(fresh), newsPerMessage)] {
+		r.sends--
+		d.News = append(d.News, r.info)
+	}
+	m.addSample(&d)
+	return d
+}
+
+// addSample fills the rest of a digest with members chosen at random, so that
+// a node that missed the news, or restarted, learns of them all the same.
+func (m *Member) addSample(d *Digest) {
+	const sample = 3
+	if len(m.order) == 0 {
+		return
+	}
+	for range min(sample, newsPerMessage-len(d.News)) {
+		if r, ok := m.others[m.order[m.rnd.IntN(len(m.order))]]; ok {
+			d.News = append(d.News, r.info)
+		}
+	}
+}
+
+// Handle takes an event at now and returns the actions to carry out.
+func (m *Member) Handle(now time.Time, e Event) []Action {
+	m.out = m.out[:0]
+	switch e := e.(type) {
+	case Ticked:
+		m.tick(now)
+	case Heard:
+		m.learn(now, e.Digest.From)
+		for _, i := range e.Digest.News {
+			m.learn(now, i)
+		}
+	case ProbeFailed:
+		if r, ok := m.others[e.Peer]; ok && r.info.State < Suspect {
+			m.set(now, r, r.info.WithState(Suspect))
+		}
+	}
+	return m.out
+}
+
+func (m *Member) budget() int {
+	n := 1
+	for size := len(m.others) + 1; size > 1; size /= 2 {
+		n++
+	}
+	return newsFactor * n
+}
+
+func (m *Member) set(now time.Time, r *record, i Info) {
+	r.info, r.since, r.sends = i, now, m.budget()
+	m.out = append(m.out, Changed{})
+}
+
+func (m *Member) learn(now time.Time, i Info) {
+	if i.Name == m.self.Name {
+		m.refute(i)
+		return
+	}
+	r, ok := m.others[i.Name]
+	switch {
+	case !ok && i.State != Dead:
+		r = &record{}
+		m.others[i.Name] = r
+		m.order = append(m.order, i.Name)
+		m.set(now, r, i)
+	case ok && i.overrides(r.info):
+		m.set(now, r, i)
+	}
+}
+
+// refute answers a false belief about this node by a higher incarnation.
+func (m *Member) refute(i Info) {
+	if i.Incarnation < m.self.Incarnation || i.State == m.self.State && i.Incarnation == m.self.Incarnation {
+		return
+	}
+	if i.Incarnation > m.self.Incarnation || i.State > m.self.State {
+		m.self.Incarnation = i.Incarnation + 1
+	}
+}
+
+func (m *Member) tick(now time.Time) {
+	for name, r := range m.others {
+		switch {
+		case r.info.State == Suspect && now.Sub(r.since) >= m.timing.Suspect:
+			m.set(now, r, r.info.WithState(Dead))
+		case r.info.State == Dead && now.Sub(r.since) >= m.timing.Forget:
+			delete(m.others, name)
+		}
+	}
+	if now.Before(m.next) {
+		return
+	}
+	m.next = now.Add(m.timing.Period)
+	if p, ok := m.pick(); ok {
+		m.out = append(m.out, Probe{Peer: p, Helpers: m.pickHelpers(p.Name)})
+	}
+}
+
+// pick returns the next member of a shuffled round, which bounds the time
+// until a given member is probed.
+func (m *Member) pick() (Info, bool) {
+	for range len(m.order) + 1 {
+		if m.at >= len(m.order) {
+			m.newRound()
+			if len(m.order) == 0 {
+				return Info{}, false
+			}
+		}
+		name := m.order[m.at]
+		m.at++
+		if r, ok := m.others[name]; ok && r.info.State != Dead {
+			return r.info, true
+		}
+	}
+	return Info{}, false
+}
+
+func (m *Member) newRound() {
+	m.order = m.order[:0]
+	for name := range m.others {
+		m.order = append(m.order, name)
+	}
+	sort.Strings(m.order)
+	m.rnd.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	m.at = 0
+}
+
+func (m *Member) pickHelpers(except string) []Info {
+	var out []Info
+	for range 2 * helpers {
+		name := m.order[m.rnd.IntN(len(m.order))]
+		if r, ok := m.others[name]; ok && name != except && r.info.State == Alive && len(out) < helpers {
+			out = append(out, r.info)
+		}
+	}
+	return out
+}
+
+// Sample returns up to n live members other than this one, chosen at random.
+func (m *Member) Sample(n int) []Info {
+	var live []Info
+	for _, i := range m.Live() {
+		if i.Name != m.self.Name {
+			live = append(live, i)
+		}
+	}
+	m.rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(n, len(live))]
+}
--- /dev/null
+++ b/pkg/quarantiner/quarantiner.go
@@ -0,0 +1,172 @@
+// Package quarantiner finds the request that crashes upstreams. On a crash all
+// requests in flight there are suspects; a suspect runs again only apart from
+// other suspects, and one whose runs crashed two upstreams is quarantined.
+package quarantiner
+
+import (
+	"sort"
+	"time"
+)
+
+// Fingerprint identifies a request by workspace and body.
+type Fingerprint uint64
+
+const (
+	crashesToQuarantine = 2
+	memory              = 10 * time.Minute
+)
+
+// Report is what nodes tell each other of a fingerprint.
+type Report struct {
+	Fingerprint Fingerprint `msgpack:"f"`
+	Crashes     int         `msgpack:"c"`
+	Until       time.Time   `msgpack:"u"`
+}
+
+// Verdict says how a request may run.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Free means that nothing is known against the request.
+	Free Verdict = iota + 1
+	// Apart means that it may run where no other suspect runs.
+	Apart
+	// Wait means that the same fingerprint is running elsewhere on this node.
+	Wait
+	// Quarantined means that it may not run.
+	Quarantined
+)
+
+type suspect struct {
+	crashes int
+	until   time.Time
+	running int
+}
+
+// Quarantiner is the memory of suspects. It is not safe for concurrent use.
+type Quarantiner struct {
+	suspects map[Fingerprint]*suspect
+	limit    int
+}
+
+// New returns a Quarantiner that remembers up to limit fingerprints.
+func New(limit int) *Quarantiner {
+	return &Quarantiner{suspects: map[Fingerprint]*suspect{}, limit: limit}
+}
+
+// Judge tells how f may run at now.
+func (q *Quarantiner) Judge(now time.Time, f Fingerprint) Verdict {
+	s, ok := q.suspects[f]
+	switch {
+	case !ok || !now.Before(s.until):
+		return Free
+	case s.crashes >= crashesToQuarantine:
+		return Quarantined
+	case s.running > 0:
+		return Wait
+	default:
+		return Apart
+	}
+}
+
+// Started says that a suspect runs now.
+func (q *Quarantiner) Started(f Fingerprint) {
+	if s, ok := q.suspects[f]; ok {
+		s.running++
+	}
+}
+
+// Ended says that a run of f ended well. It clears a suspect and reports
+// whether there was one to clear.
+func (q *Quarantiner) Ended(f Fingerprint) bool {
+	s, ok := q.suspects[f]
+	if !ok {
+		return false
+	}
+	s.running = max(0, s.running-1)
+	if s.crashes >= crashesToQuarantine {
+		return false
+	}
+	delete(q.suspects, f)
+	return true
+}
+
+// Stopped says that a run of f ended without a verdict about it.
+func (q *Quarantiner) Stopped(f Fingerprint) {
+	if s, ok := q.suspects[f]; ok {
+		s.running = max(0, s.running-1)
+	}
+}
+
+// Crashed says that an upstream died at now while it ran all of flight, and
+// returns what peers should know.
+func (q *Quarantiner) Crashed(now time.Time, flight []Fingerprint) []Report {
+	reports := make([]Report, 0, len(flight))
+	for _, f := range flight {
+		s, ok := q.suspects[f]
+		if !ok || !now.Before(s.until) {
+			s = &suspect{}
+			q.suspects[f] = s
+		}
+		s.crashes++
+		s.until = now.Add(memory)
+		s.running = max(0, s.running-1)
+		reports = append(reports, Report{Fingerprint: f, Crashes: s.crashes, Until: s.until})
+	}
+	q.trim(now)
+	return reports
+}
+
+// Rank returns how many other suspects come before f in the order that all
+// nodes agree on; suspects of different ranks run on different upstreams.
+func (q *Quarantiner) Rank(now time.Time, f Fingerprint) int {
+	n := 0
+	for other, s := range q.suspects {
+		if other < f && s.crashes < crashesToQuarantine && now.Before(s.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Heard takes a report of a peer. One without crashes clears the suspect.
+func (q *Quarantiner) Heard(r Report) {
+	if s, ok := q.suspects[r.Fingerprint]; ok && r.Crashes == 0 {
+		if s.crashes < crashesToQuarantine {
+			delete(q.suspects, r.Fingerprint)
+		}
+		return
+	}
+	if r.Crashes == 0 {
+		return
+	}
+	s, ok := q.suspects[r.Fingerprint]
+	if !ok {
+		s = &suspect{}
+		q.suspects[r.Fingerprint] = s
+	}
+	s.crashes = max(s.crashes, r.Crashes)
+	if r.Until.After(s.until) {
+		s.until = r.Until
+	}
+}
+
+func (q *Quarantiner) trim(now time.Time) {
+	for f, s := range q.suspects {
+		if !now.Before(s.until) {
+			delete(q.suspects, f)
+		}
+	}
+	if len(q.suspects) <= q.limit {
+		return
+	}
+	all := make([]Fingerprint, 0, len(q.suspects))
+	for f := range q.suspects {
+		all = append(all, f)
+	}
+	sort.Slice(all, func(i, j int) bool { return q.suspects[all[i]].until.Before(q.suspects[all[j]].until) })
+	for _, f := range all[:len(all)-q.limit] {
+		delete(q.suspects, f)
+	}
+}
