--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -94,6 +94,7 @@
 	case Finished:
 		c.finish(now, e)
 	case Released:
+		c.withdraw(e.Nonce)
 		c.updates = append(c.updates, Record{Op: OpRelease, Key: e.Key, Nonce: e.Nonce, At: now})
 	case HeadRead:
 		c.headRead(now, e)
@@ -120,6 +121,17 @@
 	c.updates = append(c.updates, Record{Op: OpDone, Key: e.Key, Nonce: e.Nonce, At: now, Answer: &e.Answer})
 }
 
+// withdraw takes a try out of the queue that nobody waits for any more.
+func (c *Claimer) withdraw(n Nonce) {
+	kept := c.queue[:0]
+	for _, p := range c.queue {
+		if p.Nonce != n {
+			kept = append(kept, p)
+		}
+	}
+	c.queue = kept
+}
+
 // advance starts the next step when none is under way.
 func (c *Claimer) advance(now time.Time) {
 	if len(c.queue)+len(c.updates) == 0 {
--- /dev/null
+++ b/pkg/streamer/streamer_test.go
@@ -0,0 +1,66 @@
+package streamer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/auburnnotch/auburnnotch/pkg/streamer"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1") // the same verdict each time
+	os.Exit(m.Run())
+}
+
+// TestAnyDeliveryJoinsToTheWholeAnswer cuts, doubles, reorders and crosses the
+// chunks of attempts at will; what is written is always a prefix of the answer,
+// and a stream that is complete has all of it.
+func TestAnyDeliveryJoinsToTheWholeAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "length")
+		s := streamer.New(0)
+		var out strings.Builder
+		attempts := rapid.IntRange(1, 6).Draw(t, "attempts")
+		for a := range attempts {
+			id := fmt.Sprint("attempt-", a)
+			s = s.WithAttempt(id)
+			for range rapid.IntRange(0, 40).Draw(t, "deliveries") {
+				from := id
+				if rapid.IntRange(0, 4).Draw(t, "crossed") == 0 {
+					from = "attempt-of-another"
+				}
+				offset := rapid.IntRange(max(0, s.Next()-2), min(n-1, s.Next()+1)).Draw(t, "offset")
+				next, v := s.Accept(from, offset)
+				if v == streamer.Write {
+					if from != id {
+						t.Fatal("wrote a crossed chunk")
+					}
+					fmt.Fprintf(&out, "%d,", offset)
+				}
+				s = next
+				if s.Next() == n {
+					break
+				}
+			}
+			if s.Complete(id, n) {
+				break
+			}
+		}
+		var want strings.Builder
+		for i := range s.Next() {
+			fmt.Fprintf(&want, "%d,", i)
+		}
+		if out.String() != want.String() {
+			t.Fatalf("wrote %s, want %s", out.String(), want.String())
+		}
+		if s.Complete(fmt.Sprint("attempt-", attempts-1), n) && s.Next() != n {
+			t.Fatal("an incomplete stream is called complete")
+		}
+	})
+}
