test: entries as processes under kills, pauses, outages, races and poison

Ten tests start real entries (SIGKILL, SIGSTOP, SIGTERM) before stand-ins that the test breaks: orders at several entries, lost answers, platform down and rolled back, lost replies, cut, silent, doubled and truncated streams, resuming at another entry, a leaving VM, one request that crashes every engine.

Cause: the incarnation of an engine was unknown before its first load report and was forgotten after a crash, so a crash looked like a reset. Ruled out: the spread of reports between nodes (one entry alone did it). Now engines are polled as soon as a configuration comes in force, the crash check reports the new incarnation at once, and a reset before the incarnation is known counts as a crash. An unreachable VM doesn't count, so that a lost rack puts no innocent request in quarantine. After: at most 2 fall, both innocents are answered.

A lost outcome is now kept too, so that a retry is told at once instead of waiting for its deadline.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -36,9 +36,12 @@
 	if err := testlib.Build(ctx, ".", dir); err != nil {
 		return err
 	}
-	f, err := testlib.Start(dir, 2, 2, io.Discard)
+	f := testlib.New(dir, io.Discard)
 	defer f.Stop()
-	if err != nil {
+	if err := f.StartStandIns(2); err != nil {
+		return err
+	}
+	if err := f.StartNodes(2); err != nil {
 		return err
 	}
 	fmt.Printf("started: platform, %d engines, 1 plain service, %d entries\n", len(f.Engines), len(f.Nodes))
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -308,7 +309,7 @@
 		r.endRun(scheduler.Result{Refused: true, CachedPieces: -1})
 		r.refused()
 	case upstreamer.Broken:
-		r.broken(err)
+		r.broken(err, errors.Is(err, upstreamer.ErrSilent))
 	}
 }
 
@@ -321,21 +322,21 @@
 }
 
 // broken ends an attempt that may have been run.
-func (r *runner) broken(err error) {
+func (r *runner) broken(err error, silent bool) {
 	if r.ctx.Err() != nil && r.job.repeatable {
 		r.endRun(scheduler.Result{Refused: true, CachedPieces: -1})
 		r.step(dispatcher.CallerGone{})
 		return
 	}
-	crash := r.crashed()
+	health := r.examine(silent)
 	r.log.WithFields(logrus.Fields{
-		"event": "attemptBroken", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream, "crashed": crash,
+		"event": "attemptBroken", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream, "engine": health,
 	}).WithError(err).Warn("attempt ended early")
-	if crash && r.run != nil {
+	if health == crashed && r.run != nil {
 		r.reportCrash()
 	}
 	r.endRun(scheduler.Result{Failed: true, CachedPieces: -1})
-	r.step(dispatcher.Broken{Attempt: r.send.Attempt, Wrote: true, Crashed: crash})
+	r.step(dispatcher.Broken{Attempt: r.send.Attempt, Wrote: true, Crashed: health != healthy})
 }
 
 func (r *runner) reportCrash() {
@@ -345,21 +346,42 @@
 	r.sleep(suspectPause)
 }
 
-// crashed asks the engine itself whether it is still the one that the attempt
-// was sent to.
-func (r *runner) crashed() bool {
+// health is what an engine looks like after an attempt broke.
+type health string
+
+const (
+	healthy health = "healthy"
+	// crashed means that its process died: the request may be the cause.
+	crashed health = "crashed"
+	// unreachable means that its VM or the way to it is lost.
+	unreachable health = "unreachable"
+)
+
+// examine asks the engine itself whether it is still the one that the attempt
+// was sent to. While its incarnation isn't known yet, a broken connection
+// counts as a crash, so that the bound on poisoned requests holds.
+func (r *runner) examine(silent bool) health {
 	u, ok := r.cat.Upstream(r.send.Target.Upstream)
 	if !ok || !r.job.model {
-		return false
+		return healthy
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), crashCheck)
 	defer cancel()
 	l, err := r.f.upstreams.Load(ctx, u.URL)
-	if err != nil {
-		return true
-	}
 	known := r.send.Target.Incarnation
-	return known != "" && l.Incarnation != known
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return crashed
+	case err != nil:
+		return unreachable
+	case known == "" && !silent, known != "" && l.Incarnation != known:
+		r.f.sched.Reported(u.Name, router.Report{
+			Incarnation: l.Incarnation, Occupied: l.Running + l.Waiting, PendingPieces: l.PendingPieces, Leaving: l.Leaving,
+		})
+		return crashed
+	default:
+		return healthy
+	}
 }
 
 func (r *runner) read(a *upstreamer.Attempt) {
@@ -380,7 +402,7 @@
 	case r.job.streaming && resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType):
 		r.readStream(a)
 	case r.job.repeatable && resp.StatusCode >= http.StatusInternalServerError:
-		r.broken(errors.Errorf("status %d", resp.StatusCode))
+		r.broken(errors.Errorf("status %d", resp.StatusCode), true)
 	default:
 		r.readWhole(a)
 	}
@@ -389,7 +411,7 @@
 func (r *runner) readWhole(a *upstreamer.Attempt) {
 	body, err := io.ReadAll(io.LimitReader(a, r.f.limits.BodyBytes+1))
 	if err != nil || int64(len(body)) > r.f.limits.BodyBytes {
-		r.broken(errors.Annotate(err, "read the answer"))
+		r.broken(errors.Annotate(err, "read the answer"), a.Expired())
 		return
 	}
 	cached := -1
@@ -443,7 +465,7 @@
 	if failed == nil {
 		failed = errors.New("the stream ended without its end mark")
 	}
-	r.broken(failed)
+	r.broken(failed, a.Expired())
 }
 
 func (r *runner) cancel(attempt string) {
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,433 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/internal/standin/engine"
+	"github.com/auburnnotch/auburnnotch/internal/standin/kvstore"
+	"github.com/auburnnotch/auburnnotch/internal/standin/plainservice"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/config"
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+var programs string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "auburnnotch-test-")
+	if err != nil {
+		panic(err)
+	}
+	programs = dir
+	if err := testlib.Build(context.Background(), "../..", dir); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const poison = "crash the engine"
+
+// deployment is entries as processes before stand-ins in this process, which
+// the test can break at will.
+type deployment struct {
+	*testlib.Fleet
+	t       *testing.T
+	ctx     context.Context
+	store   *kvstore.Store
+	engines []*engine.Engine
+	service *plainservice.Service
+}
+
+func deploy(t *testing.T, engines, nodes int) *deployment {
+	t.Helper()
+	clk := systemclock.New()
+	d := &deployment{Fleet: testlib.New(programs, io.Discard), t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
+	if testing.Verbose() {
+		d.Fleet = testlib.New(programs, os.Stderr)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	d.ctx = ctx
+	d.Dir = t.TempDir()
+	d.Limits = config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1}
+	d.Platform, d.Service = d.listen(d.store), d.listen(d.service)
+	for i := range engines {
+		e := engine.New(engine.Options{
+			Name: fmt.Sprint("engine-", i+1), Model: "assistant", Version: "v1", Slots: 64, CachePieces: 512, PieceBytes: 8192,
+			PieceTime: 2 * time.Millisecond, TokenTime: 10 * time.Millisecond, ChecksFencing: i%2 == 0, PoisonText: poison,
+		}, clk)
+		d.engines = append(d.engines, e)
+		d.Engines = append(d.Engines, d.listen(e))
+	}
+	t.Cleanup(d.Stop)
+	if err := d.StartNodes(nodes); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.Apply(d.Declaration()); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func (d *deployment) listen(h http.Handler) string {
+	s := httptest.NewServer(h)
+	d.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func (d *deployment) caller(node int) *testlib.Caller {
+	return testlib.NewCaller(d.Nodes[node].Addr)
+}
+
+func (d *deployment) order(node int, key, body string) testlib.Reply {
+	d.t.Helper()
+	h := http.Header{}
+	if key != "" {
+		h.Set(wire.HeaderIdempotencyKey, key)
+	}
+	r, err := d.caller(node).Call(d.ctx, "/v1/services/orders/commit", []byte(body), h)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return r
+}
+
+// whole fails the test unless r is the whole answer to chat.
+func (d *deployment) whole(r testlib.Reply, err error, chat testlib.Chat) {
+	d.t.Helper()
+	if want := engine.Answer(chat.MessagesJSON(), chat.MaxTokens); err != nil || r.Text != want || !r.Complete {
+		d.t.Fatalf("status %d, complete %t, error %v %+v\n got %q\nwant %q", r.Status, r.Complete, err, r.Error, r.Text, want)
+	}
+}
+
+func TestOnceAcrossEntries(t *testing.T) {
+	d := deploy(t, 1, 3)
+	first := d.order(0, "k1", "forty flags")
+	second := d.order(1, "k1", "forty flags")
+	if first.Status != http.StatusOK || second.Body != first.Body {
+		t.Errorf("first %d %q, second %d %q", first.Status, first.Body, second.Status, second.Body)
+	}
+	for name, c := range map[string]struct {
+		key, body string
+		status    int
+	}{
+		"another body under the key": {"k1", "fifty flags", http.StatusUnprocessableEntity},
+		"no key":                     {"", "forty flags", http.StatusBadRequest},
+	} {
+		if r := d.order(2, c.key, c.body); r.Status != c.status || !r.Error.NotRun {
+			t.Errorf("%s: status %d %+v", name, r.Status, r.Error)
+		}
+	}
+	if n := len(d.service.Runs()); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+func TestLostAnswerIsNotRunAgain(t *testing.T) {
+	d := deploy(t, 1, 2)
+	d.service.SetFaults(plainservice.Faults{BreakAfterRun: true})
+	for node := range 2 {
+		if r := d.order(node, "k1", "x"); !r.Error.OutcomeUnknown {
+			t.Errorf("entry %d: %d %+v, want outcomeUnknown", node, r.Status, r.Error)
+		}
+	}
+	if n := len(d.service.Runs()); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+func TestRefusedOrderMayRunLater(t *testing.T) {
+	d := deploy(t, 1, 2)
+	d.service.SetFaults(plainservice.Faults{Refuse: true})
+	if r := d.order(0, "k1", "x"); !r.Error.NotRun {
+		t.Errorf("%d %+v, want notRun", r.Status, r.Error)
+	}
+	d.service.SetFaults(plainservice.Faults{})
+	if r := d.order(1, "k1", "x"); r.Status != http.StatusOK {
+		t.Errorf("after the refusal: %d %+v", r.Status, r.Error)
+	}
+}
+
+func TestPlatformDown(t *testing.T) {
+	d := deploy(t, 2, 2)
+	d.store.SetFaults(kvstore.Faults{Down: true})
+	if r := d.order(0, "k1", "x"); r.Error.Kind != "platformDown" || !r.Error.NotRun {
+		t.Errorf("order: %d %+v", r.Status, r.Error)
+	}
+	chat := testlib.NewChat("shared", "question", 5)
+	r, err := d.caller(0).Chat(d.ctx, chat, nil)
+	d.whole(r, err, chat)
+	if err := d.Nodes[1].Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	_ = d.Nodes[1].Wait()
+	if err := d.Restart(1); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool {
+		r, err := d.caller(1).Chat(d.ctx, chat, nil)
+		return err == nil && r.Complete
+	})
+	for _, n := range d.Nodes {
+		_ = n.Signal(syscall.SIGKILL)
+		_ = n.Wait()
+	}
+	for i := range d.Nodes {
+		if err := d.Restart(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err = d.caller(0).Chat(d.ctx, chat, nil)
+	if err != nil || !r.Error.NotRun {
+		t.Errorf("every entry restarted: %d %+v %v, want notRun", r.Status, r.Error, err)
+	}
+	if n := len(d.service.Runs()); n != 0 {
+		t.Errorf("%d runs, want 0", n)
+	}
+	d.store.SetFaults(kvstore.Faults{})
+	d.eventually(func() bool {
+		r, err := d.caller(0).Chat(d.ctx, chat, nil)
+		return err == nil && r.Complete
+	})
+}
+
+// eventually waits for a condition; it fails only with the test's own limit.
+func (d *deployment) eventually(ok func() bool) {
+	d.t.Helper()
+	for !ok() {
+		select {
+		case <-d.ctx.Done():
+			d.t.Fatal("the condition never came true")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func TestStreamsUnderEngineFaults(t *testing.T) {
+	d := deploy(t, 2, 1)
+	for name, f := range map[string]engine.Faults{
+		"none": {}, "cut": {CutAfter: 3, Times: 1}, "cut twice": {CutAfter: 3, Times: 2},
+		"truncated": {CutAfter: 3, Truncate: true, Times: 1}, "duplicate chunks": {Duplicate: true, Times: 1},
+		"silent for good": {SilentAfter: 2, Times: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, e := range d.engines {
+				e.SetFaults(f)
+			}
+			chat := testlib.NewChat("shared", name, 12)
+			r, err := d.caller(0).Chat(d.ctx, chat, nil)
+			d.whole(r, err, chat)
+			for _, e := range d.engines {
+				e.SetFaults(engine.Faults{})
+			}
+		})
+	}
+	t.Run("refused by one", func(t *testing.T) {
+		d.engines[0].SetFaults(engine.Faults{Refuse: true})
+		for i := range 6 {
+			chat := testlib.NewChat(fmt.Sprint("prefix ", i), "refused", 4)
+			r, err := d.caller(0).Chat(d.ctx, chat, nil)
+			d.whole(r, err, chat)
+		}
+		d.engines[0].SetFaults(engine.Faults{})
+	})
+	t.Run("crash mid-stream", func(t *testing.T) {
+		chat := testlib.NewChat("shared", "crash", 30)
+		c, tokens := d.caller(0), 0
+		c.OnToken = func(string) error {
+			if tokens++; tokens == 5 {
+				for _, e := range d.engines {
+					e.Crash()
+				}
+			}
+			return nil
+		}
+		r, err := c.Chat(d.ctx, chat, nil)
+		d.whole(r, err, chat)
+	})
+}
+
+var errStop = errors.New("stop reading")
+
+func TestCallerResumesAtAnotherEntry(t *testing.T) {
+	d := deploy(t, 2, 2)
+	chat := testlib.NewChat("shared", "resume", 40)
+	c, tokens := d.caller(0), 0
+	c.OnToken = func(string) error {
+		if tokens++; tokens == 7 {
+			_ = d.Nodes[0].Signal(syscall.SIGKILL)
+			return errStop
+		}
+		return nil
+	}
+	first, err := c.Chat(d.ctx, chat, nil)
+	if !errors.Is(err, errStop) {
+		t.Fatalf("error %v", err)
+	}
+	second, err := d.caller(1).Chat(d.ctx, chat, http.Header{wire.HeaderLastEventID: {first.LastID}})
+	if err != nil || !second.Complete {
+		t.Fatalf("%d %+v %v", second.Status, second.Error, err)
+	}
+	if got, want := first.Text+second.Text, engine.Answer(chat.MessagesJSON(), chat.MaxTokens); got != want {
+		t.Errorf("joined %q\nwant   %q", got, want)
+	}
+	forged := strings.Replace(first.LastID, "~", "~x", 1)
+	if r, err := d.caller(1).Chat(d.ctx, chat, http.Header{wire.HeaderLastEventID: {forged}}); err != nil || r.Status != http.StatusBadRequest {
+		t.Errorf("forged event ID: %d %v", r.Status, err)
+	}
+}
+
+func TestGracefulStopFinishesStreams(t *testing.T) {
+	d := deploy(t, 1, 2)
+	chat := testlib.NewChat("shared", "stop", 100)
+	c, tokens := d.caller(0), 0
+	c.OnToken = func(string) error {
+		if tokens++; tokens == 3 {
+			return d.Nodes[0].Signal(syscall.SIGTERM)
+		}
+		return nil
+	}
+	r, err := c.Chat(d.ctx, chat, nil)
+	d.whole(r, err, chat)
+	if err := d.Nodes[0].Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+func TestPausedEntryServesOn(t *testing.T) {
+	d := deploy(t, 1, 2)
+	if err := d.Nodes[0].Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	chat := testlib.NewChat("shared", "paused", 5)
+	r, err := d.caller(1).Chat(d.ctx, chat, nil)
+	d.whole(r, err, chat)
+	if _, err := d.Command("drain", "--node", d.Nodes[1].Addr, "--at", "2099-01-01T00:00:00Z", "vm-1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2500 * time.Millisecond) // longer than the pause that an entry notices
+	if err := d.Nodes[0].Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	r, err = d.caller(0).Chat(d.ctx, chat, nil)
+	d.whole(r, err, chat)
+	d.eventually(func() bool {
+		out, err := d.Command("status", "--json", "--node", d.Nodes[0].Addr)
+		return err == nil && strings.Contains(out, `"revision": 2`)
+	})
+}
+
+func TestPoisonTakesTwoEnginesAtMost(t *testing.T) {
+	d := deploy(t, 4, 3)
+	innocent := testlib.NewChat("shared", "innocent", 60)
+	done := make(chan error, 2)
+	for node := range 2 {
+		go func() {
+			r, err := d.caller(node).Chat(d.ctx, innocent, nil)
+			if err == nil && r.Text != engine.Answer(innocent.MessagesJSON(), innocent.MaxTokens) {
+				err = errors.Errorf("innocent request: %d %+v %q", r.Status, r.Error, r.Text)
+			}
+			done <- err
+		}()
+	}
+	bad := testlib.NewChat("shared", poison, 5)
+	for i := range 6 {
+		r, err := d.caller(i%3).Chat(d.ctx, bad, nil)
+		if err != nil || r.Status == http.StatusOK {
+			t.Errorf("poison %d: %d %v", i, r.Status, err)
+		}
+	}
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	crashes := 0
+	for _, e := range d.engines {
+		crashes += e.Crashes()
+	}
+	if crashes > 2 {
+		t.Errorf("%d engines fell, want 2 at most", crashes)
+	}
+}
+
+func TestConfiguration(t *testing.T) {
+	d := deploy(t, 1, 3)
+	old := map[string]platform.Entry{"config": d.store.Peek("config")}
+	if _, err := d.Command("apply", "--node", d.Nodes[0].Addr, "--base", "7", d.Dir+"/declaration.json"); err == nil {
+		t.Error("an apply on an old base was taken")
+	}
+	if err := os.WriteFile(d.Dir+"/bad.json", []byte(`{"models": [{"nam": "x"}], // comment
+		"pools": 3}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := d.Command("apply", "--node", d.Nodes[0].Addr, d.Dir+"/bad.json"); err == nil || !strings.Contains(out, "bad.json:1: models[0].nam: unknown field") || !strings.Contains(out, "bad.json:2: pools: is 3") {
+		t.Errorf("a bad file: %v %s", err, out)
+	}
+	results := make(chan error, 4)
+	for i := range cap(results) {
+		go func() {
+			_, err := d.Command("apply", "--node", d.Nodes[i%3].Addr, "--base", "1", d.Dir+"/declaration.json")
+			results <- err
+		}()
+	}
+	won := 0
+	for range cap(results) {
+		if <-results == nil {
+			won++
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d of the racing operators won, want 1", won)
+	}
+	d.store.Rollback(old)
+	d.eventually(func() bool { return strings.Contains(string(d.store.Peek("config").Value), `"revision":2`) })
+	for _, n := range d.Nodes {
+		out, err := d.Command("status", "--json", "--node", n.Addr)
+		if err != nil || !strings.Contains(out, `"revision": 2,`) || !strings.Contains(out, `"inForce": 3`) {
+			t.Errorf("%s: %v %s", n.Name, err, out)
+		}
+	}
+	d.store.SetFaults(kvstore.Faults{LoseReplies: true})
+	if out, err := d.Command("apply", "--node", d.Nodes[2].Addr, d.Dir+"/declaration.json"); err != nil || !strings.Contains(out, "revision 3 accepted") {
+		t.Errorf("apply with a lost reply: %v %s", err, out)
+	}
+}
+
+func TestLeavingVMGetsNoNewWork(t *testing.T) {
+	d := deploy(t, 2, 2)
+	chat := testlib.NewChat("shared", "leave", 4)
+	if _, err := d.Command("drain", "--node", d.Nodes[0].Addr, "--at", "2099-01-01T00:00:00Z", "--from", "2020-01-01T00:00:00Z", "vm-1"); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool {
+		out, err := d.Command("status", "--json", "--node", d.Nodes[1].Addr)
+		return err == nil && strings.Contains(out, `"inForce": 2`) && strings.Contains(out, `"revision": 2`)
+	})
+	before := d.engines[0].Runs()
+	for node := range 2 {
+		r, err := d.caller(node).Chat(d.ctx, chat, nil)
+		d.whole(r, err, chat)
+	}
+	if n := d.engines[0].Runs() - before; n != 0 {
+		t.Errorf("%d requests went to the leaving VM", n)
+	}
+}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/internal/ring"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
@@ -51,6 +52,8 @@
 	store     *platform.Client
 	current   func() *catalog.Catalog
 
+	updated *ring.Ring[struct{}]
+
 	mu   sync.Mutex
 	gone map[string]bool
 	next int
@@ -58,7 +61,7 @@
 
 // New returns a Poller of the engines of the configuration in force.
 func New(clk clock.Clock, log logrus.FieldLogger, u *upstreamer.Upstreamer, s *scheduler.Scheduler, store *platform.Client, current func() *catalog.Catalog) *Poller {
-	return &Poller{clk: clk, log: log, upstreams: u, sched: s, store: store, current: current, gone: map[string]bool{}}
+	return &Poller{clk: clk, log: log, upstreams: u, sched: s, store: store, current: current, gone: map[string]bool{}, updated: ring.New[struct{}](1)}
 }
 
 // Name implements kernel.Service.
@@ -67,6 +70,7 @@
 // Update gives the scheduler the engines of c.
 func (p *Poller) Update(c *catalog.Catalog) {
 	p.sched.SetEngines(c.Engines(p.live))
+	p.updated.Offer(struct{}{})
 }
 
 func (p *Poller) live(vm string) bool {
@@ -78,16 +82,18 @@
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { p.repeat(ctx, period, p.pollEngines); return nil })
-	g.Go(func() error { p.repeat(ctx, vmPeriod, p.pollVMs); return nil })
+	g.Go(func() error { p.repeat(ctx, period, p.updated.Items(), p.pollEngines); return nil })
+	g.Go(func() error { p.repeat(ctx, vmPeriod, nil, p.pollVMs); return nil })
 	return g.Wait()
 }
 
-func (p *Poller) repeat(ctx context.Context, every time.Duration, f func(context.Context)) {
+// repeat calls f each period, and at once when something arrives on early.
+func (p *Poller) repeat(ctx context.Context, every time.Duration, early <-chan struct{}, f func(context.Context)) {
 	for ctx.Err() == nil {
 		f(ctx)
 		select {
 		case <-ctx.Done():
+		case <-early:
 		case <-p.clk.After(every):
 		}
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -75,6 +75,7 @@
 	leaving     bool
 	faults      Faults
 	runs        int
+	crashes     int
 }
 
 // New returns an Engine that is empty.
@@ -106,9 +107,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(e.crashed)
+	e.crashes++
 	e.reset()
 }
 
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
 // SetFaults switches the faults.
 func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
--- a/internal/testlib/fleet.go
+++ b/internal/testlib/fleet.go
@@ -47,10 +47,11 @@
 // Fleet is a running deployment.
 type Fleet struct {
 	Dir       string
-	Platform  *Process
-	Engines   []*Process
-	Service   *Process
+	Platform  string   // address
+	Engines   []string // addresses
+	Service   string   // address
 	Nodes     []*Process
+	Limits    config.Limits
 	settings  []string
 	router    string
 	standin   string
@@ -71,33 +72,46 @@
 	return nil
 }
 
-// Start starts a platform, engines and nodes with the programs in dir. log
+// New returns a Fleet without processes that uses the programs in dir. log
 // receives what they print.
-func Start(dir string, engines, nodes int, log io.Writer, engineArgs ...string) (*Fleet, error) {
-	f := &Fleet{Dir: dir, router: filepath.Join(dir, "auburnnotch"), standin: filepath.Join(dir, "standin"), log: log}
+func New(dir string, log io.Writer) *Fleet {
+	return &Fleet{
+		Dir: dir, router: filepath.Join(dir, "auburnnotch"), standin: filepath.Join(dir, "standin"), log: log,
+		Limits: config.Limits{EntrySeconds: 1},
+	}
+}
+
+// StartStandIns starts a platform, a plain service and engines.
+func (f *Fleet) StartStandIns(engines int) error {
 	var err error
 	if f.Platform, err = f.standIn("platform", "platform"); err != nil {
-		return f, err
+		return err
+	}
+	if f.Service, err = f.standIn("orders", "service"); err != nil {
+		return err
 	}
 	for i := range engines {
-		name := fmt.Sprintf("engine-%d", i+1)
-		e, err := f.standIn(name, append([]string{"engine", "--name", name}, engineArgs...)...)
+		name := engineName(i)
+		addr, err := f.standIn(name, "engine", "--name", name)
 		if err != nil {
-			return f, err
+			return err
 		}
-		f.Engines = append(f.Engines, e)
+		f.Engines = append(f.Engines, addr)
 	}
-	if f.Service, err = f.standIn("orders", "service"); err != nil {
-		return f, err
-	}
-	return f, f.startNodes(nodes)
+	return nil
 }
 
-func (f *Fleet) standIn(name string, args ...string) (*Process, error) {
-	return f.start(name, f.standin, args, func(line string) string {
+func engineName(i int) string { return fmt.Sprintf("engine-%d", i+1) }
+
+func (f *Fleet) standIn(name string, args ...string) (string, error) {
+	p, err := f.start(name, f.standin, args, func(line string) string {
 		_, addr, _ := strings.Cut(line, "listening on ")
 		return addr
 	})
+	if err != nil {
+		return "", err
+	}
+	return p.Addr, nil
 }
 
 // start runs a program and waits until a line that it prints gives its
@@ -161,7 +175,8 @@
 	return ln.Addr().String(), nil
 }
 
-func (f *Fleet) startNodes(n int) error {
+// StartNodes starts n nodes and waits until they know each other.
+func (f *Fleet) StartNodes(n int) error {
 	peers := make([]string, n)
 	for i := range peers {
 		var err error
@@ -176,8 +191,8 @@
 		}
 		s := config.Settings{
 			Name: fmt.Sprintf("entry-%d", i+1), DataCentre: "dc-1", Listen: listen, PeerListen: peers[i],
-			Peers: peers, PeerSecret: "a secret of the demonstration", Platform: "http://" + f.Platform.Addr,
-			Limits: config.Limits{EntrySeconds: 1},
+			Peers: peers, PeerSecret: "a secret of the demonstration", Platform: "http://" + f.Platform,
+			Limits: f.Limits,
 		}
 		path := filepath.Join(f.Dir, s.Name+".json")
 		text, err := json.MarshalIndent(s, "", "  ")
@@ -250,12 +265,12 @@
 		WithVM(declare.VM("vm-service", "dc-1")).
 		WithPool(declare.Pool("assistant", "assistant", "v1", config.Interactive)).
 		WithService("orders", declare.Once("/commit", config.Interactive), declare.Repeatable("/stock", config.Interactive)).
-		WithUpstream(declare.BackEnd("orders-1", "vm-service", "http://"+f.Service.Addr, "orders", 16)).
+		WithUpstream(declare.BackEnd("orders-1", "vm-service", "http://"+f.Service, "orders", 16)).
 		WithWorkspace(declare.Workspace("bench", 2, declare.HashKey(Key)))
-	for i, e := range f.Engines {
+	for i, addr := range f.Engines {
 		vm := fmt.Sprintf("vm-%d", i+1)
 		d = d.WithVM(declare.VM(vm, "dc-1")).
-			WithUpstream(declare.Engine(e.Name, vm, "http://"+e.Addr, "assistant", 16, i%2 == 0))
+			WithUpstream(declare.Engine(engineName(i), vm, "http://"+addr, "assistant", 16, i%2 == 0))
 	}
 	return d
 }
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -49,6 +49,9 @@
 	Broken
 )
 
+// ErrSilent marks an attempt that was given up because nothing arrived in time.
+const ErrSilent = errors.ConstError("upstream is silent")
+
 // Upstreamer holds the connections to upstreams. It is safe for concurrent
 // use.
 type Upstreamer struct {
@@ -114,11 +117,12 @@
 		cancel()
 		if a.expired.Load() {
 			u.pooled.CloseIdleConnections()
+			err = errors.WithType(err, ErrSilent)
 		}
 		if touched.Load() {
-			return nil, Broken, errors.Trace(err)
+			return nil, Broken, err
 		}
-		return nil, Refused, errors.Trace(err)
+		return nil, Refused, err
 	}
 	a.timer.Reset(s.Between)
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wire.HeaderNotRun) == "true" {
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -22,13 +22,13 @@
 	Pages int
 	// Batch is how many records one write may add.
 	Batch int
-	// AnswerBytes bounds a kept answer; a longer one is kept without its body.
+	// AnswerBytes bounds a kept answer; of a longer one only the run is kept.
 	AnswerBytes int
 }
 
 // DefaultLimits keeps head writes small against the platform's megabyte.
 func DefaultLimits() Limits {
-	return Limits{PageBytes: 64 << 10, Pages: 4096, Batch: 512, AnswerBytes: 8 << 10}
+	return Limits{PageBytes: 64 << 10, Pages: 4096, Batch: 512, AnswerBytes: 32 << 10}
 }
 
 type entry struct {
@@ -116,7 +116,7 @@
 
 func (c *Claimer) finish(now time.Time, e Finished) {
 	if len(e.Answer.Body) > c.limits.AnswerBytes {
-		e.Answer.Body = nil
+		e.Answer = Answer{}
 	}
 	c.updates = append(c.updates, Record{Op: OpDone, Key: e.Key, Nonce: e.Nonce, At: now, Answer: &e.Answer})
 }
@@ -279,7 +279,11 @@
 		}
 	}
 	c.updates = kept
-	n := min(len(kept), c.limits.Batch)
+	n, size := 0, 0
+	for n < min(len(kept), c.limits.Batch) && size < c.limits.PageBytes {
+		size += sizeOf(kept[n : n+1])
+		n++
+	}
 	return append([]Record(nil), kept[:n]...)
 }
 
--- a/pkg/claimer/messages.go
+++ b/pkg/claimer/messages.go
@@ -11,13 +11,17 @@
 // Nonce is unique for each try to claim.
 type Nonce uint64
 
-// Answer is a kept answer.
+// Answer is a kept answer. The zero value says that the request may have run
+// and its answer is lost.
 type Answer struct {
 	Status      int    `msgpack:"s"`
 	ContentType string `msgpack:"c"`
 	Body        []byte `msgpack:"b"`
 }
 
+// Lost reports whether the answer is that none is known.
+func (a Answer) Lost() bool { return a.Status == 0 }
+
 // Outcome is the ledger's answer to a claim.
 type Outcome uint8
 
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -184,6 +184,10 @@
 		}
 		d.route(false)
 	case claimer.Answered:
+		if c.Answer.Lost() {
+			d.failRan(failure.OutcomeUnknown)
+			return
+		}
 		d.phase = done
 		d.do(Answer{Answer: c.Answer})
 	case claimer.Held:
@@ -412,7 +416,10 @@
 		}
 	}
 	d.phase = done
-	if d.claimed && !ran {
+	switch {
+	case d.claimed && ran:
+		d.do(Record{Answer: claimer.Answer{}})
+	case d.claimed:
 		d.do(Release{})
 	}
 	d.do(Fail{Kind: k})
