--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -21,6 +21,8 @@
 const (
 	tick     = 100 * time.Millisecond
 	inFlight = 16 // probes that may wait for their answer
+	// seedPeriod is the pause between greetings of unknown seeds.
+	seedPeriod = 10 * time.Second
 	// pauseLimit is the gap between two ticks after which the process must
 	// have been stopped; it then knows less than its timers say.
 	pauseLimit = 2 * time.Second
@@ -35,6 +37,8 @@
 	revision func() uint64
 	heard    RevisionHeard
 	changed  *ring.Ring[struct{}]
+	seedAt   int
+	seedTime time.Time
 
 	mu      sync.Mutex
 	machine *member.Member
@@ -58,7 +62,7 @@
 func (g *Gossiper) Run(ctx context.Context) error {
 	probes, ctx := errgroup.WithContext(ctx)
 	probes.SetLimit(inFlight)
-	last, seedAt := g.clk.Now(), 0
+	last := g.clk.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,14 +82,34 @@
 				probes.TryGo(func() error { g.probe(ctx, p); return nil })
 			}
 		}
-		if len(g.Live()) == 1 && len(g.seeds) > 0 {
-			seed := g.seeds[seedAt%len(g.seeds)]
-			seedAt++
-			probes.TryGo(func() error { g.greet(ctx, seed); return nil })
+		if seed := g.nextSeed(now); seed != "" {
+			probes.TryGo(func() error { g.greet(ctx, member.Info{Address: seed}); return nil })
 		}
 	}
 }
 
+// nextSeed returns the peer address of the settings to greet now, if any: at
+// each tick while no other member is known, else now and then one that no
+// member has.
+func (g *Gossiper) nextSeed(now time.Time) string {
+	if len(g.seeds) == 0 {
+		return ""
+	}
+	live := g.Live()
+	if len(live) > 1 && now.Before(g.seedTime) {
+		return ""
+	}
+	g.seedTime = now.Add(seedPeriod)
+	seed := g.seeds[g.seedAt%len(g.seeds)]
+	g.seedAt++
+	for _, m := range live {
+		if m.Address == seed {
+			return ""
+		}
+	}
+	return seed
+}
+
 func (g *Gossiper) setWoke(t time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -141,7 +165,7 @@
 			continue
 		}
 		eg.Go(func() error {
-			out, err := g.link.Exchange(ctx, m.Address, &peerlink.Message{Digest: g.digest()})
+			out, err := g.link.Exchange(ctx, m.Address, &peerlink.Message{Digest: g.digest(m.Name)})
 			if err == nil && out.Digest != nil {
 				nodes[i].Revision, nodes[i].Reached = out.Digest.Revision, true
 			}
@@ -164,15 +188,15 @@
 	return actions
 }
 
-func (g *Gossiper) digest() *member.Digest {
+func (g *Gossiper) digest(to string) *member.Digest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := g.machine.Digest(g.revision())
+	d := g.machine.Digest(g.revision(), to)
 	return &d
 }
 
 func (g *Gossiper) probe(ctx context.Context, p member.Probe) {
-	if g.greet(ctx, p.Peer.Address) {
+	if g.greet(ctx, p.Peer) {
 		return
 	}
 	for _, h := range p.Helpers {
@@ -186,8 +210,8 @@
 	}
 }
 
-func (g *Gossiper) greet(ctx context.Context, addr string) bool {
-	m, err := g.link.Exchange(ctx, addr, &peerlink.Message{Digest: g.digest()})
+func (g *Gossiper) greet(ctx context.Context, to member.Info) bool {
+	m, err := g.link.Exchange(ctx, to.Address, &peerlink.Message{Digest: g.digest(to.Name)})
 	if err != nil || m.Digest == nil {
 		return false
 	}
@@ -205,9 +229,9 @@
 	switch {
 	case m.Digest != nil:
 		g.take(m.Digest)
-		return &peerlink.Message{Digest: g.digest()}
+		return &peerlink.Message{Digest: g.digest(m.Digest.From.Name)}
 	case m.Indirect != nil:
-		return &peerlink.Message{OK: g.greet(ctx, m.Indirect.Address)}
+		return &peerlink.Message{OK: g.greet(ctx, *m.Indirect)}
 	}
 	return nil
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -88,14 +88,18 @@
 
 // Timing sets the periods.
 type Timing struct {
-	Period  time.Duration // between probes
-	Suspect time.Duration // a suspect is removed after it
-	Forget  time.Duration // a removed member is forgotten after it
+	Period    time.Duration // between probes
+	Suspect   time.Duration // a suspect is removed after it
+	Reconnect time.Duration // between probes of removed members
+	Forget    time.Duration // a removed member is forgotten after it
 }
 
 // DefaultTiming finds a dead member within a few seconds.
 func DefaultTiming() Timing {
-	return Timing{Period: 500 * time.Millisecond, Suspect: 2 * time.Second, Forget: time.Minute}
+	return Timing{
+		Period: 500 * time.Millisecond, Suspect: 2 * time.Second,
+		Reconnect: 3 * time.Second, Forget: 2 * time.Hour, // regions lose each other for an hour
+	}
 }
 
 const (
@@ -112,15 +116,15 @@
 
 // Member is the machine. It is not safe for concurrent use.
 type Member struct {
-	self    Info
-	timing  Timing
-	rnd     *rand.Rand
-	others  map[string]*record
-	order   []string // probe order, shuffled each round
-	at      int
-	next    time.Time
-	selfNew int // sends left of the news about oneself
-	out     []Action
+	self   Info
+	timing Timing
+	rnd    *rand.Rand
+	others map[string]*record
+	order  []string // probe order, shuffled each round
+	at     int
+	next   time.Time
+	retry  time.Time // of the next probe of a removed member
+	out    []Action
 }
 
 // New returns the machine of self, whose Incarnation must be higher than at
@@ -136,7 +140,6 @@
 // Leave marks this node as leaving.
 func (m *Member) Leave() {
 	m.self.State = Leaving
-	m.selfNew = m.budget()
 }
 
 // Live returns this node and the others that are not removed, ordered by name.
@@ -151,9 +154,13 @@
 	return live
 }
 
-// Digest returns the message to send now.
-func (m *Member) Digest(revision uint64) Digest {
+// Digest returns the message to send to the member called to. It begins with
+// the doubt about that member itself, if there is one, so that it can refute it.
+func (m *Member) Digest(revision uint64, to string) Digest {
 	d := Digest{From: m.self, Revision: revision}
+	if r, ok := m.others[to]; ok && (r.info.State == Suspect || r.info.State == Dead) {
+		d.News = append(d.News, r.info)
+	}
 	var fresh []*record
 	for _, r := range m.others {
 		if r.sends > 0 {
@@ -200,13 +207,23 @@
 			m.learn(now, i)
 		}
 	case ProbeFailed:
-		if r, ok := m.others[e.Peer]; ok && r.info.State < Suspect {
-			m.set(now, r, r.info.WithState(Suspect))
-		}
+		m.doubt(now, e.Peer)
 	}
 	return m.out
 }
 
+// doubt takes note of a failed probe. A member that said it was leaving is
+// taken to have left.
+func (m *Member) doubt(now time.Time, peer string) {
+	r, ok := m.others[peer]
+	switch {
+	case ok && r.info.State == Alive:
+		m.set(now, r, r.info.WithState(Suspect))
+	case ok && r.info.State == Leaving:
+		m.set(now, r, r.info.WithState(Dead))
+	}
+}
+
 func (m *Member) budget() int {
 	n := 1
 	for size := len(m.others) + 1; size > 1; size /= 2 {
@@ -256,6 +273,7 @@
 			delete(m.others, name)
 		}
 	}
+	m.reconnect(now)
 	if now.Before(m.next) {
 		return
 	}
@@ -265,6 +283,26 @@
 	}
 }
 
+// reconnect probes a removed member now and then: it may be on the other side
+// of a partition that has healed.
+func (m *Member) reconnect(now time.Time) {
+	if now.Before(m.retry) {
+		return
+	}
+	m.retry = now.Add(m.timing.Reconnect)
+	var dead []Info
+	for _, r := range m.others {
+		if r.info.State == Dead {
+			dead = append(dead, r.info)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	sort.Slice(dead, func(i, j int) bool { return dead[i].Name < dead[j].Name })
+	m.out = append(m.out, Probe{Peer: dead[m.rnd.IntN(len(dead))]})
+}
+
 // pick returns the next member of a shuffled round, which bounds the time
 // until a given member is probed.
 func (m *Member) pick() (Info, bool) {
