--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/auburnnotch/auburnnotch/internal/configkeeper"
+	"github.com/auburnnotch/auburnnotch/internal/drainer"
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
@@ -39,6 +40,7 @@
 	Upstreams *upstreamer.Upstreamer
 	Hinter    *hinter.Hinter
 	Selector  selector.Selector
+	Drainer   *drainer.Drainer
 }
 
 // Front is a kernel service.
@@ -53,6 +55,7 @@
 	upstreams *upstreamer.Upstreamer
 	hinter    *hinter.Hinter
 	selector  selector.Selector
+	drainer   *drainer.Drainer
 	settings  config.Settings
 	limits    config.Limits
 	signer    token.Signer
@@ -70,7 +73,7 @@
 	}
 	return &Front{
 		clk: p.Clock, log: p.Log, meter: p.Meter, config: p.Config, members: p.Members, sched: p.Scheduler,
-		ledger: p.Ledger, upstreams: p.Upstreams, hinter: p.Hinter, selector: p.Selector, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
+		ledger: p.Ledger, upstreams: p.Upstreams, hinter: p.Hinter, selector: p.Selector, drainer: p.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
 		listener: netutil.LimitListener(ln, s.Limits.Connections),
 	}, nil
 }
@@ -137,6 +140,7 @@
 	mux.HandleFunc("GET /readyz", f.ready)
 	mux.HandleFunc("GET /v1/status", f.operator(f.status))
 	mux.HandleFunc("GET /v1/declaration", f.operator(f.declaration))
+	mux.HandleFunc("GET /v1/plan", f.operator(f.plan))
 	mux.HandleFunc("PUT /v1/declaration", f.operator(f.submit))
 	mux.Handle("GET /metrics", f.operator(f.meter.Handler().ServeHTTP))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -124,6 +124,15 @@
 	writeJSON(w, http.StatusOK, Declared{Revision: c.Revision, Declaration: c.Declaration})
 }
 
+func (f *Front) plan(w http.ResponseWriter, r *http.Request) {
+	p, err := f.drainer.Plan(r.Context(), config.Seconds(f.limits.RequestSeconds))
+	if err != nil {
+		f.refuse(w, uuid.NewString(), failure.NoUpstream, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, p)
+}
+
 // Submitted answers PUT /v1/declaration.
 type Submitted struct {
 	Revision uint64            `json:"revision,omitempty"`
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
+	"github.com/auburnnotch/auburnnotch/pkg/declare"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
@@ -412,6 +413,32 @@
 	}
 }
 
+func TestOrdersBringEnginesToWhatIsDeclared(t *testing.T) {
+	d := deploy(t, 2, 2)
+	next := d.Declaration().WithModel("assistant-2", "v7").WithPool(declare.Pool("second", "assistant-2", "v7", config.Standard)).
+		WithVM(declare.VM("vm-new", "dc-1"))
+	extra := engine.New(engine.Options{Slots: 4, PieceBytes: 8192, ChecksFencing: true}, systemclock.New())
+	next = next.WithUpstream(declare.Engine("engine-new", "vm-new", "http://"+d.listen(extra), "second", 4, true))
+	if _, err := d.Apply(next); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool { return len(extra.Orders()) > 0 })
+	if o := extra.Orders()[0]; o.Kind != wire.OrderLoad || o.Model != "assistant-2" || o.Version != "v7" || o.FencingToken == 0 {
+		t.Errorf("order %+v", o)
+	}
+	out, err := d.Command("plan", "--node", d.Nodes[0].Addr)
+	if err != nil || !strings.Contains(out, "pool second") {
+		t.Errorf("plan: %v %s", err, out)
+	}
+	if _, err := d.Command("drain", "--node", d.Nodes[0].Addr, "--at", "2099-01-01T00:00:00Z", "--from", "2020-01-01T00:00:00Z", "vm-1"); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool {
+		orders := d.engines[0].Orders()
+		return len(orders) > 0 && orders[len(orders)-1].Kind == wire.OrderDrain
+	})
+}
+
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	d := deploy(t, 2, 2)
 	chat := testlib.NewChat("shared", "leave", 4)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/configkeeper"
+	"github.com/auburnnotch/auburnnotch/internal/drainer"
 	"github.com/auburnnotch/auburnnotch/internal/front"
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
@@ -62,6 +63,9 @@
 	upstreams := upstreamer.New(clk)
 	polls := poller.New(clk, log, upstreams, sched, store, keeper.Current)
 	keeper.OnChange(polls.Update)
+	orders := drainer.New(clk, log, store, upstreams, keeper.Current, func() bool {
+		return ahead(gossip.Live(), gossip.Self(), "orders/", false) < issuerCandidates
+	})
 	link.Answer(answer(gossip, keeper, claims, sched))
 	nodes := selector.New(s.DataCentre, keeper.Region)
 	hints := hinter.New(clk, link, func(workspace string, weight int) []member.Info {
@@ -69,12 +73,12 @@
 	}, s.Name)
 	f, err := front.New(s, front.Parts{
 		Clock: clk, Log: log, Meter: metrics, Config: keeper, Members: gossip,
-		Scheduler: sched, Ledger: claims, Upstreams: upstreams, Hinter: hints, Selector: nodes,
+		Scheduler: sched, Ledger: claims, Upstreams: upstreams, Hinter: hints, Selector: nodes, Drainer: orders,
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	k, err := kernel.New(link, sched, keeper, gossip, configkeeper.PlatformWatch{Keeper: keeper}, claims, polls, hints, f)
+	k, err := kernel.New(link, sched, keeper, gossip, configkeeper.PlatformWatch{Keeper: keeper}, claims, polls, hints, orders, f)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -109,16 +113,29 @@
 // platform; the others learn of changes from peers.
 const watchersPerDataCentre = 3
 
+// issuerCandidates is how many nodes of the fleet campaign for the lease of
+// the orders.
+const issuerCandidates = 2
+
 // watches reports whether self is one of the watchers of its data centre.
 func watches(live []member.Info, self member.Info) bool {
-	score := func(m member.Info) uint64 { return xxhash.Sum64String("watch/" + m.Name) }
-	ahead := 0
+	return ahead(live, self, "watch/", true) < watchersPerDataCentre
+}
+
+// ahead returns how many live nodes, of the own data centre if near, come
+// before self in the rendezvous order of a duty.
+func ahead(live []member.Info, self member.Info, duty string, near bool) int {
+	score := func(m member.Info) uint64 { return xxhash.Sum64String(duty + m.Name) }
+	n := 0
 	for _, m := range live {
-		if m.DataCentre == self.DataCentre && m.State == member.Alive && m.Name != self.Name && score(m) > score(self) {
-			ahead++
+		if near && m.DataCentre != self.DataCentre {
+			continue
+		}
+		if m.State == member.Alive && m.Name != self.Name && score(m) > score(self) {
+			n++
 		}
 	}
-	return ahead < watchersPerDataCentre
+	return n
 }
 
 // Addr returns the address for callers and operators.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -433,8 +433,11 @@
 	}
 	e.token = max(e.token, o.FencingToken)
 	e.orders = append(e.orders, o)
-	if o.Kind == wire.OrderDrain {
+	switch o.Kind {
+	case wire.OrderDrain:
 		e.leaving = true
+	case wire.OrderLoad:
+		e.opts.Model, e.opts.Version = o.Model, o.Version
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -329,6 +329,9 @@
 	if r, ok := actions[1].(follower.Restore); !ok || r.Document.Revision != 5 || r.Version != 9 {
 		t.Errorf("second action %+v, want the restoration of 5 over version 9", actions[1])
 	}
+	if f.Handle(follower.FromPeer{Document: follower.Document{Revision: 4, Nonce: "d"}}); f.Revision() != 5 {
+		t.Errorf("a peer's older document took revision 5 back to %d", f.Revision())
+	}
 	if a := f.Handle(follower.FromPeer{Document: follower.Document{Revision: 5, Nonce: "c"}}); len(a) != 1 || f.Document().Nonce != "a" {
 		t.Errorf("another document of the same revision: actions %v, nonce %s", a, f.Document().Nonce)
 	}
