--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -91,7 +91,7 @@
 		}
 	case hujson.Literal:
 		if !fits(val, t) {
-			l.fault(path, fmt.Sprintf("is %s, wants %s", val, describe(t)))
+			l.fault(path, fmt.Sprintf("is %s, wants %s", string(val), describe(t)))
 		}
 	}
 }
--- /dev/null
+++ b/internal/upstreamer/upstreamer_test.go
@@ -0,0 +1,104 @@
+package upstreamer_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+func spec(url string, fresh bool) *upstreamer.Spec {
+	return &upstreamer.Spec{
+		Method: http.MethodPost, URL: url, Body: []byte("body"), ContentType: "text/plain", ResumeFrom: -1, FreshConnection: fresh,
+		Header: http.Header{wire.HeaderIdempotencyKey: {"k"}}, FirstByte: time.Minute, Between: time.Minute,
+	}
+}
+
+func serve(t testing.TB, f http.HandlerFunc) string {
+	s := httptest.NewServer(f)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.URL
+}
+
+// TestTheTransportSendsNothingTwice kills the connection after a request that
+// carries an Idempotency-Key came in on a kept connection: net/http would send
+// such a request again if its body could be rewound.
+func TestTheTransportSendsNothingTwice(t *testing.T) {
+	var calls atomic.Int32
+	url := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	u := upstreamer.New(systemclock.New())
+	for i := range 2 {
+		a, outcome, _ := u.Open(context.Background(), spec(url, true))
+		if a != nil {
+			_, _ = io.Copy(io.Discard, a)
+			a.Close()
+		}
+		if want := []upstreamer.Outcome{upstreamer.Opened, upstreamer.Broken}[i]; outcome != want {
+			t.Errorf("call %d: outcome %d, want %d", i, outcome, want)
+		}
+	}
+	if n := calls.Load(); n != 2 {
+		t.Errorf("the upstream got %d calls, want 2", n)
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		url  string
+		want upstreamer.Outcome
+		is   error
+	}{
+		"answers":          {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }), upstreamer.Opened, nil},
+		"nobody listens":   {"http://127.0.0.1:1", upstreamer.Refused, nil},
+		"resets":           {serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), upstreamer.Broken, nil},
+		"silent":           {serve(t, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}), upstreamer.Broken, upstreamer.ErrSilent},
+		"fails unmarked":   {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }), upstreamer.Opened, nil},
+		"does not run it":  {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire.HeaderNotRun, "true"); w.WriteHeader(503) }), upstreamer.Refused, nil},
+		"redirects":        {serve(t, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/again", http.StatusTemporaryRedirect) }), upstreamer.Opened, nil},
+		"no valid address": {"http://127.0.0.1:99999", upstreamer.Refused, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := spec(c.url, true)
+			s.FirstByte = 300 * time.Millisecond
+			a, outcome, err := upstreamer.New(systemclock.New()).Open(context.Background(), s)
+			if a != nil {
+				a.Close()
+			}
+			if outcome != c.want || c.is != nil && !errors.Is(err, c.is) {
+				t.Errorf("outcome %d, error %v", outcome, err)
+			}
+		})
+	}
+}
+
+// BenchmarkLoadReport gives the time of one load report, both ends in one
+// process.
+func BenchmarkLoadReport(b *testing.B) {
+	url := serve(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"incarnation":"a","running":3}`) })
+	u := upstreamer.New(systemclock.New())
+	for b.Loop() {
+		if _, err := u.Load(context.Background(), url); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/config/declaration.go
+++ b/pkg/config/declaration.go
@@ -33,7 +33,7 @@
 	// Workspaces lists the customers of the system.
 	Workspaces []Workspace `json:"workspaces"`
 	// WeightStore bounds the loads of weights.
-	WeightStore WeightStore `json:"weightStore,omitempty"`
+	WeightStore WeightStore `json:"weightStore,omitzero"`
 	// PieceBytes is the size of a cached piece of a prompt in bytes
 	// (default 8192, about two thousand tokens).
 	PieceBytes int `json:"pieceBytes,omitempty"`
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -25,7 +25,7 @@
 	// empty leaves /v1/status open on the listening address.
 	OperatorKeyHash string `json:"operatorKeyHash,omitempty"`
 	// Limits bounds what callers may send.
-	Limits Limits `json:"limits,omitempty"`
+	Limits Limits `json:"limits,omitzero"`
 	// LogLevel is one of debug, info, warning, error (default info).
 	LogLevel string `json:"logLevel,omitempty"`
 }
