--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -55,7 +55,7 @@
 	next     func()
 	admitted bool
 	first    *scheduler.Picked // that came with the admission
-	began    time.Time // of the answer to the caller
+	began    time.Time         // of the answer to the caller
 	lastPart time.Time
 	run      *scheduler.Run
 	send     dispatcher.Send
--- a/internal/hinter/hinter.go
+++ b/internal/hinter/hinter.go
@@ -19,7 +19,7 @@
 	period   = time.Second
 	queue    = 1024 // a full ring drops hints, which only improve routing
 	perPeer  = 64   // hints in a period, about 6 KB
-	quiet    = 5 * time.Second
+	quiet    = 10 * time.Second
 	maxKnown = 1 << 14
 )
 
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -92,7 +92,7 @@
 func BenchmarkConnect(b *testing.B) {
 	server := open(b, secret)
 	m := probe()
-	before := heap()
+	before, wire := heap(), loopback(b)
 	n := 0
 	for b.Loop() {
 		n++
@@ -100,6 +100,7 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric((loopback(b)-wire)/float64(n), "wire-bytes/op")
 	b.ReportMetric(float64(heap()-before)/float64(n)/1024, "KB/connection-both-ends")
 }
 
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -106,8 +106,8 @@
 type Result struct {
 	Failed bool
 	// Refused says that the upstream did not run it.
-	Refused bool
-	Incarnation  string
+	Refused     bool
+	Incarnation string
 }
 
 // View is a look at the scheduler's state.
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -90,11 +90,11 @@
 	Response *http.Response
 	// OnWait, if set, is called before each wait for further bytes.
 	OnWait  func()
-	body     io.Reader
-	cancel   context.CancelFunc
-	timer    clock.Timer
-	between  time.Duration
-	expired  atomic.Bool
+	body    io.Reader
+	cancel  context.CancelFunc
+	timer   clock.Timer
+	between time.Duration
+	expired atomic.Bool
 }
 
 // Open sends the request. With Opened the Attempt is to be read and closed.
--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -65,16 +65,21 @@
 		want upstreamer.Outcome
 		is   error
 	}{
-		"answers":          {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }), upstreamer.Opened, nil},
-		"nobody listens":   {"http://127.0.0.1:1", upstreamer.Refused, nil},
-		"resets":           {serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), upstreamer.Broken, nil},
-		"silent":           {serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		"answers":        {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }), upstreamer.Opened, nil},
+		"nobody listens": {"http://127.0.0.1:1", upstreamer.Refused, nil},
+		"resets":         {serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), upstreamer.Broken, nil},
+		"silent": {serve(t, func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		}), upstreamer.Broken, upstreamer.ErrSilent},
-		"fails unmarked":   {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }), upstreamer.Opened, nil},
-		"does not run it":  {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire.HeaderNotRun, "true"); w.WriteHeader(503) }), upstreamer.Refused, nil},
-		"redirects":        {serve(t, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/again", http.StatusTemporaryRedirect) }), upstreamer.Opened, nil},
+		"fails unmarked": {serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }), upstreamer.Opened, nil},
+		"does not run it": {serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.HeaderNotRun, "true")
+			w.WriteHeader(503)
+		}), upstreamer.Refused, nil},
+		"redirects": {serve(t, func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+		}), upstreamer.Opened, nil},
 		"no valid address": {"http://127.0.0.1:99999", upstreamer.Refused, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -94,7 +99,9 @@
 // BenchmarkLoadReport gives the time of one load report, both ends in one
 // process.
 func BenchmarkLoadReport(b *testing.B) {
-	url := serve(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"incarnation":"a","running":3}`) })
+	url := serve(b, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"incarnation":"a","running":3}`)
+	})
 	u := upstreamer.New(systemclock.New())
 	for b.Loop() {
 		if _, err := u.Load(context.Background(), url); err != nil {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -6,8 +6,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is what is believed of a member.
@@ -120,7 +123,8 @@
 	timing Timing
 	rnd    *rand.Rand
 	others map[string]*record
-	order  []string // probe order, shuffled each round
+	order  []string // neighbours in the order of probes, shuffled each round
+	known  []string // names in others, in the order in which they were learned
 	at     int
 	next   time.Time
 	retry  time.Time // of the next probe of a removed member
@@ -185,13 +189,11 @@
 // a node that missed the news, or restarted, learns of them all the same.
 func (m *Member) addSample(d *Digest) {
 	const sample = 3
-	if len(m.order) == 0 {
+	if len(m.known) == 0 {
 		return
 	}
 	for range min(sample, newsPerMessage-len(d.News)) {
-		if r, ok := m.others[m.order[m.rnd.IntN(len(m.order))]]; ok {
-			d.News = append(d.News, r.info)
-		}
+		d.News = append(d.News, m.others[m.known[m.rnd.IntN(len(m.known))]].info)
 	}
 }
 
@@ -248,6 +250,7 @@
 		r = &record{}
 		m.others[i.Name] = r
 		m.order = append(m.order, i.Name)
+		m.known = append(m.known, i.Name)
 		m.set(now, r, i)
 	case ok && i.overrides(r.info):
 		m.set(now, r, i)
@@ -271,18 +274,30 @@
 			m.set(now, r, r.info.WithState(Dead))
 		case r.info.State == Dead && now.Sub(r.since) >= m.timing.Forget:
 			delete(m.others, name)
+			m.known = slices.DeleteFunc(m.known, func(k string) bool { return k == name })
 		}
 	}
 	m.reconnect(now)
 	if now.Before(m.next) {
 		return
 	}
-	m.next = now.Add(m.timing.Period)
+	m.next = now.Add(m.period())
 	if p, ok := m.pick(); ok {
 		m.out = append(m.out, Probe{Peer: p, Helpers: m.pickHelpers(p.Name)})
 	}
 }
 
+// largeFleet is the number of members from which probes are half as frequent,
+// for the budget of a node's traffic.
+const largeFleet = 32
+
+func (m *Member) period() time.Duration {
+	if len(m.others) >= largeFleet {
+		return 2 * m.timing.Period
+	}
+	return m.timing.Period
+}
+
 // reconnect probes a removed member now and then: it may be on the other side
 // of a partition that has healed.
 func (m *Member) reconnect(now time.Time) {
@@ -323,19 +338,55 @@
 }
 
 func (m *Member) newRound() {
-	m.order = m.order[:0]
-	for name := range m.others {
-		m.order = append(m.order, name)
-	}
-	sort.Strings(m.order)
+	m.order = m.neighbours()
 	m.rnd.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 	m.at = 0
 }
 
+type position struct {
+	name string
+	hash uint64
+}
+
+// neighbours returns the members at the distances 1, 2, 4 and so on from this
+// one on a ring. They stay the same while the membership does, so that their
+// connections stay open, and news crosses the ring in a few hops.
+func (m *Member) neighbours() []string {
+	ring := []position{{m.self.Name, xxhash.Sum64String(m.self.Name)}}
+	for name, r := range m.others {
+		if r.info.State != Dead {
+			ring = append(ring, position{name, xxhash.Sum64String(name)})
+		}
+	}
+	sort.Slice(ring, func(i, j int) bool { return ring[i].hash < ring[j].hash })
+	at := 0
+	for i := range ring {
+		if ring[i].name == m.self.Name {
+			at = i
+		}
+	}
+	var out []string
+	for d := 1; d < len(ring); d = nextDistance(d) {
+		out = append(out, ring[(at+d)%len(ring)].name)
+	}
+	return out
+}
+
+// nearest is how many members on the ring are all neighbours, which leaves
+// small fleets fully joined.
+const nearest = 8
+
+func nextDistance(d int) int {
+	if d < nearest {
+		return d + 1
+	}
+	return 2 * d
+}
+
 func (m *Member) pickHelpers(except string) []Info {
 	var out []Info
 	for range 2 * helpers {
-		name := m.order[m.rnd.IntN(len(m.order))]
+		name := m.known[m.rnd.IntN(len(m.known))]
 		if r, ok := m.others[name]; ok && name != except && r.info.State == Alive && len(out) < helpers {
 			out = append(out, r.info)
 		}
@@ -343,14 +394,19 @@
 	return out
 }
 
-// Sample returns up to n live members other than this one, chosen at random.
+// Sample returns up to n live members other than this one, chosen at random
+// among the neighbours while those are enough.
 func (m *Member) Sample(n int) []Info {
-	var live []Info
-	for _, i := range m.Live() {
-		if i.Name != m.self.Name {
-			live = append(live, i)
+	names := m.neighbours()
+	if n > len(names) {
+		names = slices.Clone(m.known)
+	}
+	m.rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	out := make([]Info, 0, min(n, len(names)))
+	for _, name := range names {
+		if r := m.others[name]; r.info.State != Dead && len(out) < n {
+			out = append(out, r.info)
 		}
 	}
-	m.rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(n, len(live))]
+	return out
 }
--- a/pkg/router/policy_test.go
+++ b/pkg/router/policy_test.go
@@ -60,16 +60,23 @@
 	reportEvery    = 500 * time.Millisecond
 	networkDelay   = time.Millisecond
 	hintDelay      = time.Second
+	hintQuiet      = 10 * time.Second // a hint isn't repeated before
 	benchSlots     = 24
 	benchCapacity  = 600 // pieces an engine
 	benchIndexSize = router.IndexEntries
 )
 
+type hinted struct {
+	hash uint64
+	id   string
+}
+
 type benchNode struct {
 	router   *router.Router
 	admitter *admitter.Admitter
 	waiting  map[uint64]*request
 	choices  map[*request]router.Choice
+	hinted   map[hinted]time.Time
 	rr       int
 }
 
@@ -86,6 +93,7 @@
 	nodes     []*benchNode
 	flying    map[*request]bool
 	requests  int
+	hints     int
 	scale     int
 	rate      float64
 	hits      int
@@ -151,7 +159,7 @@
 	}
 	n := &benchNode{
 		router:   router.New(w, benchIndexSize, rand.New(rand.NewPCG(b.rnd.Uint64(), 23))),
-		admitter: admitter.New(1 << 16), waiting: map[uint64]*request{}, choices: map[*request]router.Choice{},
+		admitter: admitter.New(1 << 16), waiting: map[uint64]*request{}, choices: map[*request]router.Choice{}, hinted: map[hinted]time.Time{},
 	}
 	n.router.SetEngines(b.list())
 	return n
@@ -355,9 +363,13 @@
 
 // hint tells the other nodes of the workspace where the prompt went.
 func (b *bench) hint(id string, r *request) {
-	if b.scenario.noHints {
+	n := b.nodes[r.node]
+	key := hinted{r.chain[len(r.chain)-2], id}
+	if at, ok := n.hinted[key]; b.scenario.noHints || ok && b.now.Sub(at) < hintQuiet {
 		return
 	}
+	n.hinted[key] = b.now
+	b.hints++
 	b.later(hintDelay, func() {
 		for i := range nodesPerSpace {
 			if node := (r.workspace*5 + i) % len(b.nodes); node != r.node {
@@ -513,6 +525,7 @@
 	}
 	tb.ReportMetric(float64(b.refused)/float64(b.requests), "refused")
 	tb.ReportMetric(float64(b.retried), "retried")
+	tb.ReportMetric(float64(b.hints)/float64(b.requests), "hints/request")
 	tb.ReportMetric(b.jain(), "jain")
 	if b.recovered > 0 {
 		tb.ReportMetric(b.recovered.Seconds(), "s-recovery")
