--- a/pkg/claimer/claimer_test.go
+++ b/pkg/claimer/claimer_test.go
@@ -1,8 +1,10 @@
 package claimer_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -342,3 +344,48 @@
 		t.Fatalf("action %v, want unavailable", actions[0])
 	}
 }
+
+// BenchmarkMemory gives the bytes that a shard holds for each claim whose
+// answer of 100 bytes is kept, and the size of a write.
+func BenchmarkMemory(b *testing.B) {
+	const claims = 50_000
+	for range b.N {
+		before := heapBytes()
+		c := claimer.New(claimer.DefaultLimits(), rand.New(rand.NewPCG(1, 1)))
+		now, version, records, writes := time.Unix(1_800_000_000, 0), uint64(0), 0, 0
+		var run func(e claimer.Event)
+		run = func(e claimer.Event) {
+			for _, a := range append([]claimer.Action(nil), c.Handle(now, e)...) {
+				switch a := a.(type) {
+				case claimer.ReadHead:
+					run(claimer.HeadRead{})
+				case claimer.WriteSealed:
+					run(claimer.SealedWritten{})
+				case claimer.WriteHead:
+					version++
+					writes++
+					records += len(a.Page.Records)
+					run(claimer.HeadWritten{Version: version})
+				}
+			}
+		}
+		for i := range uint64(claims) {
+			now = now.Add(time.Millisecond)
+			var k claimer.Key
+			binary.LittleEndian.PutUint64(k[:], i+1)
+			run(claimer.Request{Ticket: i, Key: k, Nonce: claimer.Nonce(i + 1), Holder: "entry-1@1800000000"})
+			run(claimer.Finished{Key: k, Nonce: claimer.Nonce(i + 1), Answer: claimer.Answer{Status: 200, Body: make([]byte, 100)}})
+		}
+		b.ReportMetric(float64(heapBytes()-before)/claims, "bytes/claim")
+		b.ReportMetric(float64(records)/float64(writes), "records/write")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/pkg/router/policy_test.go
+++ b/pkg/router/policy_test.go
@@ -509,6 +509,18 @@
 	return sum * sum / (n * squares)
 }
 
+// leastAnswered is the smallest share of requests answered by the end among the
+// workspaces that keep to their share.
+func (b *bench) leastAnswered() float64 {
+	least := 1.0
+	for ws, sent := range b.sentBy {
+		if ws != b.scenario.greedy {
+			least = min(least, float64(b.doneBy[ws])/float64(sent))
+		}
+	}
+	return least
+}
+
 func (b *bench) hitRate() float64   { return float64(b.hits) / float64(max(1, b.pieces)) }
 func (b *bench) recompute() float64 { return float64(b.pieces-b.hits) / float64(max(1, b.inherent)) }
 
@@ -527,6 +539,9 @@
 	tb.ReportMetric(float64(b.retried), "retried")
 	tb.ReportMetric(float64(b.hints)/float64(b.requests), "hints/request")
 	tb.ReportMetric(b.jain(), "jain")
+	if b.scenario.isGreedy {
+		tb.ReportMetric(b.leastAnswered(), "others-answered")
+	}
 	if b.recovered > 0 {
 		tb.ReportMetric(b.recovered.Seconds(), "s-recovery")
 	}
@@ -552,6 +567,7 @@
 			scenario{name: prefix + "tenfold", guiers: g, load: 0.8, scale: 10},
 			scenario{name: prefix + "tenfoldRestart", guiers: g, load: 0.8, scale: 10, restartAt: 30 * time.Second},
 			scenario{name: prefix + "greedy", guiers: g, load: 0.6, greedy: 4, isGreedy: true},
+			scenario{name: prefix + "greedyOverload", guiers: g, load: 1.1, greedy: 4, isGreedy: true},
 			scenario{name: prefix + "notGreedy", guiers: g, load: 0.6, greedy: 4},
 		)
 	}
