perf: a pause between the commits of a ledger shard

Cause: under load the ledger took the platform's whole 300 writes a second, so that a configuration could hardly be submitted. A shard now commits once in 40 ms at most.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -52,6 +52,7 @@
 type shard struct {
 	mu      sync.Mutex
 	n       int
+	waking  bool // a call of wake is pending
 	machine *claimer.Claimer
 }
 
@@ -147,14 +148,33 @@
 	actions := append([]claimer.Action(nil), s.machine.Handle(l.clk.Now(), e)...)
 	s.mu.Unlock()
 	for _, a := range actions {
-		if r, ok := a.(claimer.Reply); ok {
-			l.reply(r)
-			continue
+		switch a := a.(type) {
+		case claimer.Reply:
+			l.reply(a)
+		case claimer.Wake:
+			l.wake(ctx, s, a.At)
+		default:
+			_ = l.jobs.Put(ctx, job{shard: s, action: a})
 		}
-		_ = l.jobs.Put(ctx, job{shard: s, action: a})
 	}
 }
 
+// wake lets time pass for a shard at t; one call is pending at most.
+func (l *Ledger) wake(ctx context.Context, s *shard, t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waking {
+		return
+	}
+	s.waking = true
+	l.clk.AfterFunc(t.Sub(l.clk.Now()), func() {
+		s.mu.Lock()
+		s.waking = false
+		s.mu.Unlock()
+		l.handle(context.WithoutCancel(ctx), s, claimer.Ticked{})
+	})
+}
+
 func (l *Ledger) reply(r claimer.Reply) {
 	l.mu.Lock()
 	ch, ok := l.waiting[r.Ticket]
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -48,6 +48,10 @@
 // updateDelay is how long an answer or a release may wait for its commit.
 const updateDelay = 100 * time.Millisecond
 
+// writePause is the least time between two commits of a shard. It bounds the
+// ledger's share of the platform's writes, which the configuration needs too.
+const writePause = 40 * time.Millisecond
+
 // retryPause is the pause after a failed platform call.
 const retryPause = 200 * time.Millisecond
 
@@ -76,6 +80,7 @@
 	updates []Record // finishes and releases that are not committed yet
 	granted []pending
 	retryAt time.Time // no platform call before, after one that failed
+	writeAt time.Time // no commit before, for the platform's budget
 	batch   Page
 	sealed  string
 	out     []Action
@@ -150,6 +155,10 @@
 		c.state = loading
 		c.do(ReadHead{})
 	case ready:
+		if now.Before(c.writeAt) {
+			c.do(Wake{At: c.writeAt})
+			return
+		}
 		c.commit(now)
 	}
 }
@@ -270,6 +279,7 @@
 	if len(records) == 0 {
 		return
 	}
+	c.writeAt = now.Add(writePause)
 	c.write(records)
 }
 
--- a/pkg/claimer/messages.go
+++ b/pkg/claimer/messages.go
@@ -172,6 +172,10 @@
 	Answer  Answer // with Answered
 }
 
+// Wake asks for a Ticked at that time.
+type Wake struct{ At time.Time }
+
+func (Wake) action()        {}
 func (ReadHead) action()    {}
 func (ReadSealed) action()  {}
 func (WriteHead) action()   {}
