refactor: split the request runner and the router by duty

Upstreamer.Cancel, which nothing called, is out; node finds its front and link by name. Behaviour unchanged, tests as before.

--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"crypto/sha256"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -14,10 +13,8 @@
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
-func sha256Sum(b []byte) [sha256.Size]byte { return sha256.Sum256(b) }
-
-// config2x returns a setting in seconds, doubled steps times.
-func config2x(seconds float64, steps int) time.Duration {
+// doubled returns a setting in seconds, doubled steps times.
+func doubled(seconds float64, steps int) time.Duration {
 	return config.Seconds(seconds) << steps
 }
 
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/binary"
 	"io"
 	"net/http"
@@ -244,7 +245,7 @@
 		b = binary.LittleEndian.AppendUint32(b, uint32(len(p)))
 		b = append(b, p...)
 	}
-	sum := sha256Sum(b)
+	sum := sha256.Sum256(b)
 	copy(k[:], sum[:])
 	return k
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 
@@ -34,8 +33,6 @@
 type Node struct {
 	kernel *kernel.Kernel
 	meter  *meter.Meter
-	front  *front.Front
-	link   *peerlink.Link
 }
 
 // New opens the listeners of a node. s has its defaults and has passed its
@@ -82,7 +79,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Node{kernel: k, meter: metrics, front: f, link: link}, nil
+	return &Node{kernel: k, meter: metrics}, nil
 }
 
 // answer passes a message to the service that knows it.
@@ -138,17 +135,25 @@
 	return n
 }
 
+// address is a service with a listening address.
+type address interface{ Addr() string }
+
+func (n *Node) addr(service string) string {
+	s, err := kernel.Find[address](n.kernel, service)
+	if err != nil {
+		return ""
+	}
+	return s.Addr()
+}
+
 // Addr returns the address for callers and operators.
-func (n *Node) Addr() string { return n.front.Addr() }
+func (n *Node) Addr() string { return n.addr("front") }
 
 // PeerAddr returns the address for other nodes.
-func (n *Node) PeerAddr() string { return n.link.Addr() }
+func (n *Node) PeerAddr() string { return n.addr("peerlink") }
 
 // Run works until ctx ends and every accepted request has its answer.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.meter.Close()
 	return errors.Trace(n.kernel.Run(ctx))
 }
-
-// Describe returns the addresses on one line.
-func (n *Node) Describe() string { return fmt.Sprintf("callers=%s peers=%s", n.Addr(), n.PeerAddr()) }
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -207,19 +207,6 @@
 	return l, nil
 }
 
-// Cancel tells an engine to forget an attempt.
-func (u *Upstreamer) Cancel(ctx context.Context, base, attempt string) error {
-	req, err := sling.New().Delete(base + "/v1/attempts/" + attempt).Request()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := u.pooled.Do(req.WithContext(ctx))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return resp.Body.Close()
-}
-
 // Order sends an order; it reports whether the engine took it.
 func (u *Upstreamer) Order(ctx context.Context, base string, o wire.Order) error {
 	req, err := sling.New().Post(base + "/orders").BodyJSON(o).Request()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -1,7 +1,3 @@
-// Package router chooses the engine for a prompt: it weighs the pieces that
-// would have to be computed again against the work that already waits at each
-// engine. It knows only what its own node has sent and been told, and does no
-// I/O. Its methods stand in for events, so that a decision allocates nothing.
 package router
 
 import (
@@ -9,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnnotch/auburnnotch/pkg/breaker"
 	"github.com/auburnnotch/auburnnotch/pkg/hasher"
 )
 
@@ -96,31 +91,6 @@
 	}
 }
 
-type engineState struct {
-	Engine
-	breaker     breaker.Breaker
-	incarnation string
-	epoch       uint16
-	leaving     bool
-	present     bool
-	// occupied and pending are the last report plus what this node has sent
-	// and seen end since.
-	occupied int
-	pending  [Ranks]int
-	mine     int
-	recent   changes
-	group    *pool
-}
-
-// setPending replaces the pieces that wait for rank and keeps the pool's sum.
-func (e *engineState) setPending(rank, n int) {
-	n = max(0, n)
-	if e.group != nil {
-		e.group.pending += n - e.pending[rank]
-	}
-	e.pending[rank] = n
-}
-
 // Router is the policy of one node. It is not safe for concurrent use.
 type Router struct {
 	weights Weights
@@ -372,113 +342,6 @@
 	return Choice{}, false
 }
 
-// Sent says that a request of chain went to the choice at now.
-func (r *Router) Sent(now time.Time, c Choice, chain hasher.Chain) {
-	e := &r.engines[c.slot]
-	e.mine++
-	e.change(now, 1, c.Misses, c.rank)
-	r.Learned(c.ID, chain)
-}
-
-// Learned takes a peer's word that it sent a prompt with these pieces to id.
-func (r *Router) Learned(id string, chain hasher.Chain) {
-	slot, ok := r.byID[id]
-	if !ok {
-		return
-	}
-	for _, h := range chain {
-		r.index.add(h, slot, r.engines[slot].epoch)
-	}
-}
-
-// change counts what this node has changed at the engine since its report.
-func (e *engineState) change(now time.Time, occupied, pending int, rank uint8) {
-	e.occupied = max(0, e.occupied+occupied)
-	e.setPending(int(rank), e.pending[rank]+pending)
-	e.recent.add(change{at: now.UnixNano(), occupied: int16(occupied), pending: int16(pending), rank: rank})
-}
-
-// Began says that the first token arrived at now.
-func (r *Router) Began(now time.Time, c Choice) {
-	r.engines[c.slot].change(now, 0, -c.Misses, c.rank)
-}
-
-// Ended says that the request no longer holds its slot at now. began tells
-// whether Began was called before.
-func (r *Router) Ended(now time.Time, c Choice, began bool) {
-	e := &r.engines[c.slot]
-	e.mine = max(0, e.mine-1)
-	if !began {
-		e.change(now, 0, -c.Misses, c.rank)
-	}
-	e.change(now, -1, 0, c.rank)
-}
-
-// Succeeded says that an attempt went well.
-func (r *Router) Succeeded(id string) {
-	if slot, ok := r.byID[id]; ok {
-		e := &r.engines[slot]
-		e.breaker = e.breaker.WithSuccess()
-	}
-}
-
-// Failed says that an attempt failed at now.
-func (r *Router) Failed(now time.Time, id string) {
-	if slot, ok := r.byID[id]; ok {
-		e := &r.engines[slot]
-		e.breaker = e.breaker.WithFailure(now)
-	}
-}
-
-// Crashed says that an engine died at now: all it held is gone.
-func (r *Router) Crashed(now time.Time, id string) {
-	if slot, ok := r.byID[id]; ok {
-		e := &r.engines[slot]
-		e.breaker = e.breaker.WithCrash(now)
-		r.empty(e)
-	}
-}
-
-func (r *Router) empty(e *engineState) {
-	e.epoch++
-	for rank := range e.pending {
-		e.setPending(rank, 0)
-	}
-	e.occupied = e.mine
-	e.incarnation = ""
-}
-
-// Observe takes the incarnation that an answer or report of id names. A new
-// one means that the engine came back empty.
-func (r *Router) Observe(now time.Time, id, incarnation string) {
-	slot, ok := r.byID[id]
-	if !ok || incarnation == "" {
-		return
-	}
-	e := &r.engines[slot]
-	if e.incarnation != "" && e.incarnation != incarnation {
-		r.empty(e)
-		e.breaker = e.breaker.WithReturn(now)
-	}
-	e.incarnation = incarnation
-}
-
-// Reported takes a load report.
-func (r *Router) Reported(now time.Time, id string, rep Report) {
-	slot, ok := r.byID[id]
-	if !ok {
-		return
-	}
-	r.Observe(now, id, rep.Incarnation)
-	e := &r.engines[slot]
-	e.leaving = rep.Leaving
-	occupied, pending := e.recent.since(rep.TakenAt)
-	e.occupied = max(rep.Occupied+occupied, e.mine)
-	for i := range e.pending {
-		e.setPending(i, rep.Pending[i]+pending[i])
-	}
-}
-
 // Room is what a pool can take.
 type Room struct {
 	// Slots may be used; Occupied of them are.
