--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -43,10 +43,15 @@
 		FirstByte: r.patience(r.f.limits.FirstByteSeconds), Between: r.patience(r.f.limits.ChunkSeconds),
 		FreshConnection: !j.repeatable,
 	}
-	if !j.streaming {
-		// A whole answer shows no progress, so that only the deadline bounds it.
+	switch {
+	case j.streaming:
+	case j.model || !j.repeatable:
+		// A whole answer shows no progress, so that only the deadline bounds
+		// it; on a new connection at least its start isn't lost.
 		s.FirstByte = max(s.FirstByte, j.deadline.Sub(r.f.clk.Now()))
-		s.Between = s.FirstByte
+		s.Between, s.FreshConnection = s.FirstByte, true
+	case r.sends > 1:
+		s.FreshConnection = true // the kept connection may have gone silent
 	}
 	switch r.send.Mode {
 	case dispatcher.Resume:
@@ -59,16 +64,14 @@
 	return s
 }
 
-// patience doubles a time limit with each resumption, so that a slow engine is
+// patience doubles a time limit with each attempt, so that a slow engine is
 // not given up again and again.
 func (r *runner) patience(seconds float64) time.Duration {
-	return doubled(seconds, min(r.resumes, maxBackoffStep))
+	return doubled(seconds, min(r.sends-1, maxBackoffStep))
 }
 
 func (r *runner) attempt() {
-	if r.send.Mode == dispatcher.Resume {
-		r.resumes++
-	}
+	r.sends++
 	u, ok := r.cat.Upstream(r.send.Target.Upstream)
 	if !ok {
 		r.endRun(scheduler.Result{Refused: true})
@@ -116,7 +119,7 @@
 		r.reportCrash()
 	}
 	r.endRun(scheduler.Result{Failed: true})
-	r.step(dispatcher.Broken{Attempt: r.send.Attempt, Wrote: true, Crashed: health != healthy})
+	r.step(dispatcher.Broken{Attempt: r.send.Attempt, Wrote: true, Crashed: health != healthy, Silent: silent})
 }
 
 func (r *runner) reportCrash() {
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -50,7 +50,7 @@
 	send     dispatcher.Send
 	sending  bool // the last routing led to a Send
 	text     strings.Builder
-	resumes  int
+	sends    int // attempts so far
 	prefix   string
 	buf      []byte
 }
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -19,6 +19,8 @@
 	BreakAfterRun bool `json:"breakAfterRun"`
 	// Refuse answers 503 with the not-run mark.
 	Refuse bool `json:"refuse"`
+	// Silent is how many calls get no answer on their connection.
+	Silent int `json:"silent"`
 	// DelayMillis waits before each answer.
 	DelayMillis int `json:"delayMillis"`
 }
@@ -80,6 +82,12 @@
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
+	if f.Silent > 0 {
+		s.faults.Silent--
+		s.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	s.runs = append(s.runs, Run{Path: r.URL.Path, Key: r.Header.Get(wire.HeaderIdempotencyKey), Body: string(body)})
 	n := len(s.runs)
 	s.mu.Unlock()
--- a/internal/testlib/fleet.go
+++ b/internal/testlib/fleet.go
@@ -58,10 +58,18 @@
 	processes []*Process
 }
 
+// RaceVariable is the environment variable that has Build add the race
+// detector to the programs.
+const RaceVariable = "AUBURNNOTCH_RACE"
+
 // Build compiles the two programs of the module at root into dir.
 func Build(ctx context.Context, root, dir string) error {
 	for name, pkg := range map[string]string{"auburnnotch": ".", "standin": "./cmd/standin"} {
-		c := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, name), pkg)
+		args := []string{"build", "-o", filepath.Join(dir, name)}
+		if os.Getenv(RaceVariable) != "" {
+			args = append(args, "-race")
+		}
+		c := exec.CommandContext(ctx, "go", append(args, pkg)...)
 		c.Dir = root
 		if out, err := c.CombinedOutput(); err != nil {
 			return errors.Annotatef(err, "build %s: %s", name, out)
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -280,7 +280,7 @@
 	}
 	if d.mode == Resume && d.seen != "" && e.Incarnation != d.seen {
 		d.do(Cancel{Attempt: d.attempt})
-		d.lose(now, true)
+		d.lose(now, Broken{Crashed: true})
 		return
 	}
 	d.seen = e.Incarnation
@@ -297,7 +297,7 @@
 	case streamer.Gap:
 		d.do(CountDrop{})
 		d.do(Cancel{Attempt: d.attempt})
-		d.lose(now, false)
+		d.lose(now, Broken{})
 	}
 }
 
@@ -308,7 +308,7 @@
 	}
 	if !d.stream.Complete(e.Attempt, e.Total) {
 		d.do(Cancel{Attempt: d.attempt})
-		d.lose(now, false)
+		d.lose(now, Broken{})
 		return
 	}
 	d.phase = done
@@ -337,21 +337,25 @@
 		d.refused(now, Refused{Attempt: e.Attempt})
 		return
 	}
-	d.lose(now, e.Crashed)
+	d.lose(now, e)
 }
 
 // lose goes on after an attempt that may have been run has ended early.
-func (d *Dispatcher) lose(now time.Time, crashed bool) {
+// A silent connection says nothing against the upstream, which may be the only
+// one, so that it may be chosen again.
+func (d *Dispatcher) lose(now time.Time, e Broken) {
 	d.ran = true
 	if !d.req.Repeatable {
 		d.fail(failure.OutcomeUnknown)
 		return
 	}
-	if d.started() && !crashed && d.mode != Resume && d.seen != "" && d.attempts < d.req.MaxAttempts {
+	if d.started() && !e.Crashed && d.mode != Resume && d.seen != "" && d.attempts < d.req.MaxAttempts {
 		d.send(d.target.withIncarnation(d.seen), Resume)
 		return
 	}
-	d.excluded = append(d.excluded, d.target.Upstream)
+	if !e.Silent || e.Crashed {
+		d.excluded = append(d.excluded, d.target.Upstream)
+	}
 	d.retry(now, failure.UpstreamFailed)
 }
 
--- a/pkg/dispatcher/messages.go
+++ b/pkg/dispatcher/messages.go
@@ -77,6 +77,7 @@
 	Attempt string
 	Wrote   bool
 	Crashed bool
+	Silent  bool
 }
 
 // Poisoned says that the request is in quarantine.
