--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -40,7 +40,9 @@
 	Nodes    []NodeStatus `json:"nodes"`
 	Waiting  int          `json:"waiting"`
 	Running  int          `json:"running"`
-	VMs      []VMStatus   `json:"vms"`
+	// DroppedHints is how many hints this node has dropped, sent or received.
+	DroppedHints int64      `json:"droppedHints"`
+	VMs          []VMStatus `json:"vms"`
 }
 
 // NodeStatus is one node of a Status.
@@ -78,7 +80,10 @@
 
 func (f *Front) status(w http.ResponseWriter, r *http.Request) {
 	view := f.sched.View()
-	s := Status{Node: f.settings.Name, Revision: f.config.Revision(), Waiting: view.Waiting, Running: view.Running}
+	s := Status{
+		Node: f.settings.Name, Revision: f.config.Revision(), Waiting: view.Waiting, Running: view.Running,
+		DroppedHints: f.hinter.Dropped() + f.sched.Dropped(),
+	}
 	for _, n := range f.members.Survey(r.Context()) {
 		s.Nodes = append(s.Nodes, NodeStatus{
 			Name: n.Info.Name, Address: n.Info.Entry, DataCentre: n.Info.DataCentre,
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
-	"github.com/auburnnotch/auburnnotch/internal/ring"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/member"
 )
@@ -36,7 +35,6 @@
 	seeds    []string
 	revision func() uint64
 	heard    RevisionHeard
-	changed  *ring.Ring[struct{}]
 	seedAt   int
 	seedTime time.Time
 
@@ -51,7 +49,7 @@
 func New(clk clock.Clock, log logrus.FieldLogger, link *peerlink.Link, machine *member.Member, seeds []string, revision func() uint64, heard RevisionHeard) *Gossiper {
 	return &Gossiper{
 		clk: clk, log: log, link: link, machine: machine, seeds: seeds,
-		revision: revision, heard: heard, changed: ring.New[struct{}](1),
+		revision: revision, heard: heard,
 	}
 }
 
@@ -179,13 +177,7 @@
 func (g *Gossiper) handle(e member.Event) []member.Action {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	actions := append([]member.Action(nil), g.machine.Handle(g.clk.Now(), e)...)
-	for _, a := range actions {
-		if _, ok := a.(member.Changed); ok {
-			g.changed.Offer(struct{}{})
-		}
-	}
-	return actions
+	return append([]member.Action(nil), g.machine.Handle(g.clk.Now(), e)...)
 }
 
 func (g *Gossiper) digest(to string) *member.Digest {
--- a/internal/hinter/hinter.go
+++ b/internal/hinter/hinter.go
@@ -62,6 +62,9 @@
 // Name implements kernel.Service.
 func (h *Hinter) Name() string { return "hinter" }
 
+// Dropped returns how many hints found the queue full.
+func (h *Hinter) Dropped() int64 { return h.hints.Dropped() }
+
 // Tell takes a hint. The last piece of a prompt is left out, since it is the
 // question, which no other prompt shares.
 func (h *Hinter) Tell(x Hint) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -320,6 +320,9 @@
 // Learned takes hints of peers. A full ring drops them.
 func (s *Scheduler) Learned(h []peerlink.Hint) { s.commands.Offer(hints{hints: h}) }
 
+// Dropped returns how many batches of hints found the ring full.
+func (s *Scheduler) Dropped() int64 { return s.commands.Dropped() }
+
 // View returns a look at the state.
 func (s *Scheduler) View() View {
 	reply := make(chan View, 1)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/pkg/breaker"
 	"github.com/auburnnotch/auburnnotch/pkg/hasher"
 )
 
@@ -128,7 +129,7 @@
 		if !ok {
 			slot = int32(len(r.engines))
 			r.byID[e.ID] = slot
-			r.engines = append(r.engines, engineState{})
+			r.engines = append(r.engines, engineState{breaker: breaker.New()})
 		}
 		s := &r.engines[slot]
 		s.Engine, s.present = e, true
