--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -227,7 +227,12 @@
 	if j.key == "" || len(j.key) > maxKeyLength {
 		return failure.New(failure.MissingKey, "%s: this route may not be repeated; send a key of 1 to %d characters that is unique for the request", wire.HeaderIdempotencyKey, maxKeyLength)
 	}
+	latest, err := f.latest(j.key, route.KeepDays)
+	if err != nil {
+		return err
+	}
 	j.claim = claimer.Request{
+		Latest: latest, Expires: expiry(latest),
 		Key:    digest(j.workspace.Name, service, path, j.key),
 		Digest: claimer.Digest(digest(j.method, j.contentType, string(j.body))),
 		Nonce:  f.ledger.NewNonce(), Holder: f.ledger.Holder(),
@@ -235,6 +240,43 @@
 	return nil
 }
 
+const (
+	day = 24 * time.Hour
+	// clockSkew is how far the clock of a caller may be ahead.
+	clockSkew = 5 * time.Minute
+)
+
+// expiry returns when a claim may be forgotten that could be made until latest.
+func expiry(latest time.Time) time.Time {
+	if latest.IsZero() {
+		return latest
+	}
+	return latest.Add(day)
+}
+
+// latest returns the last time at which a claim under key may be made, zero for
+// one without end. A route that forgets takes keys with a time, and none that is
+// too old.
+func (f *Front) latest(key string, keepDays int) (time.Time, error) {
+	if keepDays == 0 {
+		return time.Time{}, nil
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, failure.New(failure.MissingKey, "%s: this route takes keys of the form UUIDv7", wire.HeaderIdempotencyKey)
+	}
+	sec, nsec := id.Time().UnixTime()
+	made, now := time.Unix(sec, nsec), f.clk.Now()
+	latest := made.Add(time.Duration(keepDays) * day)
+	switch {
+	case made.After(now.Add(clockSkew)):
+		return time.Time{}, failure.New(failure.MissingKey, "%s: its time lies ahead; set the clock", wire.HeaderIdempotencyKey)
+	case now.After(latest):
+		return time.Time{}, failure.New(failure.KeyExpired, "%s: is older than %d days; whether it ran is no longer known", wire.HeaderIdempotencyKey, keepDays)
+	}
+	return latest, nil
+}
+
 // digest hashes parts to 16 bytes, each part after its length.
 func digest(parts ...string) claimer.Key {
 	var (
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -204,6 +204,8 @@
 	case claimer.WriteHead:
 		version, err := l.write(ctx, j.shard.headKey(), a.Page, a.Version)
 		return claimer.HeadWritten{Version: version, Err: fault(err)}
+	case claimer.ForgetSealed:
+		l.empty(ctx, j.shard.pageKey(a.Name))
 	case claimer.WriteSealed:
 		_, err := l.write(ctx, j.shard.pageKey(a.Name), a.Page, 0)
 		return claimer.SealedWritten{Err: fault(err)}
@@ -239,6 +241,15 @@
 	return l.store.CompareAndSwap(ctx, platform.LineLedger, key, data, version, "")
 }
 
+// empty replaces a page that is needed no more by an empty one. What fails is
+// left behind; it costs room only.
+func (l *Ledger) empty(ctx context.Context, key string) {
+	_, version, err := l.read(ctx, key)
+	if err == nil && version != 0 {
+		_, _ = l.write(ctx, key, claimer.Page{}, version)
+	}
+}
+
 func (l *Ledger) shardOf(k claimer.Key) *shard {
 	return l.shards[binary.LittleEndian.Uint16(k[:])%shards]
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/platform"
@@ -533,3 +534,40 @@
 		t.Errorf("%d requests went to the leaving VM", n)
 	}
 }
+
+func TestKeysThatCarryTheirTime(t *testing.T) {
+	d := deploy(t, 1, 2)
+	kept := d.Declaration().WithService("dated", config.Route{Path: "/commit", KeepDays: 1}).
+		WithUpstream(declare.BackEnd("dated-1", "vm-service", "http://"+d.Service, "dated", 16))
+	if _, err := d.Apply(kept); err != nil {
+		t.Fatal(err)
+	}
+	order := func(node int, key string) testlib.Reply {
+		r, err := d.caller(node).Call(d.ctx, "/v1/services/dated/commit", []byte("x"), http.Header{wire.HeaderIdempotencyKey: {key}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	fresh, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := order(0, fresh.String()), order(1, fresh.String())
+	if first.Status != http.StatusOK || second.Body != first.Body {
+		t.Errorf("first %d %q, second %d %q", first.Status, first.Body, second.Status, second.Body)
+	}
+	if r := order(0, "order-1"); r.Status != http.StatusBadRequest || !r.Error.NotRun {
+		t.Errorf("a key without a time: %d %+v", r.Status, r.Error)
+	}
+	if r := order(0, "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"); r.Error.Kind != "idempotencyKeyExpired" || r.Error.NotRun {
+		t.Errorf("a key of 2022: %d %+v", r.Status, r.Error)
+	}
+	if _, err := d.Apply(d.Declaration().WithService("dated", config.Route{Path: "/commit", KeepDays: 2}).
+		WithUpstream(declare.BackEnd("dated-1", "vm-service", "http://"+d.Service, "dated", 16))); err == nil {
+		t.Error("keepDays was raised")
+	}
+	if n := len(d.service.Runs()); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -36,6 +38,8 @@
 	nonce  Nonce
 	holder string
 	answer *Answer
+	// expires is in Unix seconds; 0 for never.
+	expires int64
 }
 
 // pending is a claim without an outcome. written says that it was part of a
@@ -109,7 +113,7 @@
 	case SealedRead:
 		c.sealedRead(now, e)
 	case HeadWritten:
-		c.headWritten(e)
+		c.headWritten(now, e)
 	case SealedWritten:
 		c.sealedWritten(now, e)
 	}
@@ -221,7 +225,7 @@
 		switch r.Op {
 		case OpClaim:
 			if !ok {
-				c.index[r.Key] = entry{digest: r.Digest, nonce: r.Nonce, holder: r.Holder}
+				c.index[r.Key] = entry{digest: r.Digest, nonce: r.Nonce, holder: r.Holder, expires: r.Expires}
 			}
 		case OpDone:
 			if ok && old.nonce == r.Nonce && old.answer == nil {
@@ -265,13 +269,18 @@
 		switch {
 		case ok:
 			c.answer(r.Request, old)
+		case !r.Latest.IsZero() && now.After(r.Latest):
+			// It has waited so long that an older claim may be forgotten.
+			c.do(Reply{Ticket: r.Ticket, Outcome: Unavailable})
 		case taken[r.Key] || len(records) >= c.limits.Batch:
 			rest = append(rest, r)
 		case len(c.head.Sealed) >= c.limits.Pages:
 			c.do(Reply{Ticket: r.Ticket, Outcome: Full})
 		default:
 			taken[r.Key] = true
-			records = append(records, Record{Op: OpClaim, Key: r.Key, Digest: r.Digest, Nonce: r.Nonce, Holder: r.Holder, At: now})
+			records = append(records, Record{
+				Op: OpClaim, Key: r.Key, Digest: r.Digest, Nonce: r.Nonce, Holder: r.Holder, At: now, Expires: unix(r.Expires),
+			})
 			c.granted = append(c.granted, r)
 		}
 	}
@@ -280,7 +289,7 @@
 		return
 	}
 	c.writeAt = now.Add(writePause)
-	c.write(records)
+	c.write(now, records)
 }
 
 // takeUpdates returns the updates that still change something, and forgets
@@ -289,6 +298,7 @@
 	kept := c.updates[:0]
 	for _, u := range c.updates {
 		if old, ok := c.index[u.Key]; ok && old.nonce == u.Nonce && old.answer == nil {
+			u.Expires = old.expires
 			kept = append(kept, u)
 		}
 	}
@@ -314,11 +324,11 @@
 	c.do(reply)
 }
 
-func (c *Claimer) write(records []Record) {
+func (c *Claimer) write(now time.Time, records []Record) {
 	added := sizeOf(records)
-	c.batch = Page{Sealed: c.head.Sealed}
+	c.batch = Page{Sealed: c.unexpired(now)}
 	if len(c.head.Records) > 0 && c.size+added > c.limits.PageBytes {
-		c.sealed = fmt.Sprintf("%08d-%016x", len(c.head.Sealed), c.rnd.Uint64())
+		c.sealed = fmt.Sprintf("%016x-%d", c.rnd.Uint64(), expiry(c.head.Records))
 		c.batch.Records = records
 		c.state = sealing
 		c.do(WriteSealed{Name: c.sealed, Page: Page{Records: c.head.Records}})
@@ -339,12 +349,12 @@
 		return
 	}
 	c.loaded[c.sealed] = Page{Records: c.head.Records}
-	c.batch.Sealed = append(append([]string(nil), c.head.Sealed...), c.sealed)
+	c.batch.Sealed = append(append([]string(nil), c.batch.Sealed...), c.sealed)
 	c.state = writing
 	c.do(WriteHead{Page: c.batch, Version: c.version})
 }
 
-func (c *Claimer) headWritten(e HeadWritten) {
+func (c *Claimer) headWritten(now time.Time, e HeadWritten) {
 	if c.state != writing {
 		return
 	}
@@ -356,6 +366,7 @@
 		c.do(ReadHead{})
 		return
 	}
+	c.forget(now)
 	c.version, c.head = e.Version, c.batch
 	c.rebuildHead()
 	for _, r := range c.granted {
@@ -391,3 +402,61 @@
 	}
 	return n
 }
+
+func unix(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Unix()
+}
+
+// expiry returns when the last of records may be forgotten, 0 for never.
+func expiry(records []Record) int64 {
+	last := int64(0)
+	for _, r := range records {
+		if r.Expires == 0 {
+			return 0
+		}
+		last = max(last, r.Expires)
+	}
+	return last
+}
+
+// expired reports whether every claim of a sealed page may be forgotten; the
+// page's name ends with the time.
+func expired(name string, now time.Time) bool {
+	_, text, _ := strings.Cut(name, "-")
+	at, err := strconv.ParseInt(text, 10, 64)
+	return err == nil && at > 0 && now.Unix() > at
+}
+
+// unexpired returns the sealed pages that are still needed.
+func (c *Claimer) unexpired(now time.Time) []string {
+	var kept []string
+	for _, name := range c.head.Sealed {
+		if !expired(name, now) {
+			kept = append(kept, name)
+		}
+	}
+	return kept
+}
+
+// forget drops the pages that the new head names no more, and their claims.
+func (c *Claimer) forget(now time.Time) {
+	dropped := false
+	for _, name := range c.head.Sealed {
+		if expired(name, now) {
+			dropped = true
+			delete(c.loaded, name)
+			c.do(ForgetSealed{Name: name})
+		}
+	}
+	if !dropped {
+		return
+	}
+	for k, e := range c.index {
+		if e.expires != 0 && now.Unix() > e.expires {
+			delete(c.index, k)
+		}
+	}
+}
--- a/pkg/claimer/claimer_test.go
+++ b/pkg/claimer/claimer_test.go
@@ -55,6 +55,8 @@
 	runs     map[claimer.Key][]string
 	down     bool
 	outcomes map[claimer.Outcome]int
+	keep     time.Duration // claims are forgotten after it; 0 for never
+	dropped  int           // sealed pages that were forgotten
 }
 
 const (
@@ -108,12 +110,20 @@
 	t := &try{node: h.rnd.IntN(historyNodes), open: true, nonce: claimer.Nonce(h.rnd.Uint64())}
 	t.boot = h.boots[t.node]
 	t.key[0] = byte(h.rnd.IntN(historyKeys))
+	var latest, expires time.Time
+	if h.keep > 0 {
+		// The key's time is that of its epoch; the one before is still taken.
+		epoch := h.now.UnixNano()/int64(h.keep) - int64(h.rnd.IntN(2))
+		binary.LittleEndian.PutUint64(t.key[1:], uint64(epoch))
+		latest = time.Unix(0, (epoch+2)*int64(h.keep))
+		expires = latest // all clocks of a history agree
+	}
 	t.digest[0] = byte(h.rnd.IntN(20) / 19) // seldom another body
 	h.tries = append(h.tries, t)
 	if h.mode == dispatchBeforeClaim {
 		h.execute(t)
 	}
-	h.handle(t.node, claimer.Request{Ticket: uint64(len(h.tries)), Key: t.key, Digest: t.digest, Nonce: t.nonce, Holder: "n"})
+	h.handle(t.node, claimer.Request{Ticket: uint64(len(h.tries)), Key: t.key, Digest: t.digest, Nonce: t.nonce, Holder: "n", Latest: latest, Expires: expires})
 }
 
 func (h *history) handle(node int, e claimer.Event) {
@@ -123,8 +133,13 @@
 			h.reply(node, r)
 			continue
 		}
-		if _, ok := a.(claimer.Wake); ok {
+		switch a := a.(type) {
+		case claimer.Wake:
 			continue // ticks come at random
+		case claimer.ForgetSealed:
+			delete(h.sealed, a.Name)
+			h.dropped++
+			continue
 		}
 		h.ops = append(h.ops, operation{node: node, boot: h.boots[node], action: a})
 	}
@@ -286,6 +301,26 @@
 	t.Logf("%d histories, outcomes %v", histories, total)
 }
 
+// TestAtMostOnceWhileClaimsAreForgotten runs histories whose keys carry their
+// time, some hundred times the time for which claims are kept.
+func TestAtMostOnceWhileClaimsAreForgotten(t *testing.T) {
+	dropped := 0
+	for seed := range uint64(2000) {
+		h := newHistory(seed, sound)
+		h.keep = 2 * time.Second
+		for range 4 {
+			if err := h.run(); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		dropped += h.dropped
+	}
+	if dropped == 0 {
+		t.Error("no page was ever forgotten")
+	}
+	t.Logf("%d pages forgotten", dropped)
+}
+
 func TestCheckerFindsSabotage(t *testing.T) {
 	const enough = 500
 	for name, mode := range map[string]sabotage{
--- a/pkg/claimer/messages.go
+++ b/pkg/claimer/messages.go
@@ -61,6 +61,8 @@
 	Holder string    `msgpack:"h,omitempty"`
 	At     time.Time `msgpack:"t"`
 	Answer *Answer   `msgpack:"a,omitempty"`
+	// Expires is that of the claim, as Unix seconds; 0 for never.
+	Expires int64 `msgpack:"e,omitempty"`
 }
 
 // Page is the value of a shard's head, or of a sealed page.
@@ -80,6 +82,10 @@
 	Digest Digest
 	Nonce  Nonce
 	Holder string
+	// Latest is the last time at which the claim may be made, and Expires when
+	// it may be forgotten; both are zero for a key that is kept for ever. What
+	// lies between must exceed the difference of any two nodes' clocks.
+	Latest, Expires time.Time
 }
 
 // Finished asks to keep an answer.
@@ -164,6 +170,11 @@
 	Page Page
 }
 
+// ForgetSealed asks to empty a sealed page that no head names any more.
+type ForgetSealed struct{ Name string }
+
+func (ForgetSealed) action() {}
+
 // Reply answers the request with Ticket.
 type Reply struct {
 	Ticket  uint64
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -56,7 +56,7 @@
 	models, versions := d.checkModels(c)
 	vms := d.checkVMs(c, now, places, prev)
 	pools := d.checkPools(c, models, versions)
-	services := d.checkServices(c)
+	services := d.checkServices(c, prev)
 	d.checkUpstreams(c, vms, pools, services)
 	d.checkWorkspaces(c, models)
 	c.nonNegative("pieceBytes", d.PieceBytes)
@@ -164,7 +164,22 @@
 	return false
 }
 
-func (d Declaration) checkServices(c *checker) map[string]bool {
+// kept returns the keepDays of each route of d.
+func (d *Declaration) kept() map[string]int {
+	days := map[string]int{}
+	if d == nil {
+		return days
+	}
+	for _, s := range d.Services {
+		for _, r := range s.Routes {
+			days[s.Name+r.Path] = r.KeepDays
+		}
+	}
+	return days
+}
+
+func (d Declaration) checkServices(c *checker, prev *Declaration) map[string]bool {
+	old := prev.kept()
 	seen := map[string]bool{}
 	for i, s := range d.Services {
 		c.unique(seen, fmt.Sprintf("services[%d].name", i), s.Name)
@@ -173,6 +188,10 @@
 			field := fmt.Sprintf("services[%d].routes[%d].", i, j)
 			c.unique(paths, field+"path", r.Path)
 			c.class(field+"class", r.Class)
+			c.nonNegative(field+"keepDays", r.KeepDays)
+			if before := old[s.Name+r.Path]; before > 0 && (r.KeepDays > before || r.KeepDays == 0) {
+				c.add("keep it at that or lower", field+"keepDays", "can't be raised from %d: older claims are forgotten", before)
+			}
 			if len(r.Path) == 0 || r.Path[0] != '/' {
 				c.add("start it with a slash", field+"path", "%q is no path", r.Path)
 			}
--- a/pkg/config/declaration.go
+++ b/pkg/config/declaration.go
@@ -87,6 +87,10 @@
 	// Repeatable says that a call may be sent again. Calls that may not
 	// demand an Idempotency-Key and run at most once.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// KeepDays is how long a claim of a call that may not be repeated is
+	// remembered. It demands Idempotency-Keys of the form UUIDv7, whose time
+	// tells which are older; those are refused. 0 remembers for ever.
+	KeepDays int `json:"keepDays,omitempty"`
 }
 
 // Upstream is an engine of a pool or a back end of a service.
