--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -154,6 +154,7 @@
 	if err := f.members.Settle(r.Context()); err != nil {
 		return
 	}
+	f.awaitConfig(r.Context())
 	j, err := f.parse(r)
 	if err != nil {
 		k, msg := asFailure(err)
@@ -163,6 +164,25 @@
 	f.newRunner(w, r, j).serve()
 }
 
+// awaitConfig gives a node that has just started a moment to get the
+// configuration from a peer, so that its first request is not refused.
+func (f *Front) awaitConfig(ctx context.Context) {
+	const (
+		tries = 30
+		pause = 10 * time.Millisecond
+	)
+	for range tries {
+		if f.config.Current() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.clk.After(pause):
+		}
+	}
+}
+
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
 	if f.draining.Load() || f.config.Current() == nil {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -61,6 +61,10 @@
 	probes, ctx := errgroup.WithContext(ctx)
 	probes.SetLimit(inFlight)
 	last := g.clk.Now()
+	for _, seed := range g.seeds[:min(len(g.seeds), inFlight)] {
+		// A restarted node gets its configuration from the first that answers.
+		probes.TryGo(func() error { g.greet(ctx, member.Info{Address: seed}); return nil })
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -48,14 +48,14 @@
 // the test can break at will.
 type deployment struct {
 	*testlib.Fleet
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	store   *kvstore.Store
 	engines []*engine.Engine
 	service *plainservice.Service
 }
 
-func deploy(t *testing.T, engines, nodes int) *deployment {
+func deploy(t testing.TB, engines, nodes int) *deployment {
 	t.Helper()
 	clk := systemclock.New()
 	d := &deployment{t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
@@ -114,7 +114,7 @@
 
 // raceLog fails the test when a process reports a data race.
 type raceLog struct {
-	t     *testing.T
+	t     testing.TB
 	mu    sync.Mutex
 	lines []string
 }
