fix: a held claim is read again before it is believed

Cause, found on reading the ledger as a newcomer: a node that was the usual writer of a shard, and became it again, answered 'held' from its old copy of the page although another node had written the answer, until its next write. The new test was red (outcome held, no answer).

--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -11,8 +11,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"time"
 )
 
@@ -52,6 +50,10 @@
 // updateDelay is how long an answer or a release may wait for its commit.
 const updateDelay = 100 * time.Millisecond
 
+// staleAfter is how long a held claim is believed without reading the head
+// again: another node may have written its answer meanwhile.
+const staleAfter = 500 * time.Millisecond
+
 // writePause is the least time between two commits of a shard. It bounds the
 // ledger's share of the platform's writes, which the configuration needs too.
 const writePause = 40 * time.Millisecond
@@ -85,6 +87,7 @@
 	granted []pending
 	retryAt time.Time // no platform call before, after one that failed
 	writeAt time.Time // no commit before, for the platform's budget
+	freshAt time.Time // when the head was last known to be the newest
 	batch   Page
 	sealed  string
 	out     []Action
@@ -175,7 +178,7 @@
 		c.giveUp(now)
 		return
 	}
-	c.head, c.version = e.Page, e.Version
+	c.head, c.version, c.freshAt = e.Page, e.Version, now
 	c.missing = c.missing[:0]
 	for _, name := range e.Page.Sealed {
 		if _, ok := c.loaded[name]; !ok {
@@ -208,38 +211,6 @@
 	}
 }
 
-// rebuild folds the pages into the index.
-func (c *Claimer) rebuild() {
-	clear(c.index)
-	for _, name := range c.head.Sealed {
-		c.fold(c.loaded[name].Records)
-	}
-	c.fold(c.head.Records)
-	c.size = sizeOf(c.head.Records)
-	c.state = ready
-}
-
-func (c *Claimer) fold(records []Record) {
-	for _, r := range records {
-		old, ok := c.index[r.Key]
-		switch r.Op {
-		case OpClaim:
-			if !ok {
-				c.index[r.Key] = entry{digest: r.Digest, nonce: r.Nonce, holder: r.Holder, expires: r.Expires}
-			}
-		case OpDone:
-			if ok && old.nonce == r.Nonce && old.answer == nil {
-				old.answer = r.Answer
-				c.index[r.Key] = old
-			}
-		case OpRelease:
-			if ok && old.nonce == r.Nonce && old.answer == nil {
-				delete(c.index, r.Key)
-			}
-		}
-	}
-}
-
 // giveUp goes back to the start after a platform call that failed.
 func (c *Claimer) giveUp(now time.Time) {
 	c.state = cold
@@ -264,9 +235,14 @@
 	records := c.takeUpdates()
 	taken := map[Key]bool{}
 	rest := c.queue[:0]
+	stale := now.Sub(c.freshAt) > staleAfter
+	unsure := false
 	for _, r := range c.queue {
 		old, ok := c.index[r.Key]
 		switch {
+		case ok && stale && old.answer == nil && old.nonce != r.Nonce:
+			unsure = true
+			rest = append(rest, r)
 		case ok:
 			c.answer(r.Request, old)
 		case !r.Latest.IsZero() && now.After(r.Latest):
@@ -285,7 +261,12 @@
 		}
 	}
 	c.queue = rest
-	if len(records) == 0 {
+	switch {
+	case len(records) == 0 && unsure:
+		c.state = loading
+		c.do(ReadHead{})
+		return
+	case len(records) == 0:
 		return
 	}
 	c.writeAt = now.Add(writePause)
@@ -367,7 +348,7 @@
 		return
 	}
 	c.forget(now)
-	c.version, c.head = e.Version, c.batch
+	c.version, c.head, c.freshAt = e.Version, c.batch, now
 	c.rebuildHead()
 	for _, r := range c.granted {
 		c.do(Reply{Ticket: r.Ticket, Outcome: Granted})
@@ -402,61 +383,3 @@
 	}
 	return n
 }
-
-func unix(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.Unix()
-}
-
-// expiry returns when the last of records may be forgotten, 0 for never.
-func expiry(records []Record) int64 {
-	last := int64(0)
-	for _, r := range records {
-		if r.Expires == 0 {
-			return 0
-		}
-		last = max(last, r.Expires)
-	}
-	return last
-}
-
-// expired reports whether every claim of a sealed page may be forgotten; the
-// page's name ends with the time.
-func expired(name string, now time.Time) bool {
-	_, text, _ := strings.Cut(name, "-")
-	at, err := strconv.ParseInt(text, 10, 64)
-	return err == nil && at > 0 && now.Unix() > at
-}
-
-// unexpired returns the sealed pages that are still needed.
-func (c *Claimer) unexpired(now time.Time) []string {
-	var kept []string
-	for _, name := range c.head.Sealed {
-		if !expired(name, now) {
-			kept = append(kept, name)
-		}
-	}
-	return kept
-}
-
-// forget drops the pages that the new head names no more, and their claims.
-func (c *Claimer) forget(now time.Time) {
-	dropped := false
-	for _, name := range c.head.Sealed {
-		if expired(name, now) {
-			dropped = true
-			delete(c.loaded, name)
-			c.do(ForgetSealed{Name: name})
-		}
-	}
-	if !dropped {
-		return
-	}
-	for k, e := range c.index {
-		if e.expires != 0 && now.Unix() > e.expires {
-			delete(c.index, k)
-		}
-	}
-}
--- a/pkg/claimer/claimer_test.go
+++ b/pkg/claimer/claimer_test.go
@@ -371,6 +371,33 @@
 	}
 }
 
+// TestHeldClaimIsReadAgain has the answer of a claim written by another node
+// than the one that is asked.
+func TestHeldClaimIsReadAgain(t *testing.T) {
+	h := newHistory(1, sound)
+	h.tries = []*try{{open: true, nonce: 1}, {open: true, nonce: 2, node: 0}}
+	settle := func() {
+		for len(h.ops) > 0 {
+			op := h.ops[0]
+			h.ops = h.ops[1:]
+			h.answer(op, h.apply(op.action))
+		}
+	}
+	for _, a := range h.nodes[0].Handle(h.now, claimer.Request{Ticket: 1, Nonce: 1}) {
+		h.ops = append(h.ops, operation{action: a})
+	}
+	settle()
+	h.handle(1, claimer.Finished{Nonce: 1, Answer: claimer.Answer{Status: 200, Body: []byte("kept")}})
+	h.now = h.now.Add(time.Second)
+	h.handle(1, claimer.Ticked{})
+	settle()
+	h.handle(0, claimer.Request{Ticket: 2, Nonce: 2})
+	settle()
+	if h.tries[1].told != claimer.Answered || h.tries[1].answer != "kept" {
+		t.Errorf("outcome %d, answer %q", h.tries[1].told, h.tries[1].answer)
+	}
+}
+
 func TestRefusesAtOnceWhileThePlatformIsDown(t *testing.T) {
 	h := newHistory(1, sound)
 	c := h.nodes[0]
