refactor: one piece for what stood twice, and no work for nothing

Found on reading the whole change once more: - the platform's list of VMs rebuilt every ring each 5 s though it said what it had said before; only a change does now; - forget() judged the expiry of sealed pages again at the reply, so that a page which expired between the write and its reply was emptied while the head still named it (its claims were all expired, so no promise was touched); it now drops what the written head names no more, as its comment said; - a load report became a router.Report in two places, the condition of a leaving engine and the sum of what waits stood two and three times, the pools were searched where the catalog has a table, rebuild() had rebuildHead() in it; - Catalog.LeavesAt had no caller.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"time"
 
 	"github.com/auburnnotch/auburnnotch/pkg/config"
 	"github.com/auburnnotch/auburnnotch/pkg/hasher"
@@ -90,10 +89,15 @@
 	return pools[0], true
 }
 
+// PoolNamed returns a pool by its name.
+func (c *Catalog) PoolNamed(name string) (config.Pool, bool) {
+	p, ok := c.pools[name]
+	return p, ok
+}
+
 // Fallback returns the pool to use in place of name.
 func (c *Catalog) Fallback(name string) (config.Pool, bool) {
-	p, ok := c.pools[c.pools[name].Fallback]
-	return p, ok
+	return c.PoolNamed(c.pools[name].Fallback)
 }
 
 // Route returns the route of a plain service.
@@ -147,11 +151,3 @@
 	sum := sha256.Sum256([]byte("salt\x00" + workspace))
 	return hex.EncodeToString(sum[:16])
 }
-
-// LeavesAt returns when the VM of an upstream must be empty, zero for never.
-func (c *Catalog) LeavesAt(upstream string) time.Time {
-	if v := c.leaves[c.upstreams[upstream].VM]; v.LeavesAt != nil {
-		return *v.LeavesAt
-	}
-	return time.Time{}
-}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -18,7 +18,6 @@
 	"github.com/auburnnotch/auburnnotch/internal/ring"
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
-	"github.com/auburnnotch/auburnnotch/pkg/config"
 	"github.com/auburnnotch/auburnnotch/pkg/issuer"
 	"github.com/auburnnotch/auburnnotch/pkg/planner"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
@@ -108,12 +107,8 @@
 		return
 	}
 	goals := issuer.Goals{Loads: c.Declaration.WeightStore.Slots}
-	pools := map[string]config.Pool{}
-	for _, p := range c.Declaration.Pools {
-		pools[p.Name] = p
-	}
 	for _, u := range c.Declaration.Upstreams {
-		p, ok := pools[u.Pool]
+		p, ok := c.PoolNamed(u.Pool)
 		if !ok {
 			continue
 		}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -22,7 +22,6 @@
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
 	"github.com/auburnnotch/auburnnotch/pkg/dispatcher"
-	"github.com/auburnnotch/auburnnotch/pkg/router"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
@@ -158,9 +157,7 @@
 	case err != nil:
 		return unreachable
 	case known == "" && !silent, known != "" && l.Incarnation != known:
-		r.f.sched.Reported(u.Name, router.Report{
-			Incarnation: l.Incarnation, Occupied: l.Running + l.Waiting, Pending: l.PendingPieces, Leaving: l.Leaving,
-		})
+		r.f.sched.Reported(u.Name, l, time.Time{})
 		return crashed
 	default:
 		return healthy
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -65,7 +65,8 @@
 		req.Resume = dispatcher.ResumePoint{
 			Attempt: p.Attempt, Target: dispatcher.Target{Upstream: p.Upstream, Incarnation: p.Incarnation},
 		}
-		req.Continuable = f.deterministic(j.pool)
+		pool, _ := f.config.Current().PoolNamed(j.pool)
+		req.Continuable = pool.Deterministic
 	}
 	return &runner{
 		f: f, ctx: r.Context(), w: w, out: http.NewResponseController(w), job: j, cat: f.config.Current(),
@@ -74,15 +75,6 @@
 	}
 }
 
-func (f *Front) deterministic(pool string) bool {
-	for _, p := range f.config.Current().Declaration.Pools {
-		if p.Name == pool {
-			return p.Deterministic
-		}
-	}
-	return false
-}
-
 // serve runs the request to its end.
 func (r *runner) serve() {
 	defer r.leave()
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -18,7 +19,6 @@
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
-	"github.com/auburnnotch/auburnnotch/pkg/router"
 )
 
 const (
@@ -128,10 +128,7 @@
 			if err != nil {
 				return nil // the attempts themselves tell what is down
 			}
-			p.sched.Reported(u.Name, router.Report{
-				Incarnation: l.Incarnation, Occupied: l.Running + l.Waiting,
-				Pending: l.PendingPieces, Leaving: l.Leaving, TakenAt: taken,
-			})
+			p.sched.Reported(u.Name, l, taken)
 			return nil
 		})
 	}
@@ -157,9 +154,10 @@
 		}
 	}
 	p.mu.Lock()
+	same := maps.Equal(p.gone, gone)
 	p.gone = gone
 	p.mu.Unlock()
-	if c := p.current(); c != nil {
-		p.Update(c)
+	if c := p.current(); c != nil && !same {
+		p.Update(c) // builds every ring anew, so only for a change
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
 	"github.com/auburnnotch/auburnnotch/pkg/retrier"
 	"github.com/auburnnotch/auburnnotch/pkg/router"
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
 const (
@@ -308,8 +309,13 @@
 	return <-reply
 }
 
-// Reported takes a load report.
-func (s *Scheduler) Reported(id string, r router.Report) { s.put(report{id: id, report: r}) }
+// Reported takes a load report of the engine id. taken is when it was asked
+// for; zero if nothing that this node sent may be missing in it.
+func (s *Scheduler) Reported(id string, l wire.Load, taken time.Time) {
+	s.put(report{id: id, report: router.Report{
+		Incarnation: l.Incarnation, Occupied: l.Running + l.Waiting, Pending: l.PendingPieces, Leaving: l.Leaving, TakenAt: taken,
+	}})
+}
 
 // SetEngines replaces the upstreams.
 func (s *Scheduler) SetEngines(list []router.Engine) { s.put(engines{list: list}) }
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -357,12 +357,6 @@
 	c.state = ready
 }
 
-// rebuildHead folds the records of the head again, which is idempotent.
-func (c *Claimer) rebuildHead() {
-	c.fold(c.head.Records)
-	c.size = sizeOf(c.head.Records)
-}
-
 func (c *Claimer) requeue() {
 	for _, p := range c.granted {
 		p.written = true
--- a/pkg/claimer/forget.go
+++ b/pkg/claimer/forget.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -48,7 +49,7 @@
 func (c *Claimer) forget(now time.Time) {
 	dropped := false
 	for _, name := range c.head.Sealed {
-		if expired(name, now) {
+		if !slices.Contains(c.batch.Sealed, name) {
 			dropped = true
 			delete(c.loaded, name)
 			c.do(ForgetSealed{Name: name})
--- a/pkg/claimer/index.go
+++ b/pkg/claimer/index.go
@@ -6,9 +6,14 @@
 	for _, name := range c.head.Sealed {
 		c.fold(c.loaded[name].Records)
 	}
+	c.rebuildHead()
+	c.state = ready
+}
+
+// rebuildHead folds the records of the head, which is idempotent.
+func (c *Claimer) rebuildHead() {
 	c.fold(c.head.Records)
 	c.size = sizeOf(c.head.Records)
-	c.state = ready
 }
 
 func (c *Claimer) fold(records []Record) {
--- a/pkg/router/engine.go
+++ b/pkg/router/engine.go
@@ -24,6 +24,20 @@
 	group    *pool
 }
 
+// takesWork reports whether the engine is declared and isn't leaving at now.
+func (e *engineState) takesWork(now time.Time) bool {
+	return e.present && !e.leaving && (e.LeavesAt.IsZero() || now.Before(e.LeavesAt))
+}
+
+// waiting returns the pieces that wait at the engine.
+func (e *engineState) waiting() int {
+	sum := 0
+	for _, n := range e.pending {
+		sum += n
+	}
+	return sum
+}
+
 // setPending replaces the pieces that wait for rank and keeps the pool's sum.
 func (e *engineState) setPending(rank, n int) {
 	n = max(0, n)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -71,9 +71,10 @@
 	// Choices is how many engines chance adds to the candidates in a larger
 	// pool.
 	Choices int
-	// HomeBonus counts in pools above ScanLimit. It is the share of the pieces that are new to this node which the
-	// engine that placement names is expected to hold, since other nodes place
-	// by the same rule. Each further engine that placement names gets half.
+	// HomeBonus counts in pools above ScanLimit. It is the share of the pieces
+	// new to this node which the engine that placement names is expected to
+	// hold, since other nodes place by the same rule. Each further engine that
+	// placement names gets half.
 	HomeBonus float64
 	// Scarcity raises the price of a recomputed piece by the pieces that wait
 	// at an engine on average, by the rank of the class: whoever computes one
@@ -140,9 +141,7 @@
 		}
 		p.slots = append(p.slots, slot)
 		s.group = p
-		for _, n := range s.pending {
-			p.pending += n
-		}
+		p.pending += s.waiting()
 	}
 	for _, p := range r.pools {
 		p.build(r.engines)
@@ -256,10 +255,7 @@
 
 func (r *Router) eligible(now time.Time, slot int32, q *Query) bool {
 	e := &r.engines[slot]
-	if !e.present || e.leaving || !e.breaker.Allows(now) {
-		return false
-	}
-	if !e.LeavesAt.IsZero() && !now.Before(e.LeavesAt) {
+	if !e.takesWork(now) || !e.breaker.Allows(now) {
 		return false
 	}
 	for _, x := range q.Exclude {
@@ -270,7 +266,8 @@
 	return true
 }
 
-// expect finds how much of the prompt this node has seen, and fills hits with the depth that each engine is believed to hold.
+// expect finds how much of the prompt this node has seen, and fills hits with
+// the depth that each engine is believed to hold.
 func (r *Router) expect(chain hasher.Chain) {
 	r.depth = 0
 	for depth := len(chain); depth > 0; depth-- {
@@ -367,9 +364,7 @@
 		room.Engines++
 		room.Slots += e.Slots
 		room.Occupied += e.occupied
-		for _, n := range e.pending {
-			room.Pending += n
-		}
+		room.Pending += e.waiting()
 	}
 	return room
 }
@@ -380,6 +375,5 @@
 	if !ok {
 		return true
 	}
-	e := &r.engines[slot]
-	return !e.present || e.leaving || !e.LeavesAt.IsZero() && !now.Before(e.LeavesAt)
+	return !r.engines[slot].takesWork(now)
 }
