--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -1,7 +1,6 @@
 package member_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,31 +8,11 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/follower"
 	"github.com/auburnnotch/auburnnotch/pkg/member"
 )
 
-// agenda is the fleet's future, in the order of time.
-type agenda []appointment
-
-type appointment struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(appointment)) }
-func (a *agenda) Pop() any {
-	x := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return x
-}
-
 type node struct {
 	name     string
 	member   *member.Member
@@ -48,10 +27,8 @@
 // fleet runs the membership and the spread of the configuration over fakes of
 // the network with a seeded delay and loss.
 type fleet struct {
-	now      time.Time
+	*testlib.Timeline
 	rnd      *rand.Rand
-	agenda   agenda
-	seq      int
 	nodes    []*node
 	byName   map[string]*node
 	loss     float64
@@ -65,7 +42,7 @@
 )
 
 func newFleet(n int, seed uint64, loss float64) *fleet {
-	f := &fleet{now: time.Unix(1_800_000_000, 0), rnd: rand.New(rand.NewPCG(seed, 3)), byName: map[string]*node{}, loss: loss}
+	f := &fleet{Timeline: testlib.NewTimeline(time.Unix(1_800_000_000, 0)), rnd: rand.New(rand.NewPCG(seed, 3)), byName: map[string]*node{}, loss: loss}
 	for i := range n {
 		f.add(fmt.Sprintf("node-%03d", i), 1)
 	}
@@ -86,36 +63,23 @@
 	}
 	f.byName[name] = n
 	if seed := f.nodes[0]; n != seed {
-		n.member.Handle(f.now, member.Heard{Digest: seed.member.Digest(0, name)})
+		n.member.Handle(f.Now(), member.Heard{Digest: seed.member.Digest(0, name)})
 	}
-	f.later(time.Duration(f.rnd.IntN(100))*time.Millisecond, func() { f.tick(n) })
+	f.Later(time.Duration(f.rnd.IntN(100))*time.Millisecond, func() { f.tick(n) })
 	return n
 }
 
-func (f *fleet) later(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.agenda, appointment{at: f.now.Add(d), seq: f.seq, do: do})
-}
-
-func (f *fleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.agenda) > 0 && !f.agenda[0].at.After(end) {
-		a := heap.Pop(&f.agenda).(appointment)
-		f.now = a.at
-		a.do()
-	}
-	f.now = end
-}
+func (f *fleet) run(d time.Duration) { f.Run(f.Now().Add(d)) }
 
 func (f *fleet) tick(n *node) {
 	if f.byName[n.name] != n {
 		return // restarted since
 	}
-	f.later(100*time.Millisecond, func() { f.tick(n) })
+	f.Later(100*time.Millisecond, func() { f.tick(n) })
 	if n.down {
 		return
 	}
-	for _, a := range n.member.Handle(f.now, member.Ticked{}) {
+	for _, a := range n.member.Handle(f.Now(), member.Ticked{}) {
 		if p, ok := a.(member.Probe); ok {
 			f.probe(n, p)
 		}
@@ -133,11 +97,11 @@
 	if f.rnd.Float64() < f.loss {
 		return
 	}
-	f.later(f.delay(), func() {
+	f.Later(f.delay(), func() {
 		if to.down || from.cut != to.cut {
 			return
 		}
-		to.member.Handle(f.now, member.Heard{Digest: d})
+		to.member.Handle(f.Now(), member.Heard{Digest: d})
 		f.act(to, to.config.Handle(follower.Heard{Peer: from.name, Revision: d.Revision}))
 		done()
 	})
@@ -150,7 +114,7 @@
 func (f *fleet) probe(n *node, p member.Probe) {
 	answered := false
 	f.exchange(n, f.byName[p.Peer.Name], &answered)
-	f.later(600*time.Millisecond, func() {
+	f.Later(600*time.Millisecond, func() {
 		if answered || n.down {
 			return
 		}
@@ -159,12 +123,12 @@
 			f.send(n, helper, func() {
 				reached := false
 				f.exchange(helper, f.byName[p.Peer.Name], &reached)
-				f.later(500*time.Millisecond, func() { answered = answered || reached && !helper.down && helper.cut == n.cut })
+				f.Later(500*time.Millisecond, func() { answered = answered || reached && !helper.down && helper.cut == n.cut })
 			})
 		}
-		f.later(1200*time.Millisecond, func() {
+		f.Later(1200*time.Millisecond, func() {
 			if !answered && !n.down {
-				n.member.Handle(f.now, member.ProbeFailed{Peer: p.Peer.Name})
+				n.member.Handle(f.Now(), member.ProbeFailed{Peer: p.Peer.Name})
 			}
 		})
 	})
@@ -175,7 +139,7 @@
 		switch a := a.(type) {
 		case follower.Apply:
 			n.reverted = n.reverted || a.Document.Revision <= n.seen
-			n.seen, n.applied = a.Document.Revision, f.now
+			n.seen, n.applied = a.Document.Revision, f.Now()
 			for _, p := range n.member.Sample(fanout) {
 				f.document(n, f.byName[p.Name], a.Document)
 			}
@@ -191,7 +155,7 @@
 	if f.rnd.Float64() < f.loss {
 		return
 	}
-	f.later(f.delay(), func() {
+	f.Later(f.delay(), func() {
 		if !to.down && from.cut == to.cut {
 			f.act(to, to.config.Handle(follower.FromPeer{Document: d}))
 		}
@@ -246,7 +210,7 @@
 			f := newFleet(c.nodes, 1, c.loss)
 			f.run(15 * time.Second)
 			for revision := uint64(1); revision <= 5; revision++ {
-				start := f.now
+				start := f.Now()
 				f.submit(f.nodes[f.rnd.IntN(c.nodes)], revision)
 				f.run(inForce)
 				if d, ok := f.slowest(start, revision); !ok {
@@ -350,18 +314,18 @@
 				f.run(quiet)
 				b.ReportMetric(float64(f.messages)/float64(size)/quiet.Seconds(), "messages/node/s")
 				b.ReportMetric(float64(f.bytes)/float64(size)/quiet.Seconds(), "bytes/node/s")
-				start := f.now
+				start := f.Now()
 				f.submit(f.nodes[0], 1)
 				f.run(inForce)
 				d, _ := f.slowest(start, 1)
 				b.ReportMetric(d.Seconds(), "s/config")
 				dead := f.nodes[size/2]
 				dead.down = true
-				start = f.now
-				for f.listed(dead.name) > 0 && f.now.Sub(start) < time.Minute {
+				start = f.Now()
+				for f.listed(dead.name) > 0 && f.Now().Sub(start) < time.Minute {
 					f.run(250 * time.Millisecond)
 				}
-				b.ReportMetric(f.now.Sub(start).Seconds(), "s/removal")
+				b.ReportMetric(f.Now().Sub(start).Seconds(), "s/removal")
 			}
 		})
 	}
--- a/pkg/router/fake_test.go
+++ b/pkg/router/fake_test.go
@@ -1,7 +1,6 @@
 package router_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -89,7 +88,7 @@
 	r.hits = e.cached(r.chain)
 	epoch := e.epoch
 	work := requestTime + time.Duration(len(r.chain)-r.hits)*pieceTime
-	e.b.later(work, func() {
+	e.b.Later(work, func() {
 		if e.epoch != epoch {
 			return
 		}
@@ -97,7 +96,7 @@
 		e.pending[r.rank] -= r.expected
 		e.store(r.chain)
 		e.b.first(r)
-		e.b.later(time.Duration(r.answer)*tokenTime, func() {
+		e.b.Later(time.Duration(r.answer)*tokenTime, func() {
 			if e.epoch != epoch {
 				return
 			}
@@ -258,29 +257,3 @@
 	}
 	return out
 }
-
-// timeline is the future of a bench.
-type timeline []moment
-
-type moment struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timeline) Push(x any)   { *t = append(*t, x.(moment)) }
-func (t *timeline) Pop() any {
-	x := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return x
-}
-
-func (b *bench) later(d time.Duration, do func()) {
-	b.seq++
-	heap.Push(&b.future, moment{at: b.now.Add(d), seq: b.seq, do: do})
-}
--- a/pkg/router/policy_test.go
+++ b/pkg/router/policy_test.go
@@ -1,7 +1,6 @@
 package router_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/admitter"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
 	"github.com/auburnnotch/auburnnotch/pkg/router"
@@ -81,12 +81,10 @@
 }
 
 type bench struct {
-	scenario  scenario
-	strategy  strategy
-	now       time.Time
+	scenario scenario
+	strategy strategy
+	*testlib.Timeline
 	start     time.Time
-	seq       int
-	future    timeline
 	rnd       *rand.Rand
 	work      *workload
 	engines   []*fakeEngine
@@ -119,11 +117,11 @@
 
 func newBench(sc scenario, st strategy) *bench {
 	b := &bench{
-		scenario: sc, strategy: st, now: time.Unix(1_800_000_000, 0), rnd: rand.New(rand.NewPCG(11+sc.seed, 13)),
+		scenario: sc, strategy: st, Timeline: testlib.NewTimeline(time.Unix(1_800_000_000, 0)), rnd: rand.New(rand.NewPCG(11+sc.seed, 13)),
 		flying: map[*request]bool{}, seen: map[uint64]bool{}, firsts: map[config.Class][]float64{},
 		byTenant: map[int][]float64{}, sentBy: map[int]int{}, doneBy: map[int]int{},
 	}
-	b.start = b.now
+	b.start = b.Now()
 	engines := 18
 	work := rand.New(rand.NewPCG(17+sc.seed, 19))
 	b.work = adire(work)
@@ -176,26 +174,21 @@
 }
 
 func (b *bench) run() {
-	b.later(0, b.arrive)
+	b.Later(0, b.arrive)
 	for i := range b.engines {
-		b.later(time.Duration(i)*reportEvery/time.Duration(len(b.engines)), func() { b.report(b.engines[i]) })
+		b.Later(time.Duration(i)*reportEvery/time.Duration(len(b.engines)), func() { b.report(b.engines[i]) })
 	}
 	for i := range b.nodes {
-		b.later(0, func() { b.tick(i) })
+		b.Later(0, func() { b.tick(i) })
 	}
 	b.plan()
-	end := b.now.Add(max(benchTime, b.scenario.duration))
-	for len(b.future) > 0 && b.future[0].at.Before(end) {
-		m := heap.Pop(&b.future).(moment)
-		b.now = m.at
-		m.do()
-	}
+	b.Run(b.start.Add(max(benchTime, b.scenario.duration) - time.Nanosecond))
 }
 
 func (b *bench) plan() {
 	at := func(d time.Duration, do func()) {
 		if d > 0 {
-			b.later(d, do)
+			b.Later(d, do)
 		}
 	}
 	at(b.scenario.shiftAt, func() { b.work.shift = 7 })
@@ -207,7 +200,7 @@
 		}
 	})
 	at(b.scenario.restartAt, func() {
-		b.beforeHit = b.hitSince(b.now.Add(-10 * time.Second))
+		b.beforeHit = b.hitSince(b.Now().Add(-10 * time.Second))
 		for i, old := range b.nodes {
 			n := b.newNode()
 			// A graceful restart: what waits or runs is finished by the old one.
@@ -221,12 +214,12 @@
 func (b *bench) lose(e *fakeEngine) {
 	lost := e.crash(b.flying)
 	for _, n := range b.nodes {
-		n.router.Crashed(b.now, e.id)
+		n.router.Crashed(b.Now(), e.id)
 	}
 	for _, r := range lost {
 		delete(b.flying, r)
 		b.retried++
-		b.nodes[r.node].release(b.now, r)
+		b.nodes[r.node].release(b.Now(), r)
 		b.dispatch(r)
 	}
 }
@@ -238,14 +231,14 @@
 	}
 }
 
-func (b *bench) measured() bool { return b.now.Sub(b.start) > warmUp }
+func (b *bench) measured() bool { return b.Now().Sub(b.start) > warmUp }
 
 func (b *bench) arrive() {
 	rate := b.rate
 	if !b.measured() {
 		rate = min(rate, b.rate/b.scenario.load*rampLoad) // fills the caches
 	}
-	b.later(time.Duration(b.rnd.ExpFloat64()/rate*float64(time.Second)), b.arrive)
+	b.Later(time.Duration(b.rnd.ExpFloat64()/rate*float64(time.Second)), b.arrive)
 	b.submit(b.work.next())
 	if b.scenario.isGreedy {
 		extra := b.rnd.Float64() * 2 * 9 * b.work.shares[b.scenario.greedy]
@@ -260,7 +253,7 @@
 
 func (b *bench) submit(r *request) {
 	b.requests++
-	r.id, r.at = b.requests, b.now
+	r.id, r.at = b.requests, b.Now()
 	r.node = (r.workspace*5 + b.rnd.IntN(nodesPerSpace)) % len(b.nodes)
 	b.sentBy[r.workspace]++
 	if b.measured() {
@@ -281,9 +274,9 @@
 	n := b.nodes[r.node]
 	n.waiting[uint64(r.id)] = r
 	weight := b.work.shares[r.workspace] * 20 * float64(b.scale)
-	b.admit(r.node, n.admitter.Handle(b.now, admitter.Arrived{Work: admitter.Work{
+	b.admit(r.node, n.admitter.Handle(b.Now(), admitter.Arrived{Work: admitter.Work{
 		Ticket: uint64(r.id), Workspace: b.flow(r), Weight: weight, Class: r.class, Pool: "p",
-		Tokens: len(r.chain)*100 + r.answer, Deadline: b.now.Add(time.Minute),
+		Tokens: len(r.chain)*100 + r.answer, Deadline: b.Now().Add(time.Minute),
 		Rate: b.scenario.rate * weight, Burst: 5 * b.scenario.rate * weight,
 	}}))
 }
@@ -311,11 +304,11 @@
 }
 
 func (b *bench) tick(node int) {
-	b.later(50*time.Millisecond, func() { b.tick(node) })
+	b.Later(50*time.Millisecond, func() { b.tick(node) })
 	n := b.nodes[node]
-	r := n.router.Room(b.now, "p")
-	b.admit(node, n.admitter.Handle(b.now, admitter.Room{Pool: "p", Slots: r.Slots, Occupied: r.Occupied, Engines: r.Engines, Pending: r.Pending}))
-	b.admit(node, n.admitter.Handle(b.now, admitter.Ticked{}))
+	r := n.router.Room(b.Now(), "p")
+	b.admit(node, n.admitter.Handle(b.Now(), admitter.Room{Pool: "p", Slots: r.Slots, Occupied: r.Occupied, Engines: r.Engines, Pending: r.Pending}))
+	b.admit(node, n.admitter.Handle(b.Now(), admitter.Ticked{}))
 }
 
 func (b *bench) dispatch(r *request) {
@@ -324,7 +317,7 @@
 	r.engine, r.began = e, false
 	b.flying[r] = true
 	epoch := e.epoch
-	b.later(networkDelay, func() {
+	b.Later(networkDelay, func() {
 		if e.epoch == epoch {
 			e.enqueue(r)
 		}
@@ -333,9 +326,9 @@
 
 func (b *bench) choose(n *benchNode, r *request) *fakeEngine {
 	q := router.Query{Pool: "p", Chain: r.chain, RecomputeWeight: 1, Rank: r.rank, Apart: -1}
-	c, ok := n.router.Pick(b.now, &q)
+	c, ok := n.router.Pick(b.Now(), &q)
 	if !ok {
-		c, _ = n.router.Pick(b.now.Add(time.Hour), &q)
+		c, _ = n.router.Pick(b.Now().Add(time.Hour), &q)
 	}
 	e := b.find(c.ID)
 	switch b.strategy {
@@ -345,7 +338,7 @@
 		e = b.engines[n.rr%len(b.engines)]
 	case leastLoaded:
 		q.Chain = nil
-		c, _ = n.router.Pick(b.now, &q)
+		c, _ = n.router.Pick(b.Now(), &q)
 		e = b.find(c.ID)
 	case rendezvous:
 		e = b.highest(r.chain[0])
@@ -356,7 +349,7 @@
 		c = n.choiceOf(b, e, r)
 	}
 	n.choices[r] = c
-	n.router.Sent(b.now, c, r.chain)
+	n.router.Sent(b.Now(), c, r.chain)
 	b.hint(c.ID, r)
 	return e
 }
@@ -365,12 +358,12 @@
 func (b *bench) hint(id string, r *request) {
 	n := b.nodes[r.node]
 	key := hinted{r.chain[len(r.chain)-2], id}
-	if at, ok := n.hinted[key]; b.scenario.noHints || ok && b.now.Sub(at) < hintQuiet {
+	if at, ok := n.hinted[key]; b.scenario.noHints || ok && b.Now().Sub(at) < hintQuiet {
 		return
 	}
-	n.hinted[key] = b.now
+	n.hinted[key] = b.Now()
 	b.hints++
-	b.later(hintDelay, func() {
+	b.Later(hintDelay, func() {
 		for i := range nodesPerSpace {
 			if node := (r.workspace*5 + i) % len(b.nodes); node != r.node {
 				b.nodes[node].router.Learned(id, r.chain[:len(r.chain)-1])
@@ -387,7 +380,7 @@
 			q.Exclude = append(q.Exclude, o.id)
 		}
 	}
-	c, _ := n.router.Pick(b.now.Add(time.Hour), &q)
+	c, _ := n.router.Pick(b.Now().Add(time.Hour), &q)
 	return c
 }
 
@@ -434,12 +427,12 @@
 	r.began = true
 	n := b.nodes[r.node]
 	if c, ok := n.choices[r]; ok {
-		n.router.Began(b.now, c)
+		n.router.Began(b.Now(), c)
 	}
-	b.windowHit = append(b.windowHit, sample{at: b.now, hits: r.hits, pieces: len(r.chain)})
-	if at := b.scenario.restartAt; at > 0 && b.recovered == 0 && b.now.Sub(b.start) > at+time.Second {
-		if b.hitSince(b.now.Add(-time.Second)) >= 0.9*b.beforeHit {
-			b.recovered = b.now.Sub(b.start) - at - time.Second
+	b.windowHit = append(b.windowHit, sample{at: b.Now(), hits: r.hits, pieces: len(r.chain)})
+	if at := b.scenario.restartAt; at > 0 && b.recovered == 0 && b.Now().Sub(b.start) > at+time.Second {
+		if b.hitSince(b.Now().Add(-time.Second)) >= 0.9*b.beforeHit {
+			b.recovered = b.Now().Sub(b.start) - at - time.Second
 			b.recovered = max(b.recovered, time.Millisecond)
 		}
 	}
@@ -448,7 +441,7 @@
 	}
 	b.hits += r.hits
 	b.pieces += len(r.chain)
-	wait := b.now.Add(networkDelay).Sub(r.at).Seconds() * 1000
+	wait := b.Now().Add(networkDelay).Sub(r.at).Seconds() * 1000
 	b.firsts[r.class] = append(b.firsts[r.class], wait)
 	if r.class == config.Interactive {
 		b.byTenant[r.workspace] = append(b.byTenant[r.workspace], wait)
@@ -471,18 +464,18 @@
 		b.doneBatch++
 	}
 	n := b.nodes[r.node]
-	n.release(b.now, r)
+	n.release(b.Now(), r)
 	if !b.scenario.noAdmitter {
-		b.admit(r.node, n.admitter.Handle(b.now, admitter.Ended{Pool: "p"}))
+		b.admit(r.node, n.admitter.Handle(b.Now(), admitter.Ended{Pool: "p"}))
 	}
 }
 
 func (b *bench) report(e *fakeEngine) {
-	b.later(reportEvery, func() { b.report(e) })
-	rep := router.Report{Incarnation: fmt.Sprint(e.epoch), Occupied: e.running + len(e.waiting), Pending: e.pending, TakenAt: b.now}
-	b.later(networkDelay+b.scenario.reportLag, func() {
+	b.Later(reportEvery, func() { b.report(e) })
+	rep := router.Report{Incarnation: fmt.Sprint(e.epoch), Occupied: e.running + len(e.waiting), Pending: e.pending, TakenAt: b.Now()}
+	b.Later(networkDelay+b.scenario.reportLag, func() {
 		for _, n := range b.nodes {
-			n.router.Reported(b.now, e.id, rep)
+			n.router.Reported(b.Now(), e.id, rep)
 		}
 	})
 }
