perf: one node that knows all loads places the prompts of all

Cause: in the grown fleet 91 nodes chose engines by a sum of loads up to 300 ms old; 60 to 100 prompts left between two sums, all for the engines that looked idle, or for the holder of a hot session.

Now a node asks the hub in charge where each prompt goes (a datagram there and back); the hub counts its advice as sent until the node's own report shows it. Reports also name the upstreams that a node keeps from work, so that two nodes' failures spare the others theirs.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburnnotch/auburnnotch/internal/adviser"
 	"github.com/auburnnotch/auburnnotch/internal/boottime"
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/herald"
@@ -86,14 +87,15 @@
 	limit := time.Duration(proofShare * float64(s.RevokeMS) * float64(time.Millisecond))
 	conns := connector.New(clk)
 	ups := orders.New(conns)
-	talk := &gossip{clk: clk, boot: boot, looks: looks, leaving: map[string]leaver{}}
-	duty := func() bool { return talk.reads(s.Name) }
+	talk := &gossip{self: s.Name, clk: clk, boot: boot, looks: looks, leaving: map[string]leaver{}}
+	duty := func() bool { return talk.roster().IsHub(s.Name) }
 	cache := prober.New(clk, log, ups, func() string {
 		if v := looks.View(); v != nil && v.Matcher.Cache() != nil {
 			return v.Matcher.Cache().CacheAddress
 		}
 		return ""
 	}, duty)
+	advice := adviser.New(clk, log, s.Name, talk.roster)
 	relay := relayer.New(relayer.Settings{
 		DataCentre: s.DataCentre, ProofLimit: limit, LastCall: time.Duration(s.WeightsMS)*time.Millisecond - lastCallMargin,
 		Budget: budgeter.Limits{
@@ -101,15 +103,16 @@
 		},
 	}, relayer.Parts{
 		Clock: clk, Boot: boot, Log: log, Fleet: looks, Connector: conns, Dialect: translate.Dialect{},
-		CacheDown: cache.Down, Meter: metrics, Rand: rnd,
+		Adviser: advice, CacheDown: cache.Down, Meter: metrics, Rand: rnd,
 	})
 	looks.SetListener(relay)
 	talk.relay, talk.cache = relay, cache
-	tell, err := herald.New(clk, boot, log, self, func() []traffic.Node { return looks.Fleet().Nodes }, talk)
+	tell, err := herald.New(clk, boot, log, self, talk.roster, talk)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	talk.herald = tell
+	advice.Join(tell, relay)
 	looks.SetReader(duty)
 	issue := orderer.New(orderer.Settings{
 		Node: s.Name, Gap: time.Duration(s.OrderGapMS) * time.Millisecond,
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
 )
 
 // leavingMemory is how long a peer that leaves isn't listed: it is off the
@@ -21,6 +21,7 @@
 // gossip joins the herald with what the node knows. It implements
 // herald.Local and orderer.Traffic.
 type gossip struct {
+	self   string // name of this node
 	clk    clock.Clock
 	boot   boottime.Clock
 	looks  *observer.Observer
@@ -44,10 +45,10 @@
 // Fill implements herald.Local.
 func (g *gossip) Fill(m *herald.Message) {
 	t := g.relay.Tell()
-	m.Loads, m.Sent = t.Loads, t.Sent
+	m.Loads, m.Settled, m.Broken, m.Sent = t.Loads, t.Settled, t.Broken, t.Sent
 	d, fresh := g.looks.Digest()
 	m.Revision, m.Sum, m.Newest = d.Revision, d.Sum, d.Config
-	m.Reader = fresh && g.reads(m.From)
+	m.Reader = fresh && g.roster().IsHub(m.From)
 	m.CacheDown = g.cache.Down()
 	g.relay.SetFleet(len(g.looks.Fleet().Nodes))
 	g.mu.Lock()
@@ -70,11 +71,7 @@
 // Heard implements herald.Local.
 func (g *gossip) Heard(m *herald.Message) {
 	now := g.clk.Now()
-	if m.Total {
-		g.relay.Heard(wholeFleet, relayer.Told{Loads: g.others(m.Loads), Sent: m.Sent})
-	} else {
-		g.heardNode(m)
-	}
+	g.heardLoads(m)
 	if m.Reader {
 		g.looks.HeardDigest(observer.Digest{Revision: m.Revision, Sum: m.Sum, Config: m.Newest})
 		g.cache.Heard(m.CacheDown)
@@ -103,10 +100,17 @@
 	}
 }
 
-// heardNode takes the loads of one peer, unless its sum is heard from a hub.
-func (g *gossip) heardNode(m *herald.Message) {
-	if len(g.looks.Fleet().Nodes) <= herald.MeshNodes {
-		g.relay.Heard(m.From, relayer.Told{Loads: m.Loads, Sent: m.Sent})
+// heardLoads takes the loads of each peer in a small fleet and at a hub, and the
+// sum that a hub tells elsewhere.
+func (g *gossip) heardLoads(m *herald.Message) {
+	each := g.roster().Mesh() || g.roster().IsHub(g.self)
+	switch {
+	case each && !m.Total:
+		g.relay.Heard(m.From, relayer.Told{
+			Report: placer.Report{Loads: m.Loads, Settled: m.Settled, Broken: m.Broken}, Sent: m.Sent,
+		})
+	case !each && m.Total:
+		g.relay.Heard(wholeFleet, relayer.Told{Report: placer.Report{Loads: g.others(m.Loads)}, Sent: m.Sent})
 	}
 }
 
@@ -124,10 +128,8 @@
 	return sum
 }
 
-// reads reports whether this node reads the store for others.
-func (g *gossip) reads(name string) bool {
-	return slices.Contains(herald.Hubs(g.looks.Fleet().Nodes), name)
-}
+// roster returns the registered nodes and those that work for the others.
+func (g *gossip) roster() *roster.Roster { return g.looks.Fleet().Roster }
 
 // leaves reports whether a node has said that it leaves.
 func (g *gossip) leaves(name string, boot uint64) bool {
--- a/internal/herald/herald.go
+++ b/internal/herald/herald.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -33,10 +33,6 @@
 	mostEvents = 24
 )
 
-// MeshNodes is the size of a fleet up to which every node tells every other
-// one: with more, the datagrams would take more than 2% of a small VM's core.
-const MeshNodes = 16
-
 // Named is a version of a model's weights, and how long ago it was named.
 type Named struct {
 	Model   string
@@ -82,11 +78,29 @@
 	Revision, Sum uint64
 	Loads         []placer.Load
 	Sent          []placer.Placement
-	Weights       []Named
-	Closed        []Closing
-	Done          []Upgrade
+	// Settled and Broken are those of placer.Report.
+	Settled uint64
+	Broken  []uint32
+	Weights []Named
+	Closed  []Closing
+	Done    []Upgrade
 }
 
+// Kind is the first byte of a datagram.
+type Kind byte
+
+// The kinds of datagrams.
+const (
+	kindMessage Kind = iota
+	// Question asks the node in charge where to send a prompt; Answer is its
+	// word.
+	Question
+	Answer
+)
+
+// Handler takes the body of a datagram. It mustn't keep it.
+type Handler func(from string, body []byte) error
+
 // Local is the node's own state.
 type Local interface {
 	// Fill sets what the node tells everyone.
@@ -116,8 +130,10 @@
 	log   logrus.FieldLogger
 	self  traffic.Node
 	conn  *net.UDPConn
-	nodes func() []traffic.Node
+	fleet func() *roster.Roster
 	local Local
+	// questions takes what isn't a message to all.
+	questions map[Kind]Handler
 
 	mu      sync.Mutex
 	sum     *summer
@@ -130,8 +146,8 @@
 	now     chan struct{}
 }
 
-// New opens the socket of a node. nodes returns the registered nodes.
-func New(clk clock.Clock, boot BootClock, log logrus.FieldLogger, self traffic.Node, nodes func() []traffic.Node, local Local) (*Herald, error) {
+// New opens the socket of a node. fleet returns the registered nodes.
+func New(clk clock.Clock, boot BootClock, log logrus.FieldLogger, self traffic.Node, fleet func() *roster.Roster, local Local) (*Herald, error) {
 	addr, err := net.ResolveUDPAddr("udp4", self.Peer)
 	if err != nil {
 		return nil, errors.Annotate(err, "peerListen")
@@ -141,7 +157,7 @@
 		return nil, errors.Annotate(err, "listen for peers")
 	}
 	return &Herald{
-		clk: clk, boot: boot, log: log, self: self, conn: conn, nodes: nodes, local: local,
+		clk: clk, boot: boot, log: log, self: self, conn: conn, fleet: fleet, local: local, questions: map[Kind]Handler{},
 		echoes: map[string]int64{}, failed: map[string]bool{}, sum: newSummer(), now: make(chan struct{}, 1),
 	}, nil
 }
@@ -218,11 +234,11 @@
 // that is everyone. In a large one the hubs get it, which tell everyone the sum
 // in turn; only what is urgent goes to everyone directly.
 func (h *Herald) tell(urgent bool) {
-	nodes := h.nodes()
-	hubs := Hubs(nodes)
+	fleet := h.fleet()
+	nodes := fleet.Nodes()
 	m := h.message()
-	hub := slices.Contains(hubs, h.self.Name)
-	mesh := len(nodes) <= MeshNodes
+	hub := fleet.IsHub(h.self.Name)
+	mesh := fleet.Mesh()
 	h.round++
 	total := !mesh && hub && (urgent || h.round%hubRounds == 0)
 	var sum *Message
@@ -230,7 +246,7 @@
 		copied := *m
 		copied.Total = true
 		copied.Loads, copied.Sent = h.sum.total(h.clk.Now(), m.Loads, m.Sent)
-		if hubs[0] != h.self.Name {
+		if fleet.Hubs()[0].Name != h.self.Name {
 			copied.Sent = nil // once is enough
 		}
 		sum = &copied
@@ -239,11 +255,11 @@
 		n := &nodes[i]
 		switch {
 		case n.Name == h.self.Name:
-		case mesh, urgent && !total, slices.Contains(hubs, n.Name) && !total:
+		case mesh, urgent && !total, fleet.IsHub(n.Name) && !total:
 			h.post(n, m)
 		case total:
 			h.post(n, sum)
-			if slices.Contains(hubs, n.Name) {
+			if fleet.IsHub(n.Name) {
 				h.post(n, m)
 			}
 		}
@@ -260,11 +276,27 @@
 	m.Echo = h.echoes[n.Name]
 	h.mu.Unlock()
 	m.Stamp = int64(h.boot.Elapsed())
-	b, err := encode(m)
+	h.failure(n.Name, h.write(addr, kindMessage, m))
+}
+
+func (h *Herald) write(addr *net.UDPAddr, kind Kind, v any) error {
+	b, err := encode(kind, v)
 	if err == nil {
 		_, err = h.conn.WriteToUDP(b, addr)
 	}
-	h.failure(n.Name, err)
+	return errors.Trace(err)
+}
+
+// Handle names who takes datagrams of a kind. It is called before Run.
+func (h *Herald) Handle(kind Kind, take Handler) { h.questions[kind] = take }
+
+// Send sends a datagram to the address of a node.
+func (h *Herald) Send(address string, kind Kind, v any) error {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return errors.Annotatef(err, "address %q of a node", address)
+	}
+	return h.write(addr, kind, v)
 }
 
 // failure logs the change between a peer that can be sent to and one that
@@ -313,34 +345,50 @@
 func (h *Herald) receive(ctx context.Context) error {
 	buf := make([]byte, readBytes)
 	for {
-		n, _, err := h.conn.ReadFromUDP(buf)
+		n, from, err := h.conn.ReadFromUDP(buf)
 		switch {
 		case ctx.Err() != nil:
 			return nil
 		case err != nil:
 			h.failure("", err)
 			continue
-		}
-		var m Message
-		if err := msgpack.Unmarshal(buf[:n], &m); err != nil || m.From == h.self.Name {
-			if err != nil {
-				h.log.WithError(err).WithField("event", "peerUnreadable").Debug("a datagram is passed over")
-			}
+		case n == 0:
 			continue
 		}
-		h.mu.Lock()
-		h.echoes[m.From] = m.Stamp
-		h.mu.Unlock()
-		if !m.Total {
-			h.sum.add(h.clk.Now(), &m)
+		if err := h.take(Kind(buf[0]), from.String(), buf[1:n]); err != nil {
+			h.log.WithError(err).WithField("event", "peerUnreadable").Debug("a datagram is passed over")
 		}
-		h.local.Heard(&m)
 	}
 }
 
+func (h *Herald) take(kind Kind, from string, body []byte) error {
+	if take, ok := h.questions[kind]; ok {
+		return take(from, body)
+	}
+	if kind != kindMessage {
+		return errors.NotSupportedf("datagram of kind %d", kind)
+	}
+	var m Message
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return errors.Trace(err)
+	}
+	if m.From == h.self.Name {
+		return nil
+	}
+	h.mu.Lock()
+	h.echoes[m.From] = m.Stamp
+	h.mu.Unlock()
+	if !m.Total {
+		h.sum.add(h.clk.Now(), &m)
+	}
+	h.local.Heard(&m)
+	return nil
+}
+
 // encode writes structs as arrays: names of fields would triple a message.
-func encode(m *Message) ([]byte, error) {
+func encode(kind Kind, m any) ([]byte, error) {
 	var buf bytes.Buffer
+	buf.WriteByte(byte(kind))
 	e := msgpack.NewEncoder(&buf)
 	e.UseArrayEncodedStructs(true)
 	e.UseCompactInts(true)
--- a/internal/herald/herald_test.go
+++ b/internal/herald/herald_test.go
@@ -14,6 +14,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -56,6 +57,7 @@
 		_ = l.Close()
 	}
 	log, _ := logtest.NewNullLogger()
+	fleet := roster.New(nodes)
 	var heralds []*herald.Herald
 	var locals []*local
 	ctx, cancel := context.WithCancel(t.Context())
@@ -63,7 +65,7 @@
 	boot := testlib.NewClock(time.Unix(50, 0))
 	for i := range nodes {
 		l := &local{heard: map[string]*herald.Message{}, done: map[uint32]bool{}}
-		h, err := herald.New(systemclock.New(), boot, log, nodes[i], func() []traffic.Node { return nodes }, l)
+		h, err := herald.New(systemclock.New(), boot, log, nodes[i], func() *roster.Roster { return fleet }, l)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +113,7 @@
 }
 
 func TestLargeFleetIsToldTheSum(t *testing.T) {
-	const n = herald.MeshNodes + 4
+	const n = 20 // more than a mesh
 	_, locals := start(t, n)
 	for _, l := range locals {
 		eventually(t, "the sum over all nodes", func() bool {
@@ -121,29 +123,3 @@
 		})
 	}
 }
-
-func TestHubsAreAgreedOn(t *testing.T) {
-	var nodes, reversed []traffic.Node
-	for i := range 40 {
-		n := traffic.Node{Name: fmt.Sprint("n", i), Power: 192}
-		if i%10 == 3 {
-			n.Power = 800
-		}
-		nodes = append(nodes, n)
-		reversed = append([]traffic.Node{n}, reversed...)
-	}
-	a, b := herald.Hubs(nodes), herald.Hubs(reversed)
-	if len(a) != 2 || a[0] != b[0] || a[1] != b[1] {
-		t.Fatalf("hubs %v and %v", a, b)
-	}
-	for _, hub := range a {
-		for _, n := range nodes {
-			if n.Name == hub && n.Power != 800 {
-				t.Errorf("the weak node %s is a hub", hub)
-			}
-		}
-	}
-	if one := herald.Hubs(nodes[:1]); len(one) != 1 {
-		t.Errorf("hubs of one node: %v", one)
-	}
-}
--- a/internal/herald/summer.go
+++ b/internal/herald/summer.go
@@ -1,40 +1,12 @@
 package herald
 
 import (
-	"sort"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
-	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
-// hubCount is how many nodes read the store for the others and, in a large
-// fleet, add up what they send. A second one covers the loss of the first.
-const hubCount = 2
-
-// Hubs returns the names of the nodes that work for the others: of the most
-// powerful ones those that hashing puts first, so that all nodes agree.
-func Hubs(nodes []traffic.Node) []string {
-	order := make([]*traffic.Node, len(nodes))
-	for i := range nodes {
-		order[i] = &nodes[i]
-	}
-	sort.Slice(order, func(i, j int) bool {
-		if order[i].Power != order[j].Power {
-			return order[i].Power > order[j].Power
-		}
-		return xxhash.Sum64String(order[i].Name) > xxhash.Sum64String(order[j].Name)
-	})
-	var out []string
-	for _, n := range order[:min(hubCount, len(order))] {
-		out = append(out, n.Name)
-	}
-	return out
-}
-
 // loadMemory is how long a node's loads count without a newer message.
 const loadMemory = time.Second
 
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -16,6 +16,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -79,6 +80,8 @@
 	Issuer *traffic.Issuer
 	// Namings has when weights were named, as written into the store.
 	Namings []traffic.Namings
+	// Roster has Nodes and those that work for the others.
+	Roster *roster.Roster
 	// Read says that the store was read at least once.
 	Read bool
 }
@@ -125,7 +128,7 @@
 		clk: clk, boot: boot, log: log, store: s, layout: l, items: map[string]known{}, weights: map[string][]relayer.Weights{},
 		kick: make(chan struct{}, 1), reader: func() bool { return true },
 	}
-	o.fleet.Store(&Fleet{})
+	o.fleet.Store(&Fleet{Roster: roster.New(nil)})
 	return o
 }
 
@@ -377,6 +380,7 @@
 	sort.Slice(fleet.Upstreams, func(i, j int) bool { return fleet.Upstreams[i].ID < fleet.Upstreams[j].ID })
 	sort.Slice(fleet.Nodes, func(i, j int) bool { return fleet.Nodes[i].Name < fleet.Nodes[j].Name })
 	sort.Slice(fleet.Weights, func(i, j int) bool { return fleet.Weights[i].Model < fleet.Weights[j].Model })
+	fleet.Roster = roster.New(fleet.Nodes)
 	o.fleet.Store(fleet)
 	o.sum = fleet.sum()
 	if o.catalog == nil {
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -16,8 +16,7 @@
 			return placer.Query{}, false
 		}
 		q := u.query()
-		now := u.r.Clock.Now()
-		c, ok, budget := u.take(now, &q)
+		c, ok, budget := u.take(&q)
 		switch {
 		case ok:
 			u.choice = c
@@ -26,7 +25,7 @@
 			u.reason = "the budget of repeats is spent"
 			u.fail(failure.Overloaded)
 			return q, false
-		case !now.Before(hold):
+		case !u.r.Clock.Now().Before(hold):
 			u.reason = "no upstream takes work"
 			u.fail(failure.NoUpstream)
 			return q, false
@@ -81,10 +80,18 @@
 
 // take chooses an upstream and counts the send. budget is false if a repeat
 // was not allowed.
-func (u *run) take(now time.Time, q *placer.Query) (c placer.Choice, ok, budget bool) {
+func (u *run) take(q *placer.Query) (c placer.Choice, ok, budget bool) {
+	advice, settle := u.ask(q)
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
-	c, ok = u.r.placer.Pick(now, q)
+	defer settle()
+	now := u.r.Clock.Now()
+	if advice != nil {
+		c, ok = u.r.placer.Follow(now, *advice, q)
+	}
+	if u.advised = ok; !ok {
+		c, ok = u.r.placer.Pick(now, q)
+	}
 	if !ok || u.tooLate(now, c) {
 		return c, false, true
 	}
@@ -94,6 +101,25 @@
 	return u.r.placer.Sent(now, c, q), true, true
 }
 
+// ask asks the node in charge where to send a prompt; nil for no advice. settle
+// is called with the relayer's lock once the outcome shows in the loads.
+func (u *run) ask(q *placer.Query) (advice *placer.Advice, settle func()) {
+	if q.Prompt == nil || u.r.Adviser == nil {
+		return nil, func() {}
+	}
+	asked := *q
+	u.r.mu.Lock()
+	u.r.questions++
+	id := u.r.questions
+	u.r.open[id] = struct{}{}
+	asked.Broken = u.r.placer.Broken(u.r.Clock.Now())
+	u.r.mu.Unlock()
+	if a, ok := u.r.Adviser.Ask(u.ctx, id, &asked); ok {
+		advice = &a
+	}
+	return advice, func() { delete(u.r.open, id) }
+}
+
 // tooLate reports whether the engines have so much to read that the request's
 // time would be over before its turn.
 func (u *run) tooLate(now time.Time, c placer.Choice) bool {
--- a/internal/relayer/port.go
+++ b/internal/relayer/port.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
+	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -117,5 +119,12 @@
 	Proof() prover.Prover
 }
 
+// Adviser asks the node that knows what all nodes have sent.
+type Adviser interface {
+	// Ask returns its advice, false if there is none in time. The numbers of
+	// questions rise.
+	Ask(ctx context.Context, question uint64, q *placer.Query) (placer.Advice, bool)
+}
+
 // BootClock goes on while the VM is suspended.
 type BootClock interface{ Elapsed() time.Duration }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -36,6 +36,8 @@
 	Fleet     Fleet
 	Connector *connector.Connector
 	Dialect   Dialect
+	// Adviser is asked where prompts go; nil for a node that decides alone.
+	Adviser Adviser
 	// CacheDown reports whether the store of cached parts gives no answer.
 	CacheDown func() bool
 	Meter     *meter.Meter
@@ -50,12 +52,18 @@
 	mu      sync.Mutex
 	placer  *placer.Placer
 	budgets map[string]*budgeter.Budgeter // by service
+	// questions counts the questions to the node in charge; open are those
+	// whose outcome the loads don't show yet.
+	questions uint64
+	open      map[uint64]struct{}
 }
 
 // New returns a Relayer that knows no upstream.
 func New(s Settings, p Parts) *Relayer {
 	return &Relayer{
 		set: s, Parts: p, placer: placer.New(placer.DefaultWeights(), p.Rand), budgets: map[string]*budgeter.Budgeter{},
+		// Numbers of an earlier life of this node are smaller.
+		questions: uint64(p.Clock.Now().UnixMicro()), open: map[uint64]struct{}{},
 	}
 }
 
@@ -78,8 +86,8 @@
 
 // Told is what a node tells its peers of its traffic.
 type Told struct {
-	Loads []placer.Load
-	Sent  []placer.Placement
+	placer.Report
+	Sent []placer.Placement
 }
 
 // Tell returns what this node has sent to upstreams and not seen end, and where
@@ -87,7 +95,15 @@
 func (r *Relayer) Tell() Told {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Told{Loads: r.placer.Mine(r.Clock.Now()), Sent: r.placer.Placements()}
+	now := r.Clock.Now()
+	settled := r.questions
+	for id := range r.open {
+		settled = min(settled, id-1)
+	}
+	return Told{
+		Report: placer.Report{Loads: r.placer.Mine(now), Settled: settled, Broken: r.placer.Broken(now)},
+		Sent:   r.placer.Placements(),
+	}
 }
 
 // Heard takes what a peer tells.
@@ -95,12 +111,19 @@
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.placer.Heard(now, peer, t.Loads)
+	r.placer.Heard(now, peer, t.Report)
 	for _, pl := range t.Sent {
 		r.placer.Learned(now, pl)
 	}
 }
 
+// Advise answers the question of a peer where to send a prompt.
+func (r *Relayer) Advise(peer string, question uint64, q *placer.Query) (placer.Advice, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.placer.Advise(r.Clock.Now(), peer, question, q)
+}
+
 // SetFleet tells how many nodes there are.
 func (r *Relayer) SetFleet(nodes int) {
 	r.mu.Lock()
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -114,6 +114,7 @@
 		f["version"] = u.choice.Version
 		f["source"] = u.choice.Source
 		f["running"] = u.choice.Running
+		f["advised"] = u.advised
 	}
 	return u.r.Log.WithFields(f)
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -63,6 +63,7 @@
 	began   bool
 	last    string // last event passed on
 	choice  placer.Choice
+	advised bool // the choice is that of the node in charge
 	first   bool // the current attempt has given its first event
 	sentAt  time.Time
 	firstIn time.Duration // from the last send to its first event
--- /dev/null
+++ b/pkg/placer/advice.go
@@ -0,0 +1,80 @@
+package placer
+
+import "time"
+
+// grantMemory is how long advice counts as followed without the peer's report
+// that shows it. It outlasts the loss of several reports.
+const grantMemory = time.Second
+
+// Advice is the choice that a node in charge makes for a peer.
+type Advice struct {
+	Upstream uint32 // its Key
+	Version  int
+	Misses   int
+	Running  int
+	WaitMs   float64
+	// Source is the Key of an engine to fetch cached parts from, 0 for the store
+	// of cached parts.
+	Source uint32
+	// Save says that the store of cached parts is to keep the prompt.
+	Save bool
+}
+
+// grant is advice that the peer's reports don't show yet.
+type grant struct {
+	question uint64
+	at       time.Time
+	load     Load
+}
+
+// Advise answers a peer's question with a choice, and counts it as followed.
+// The numbers of a peer's questions rise.
+func (p *Placer) Advise(now time.Time, peer string, question uint64, q *Query) (Advice, bool) {
+	c, ok := p.Pick(now, q)
+	if !ok {
+		return Advice{}, false
+	}
+	l := Load{Upstream: c.state.key, Running: 1, Reading: c.Misses, Tokens: c.tokens, OldestMS: 1}
+	if q.Fixed {
+		l.Fixed = 1
+	}
+	r, known := p.peers[peer]
+	if !known {
+		r.at = now
+	}
+	r.grants = append(r.grants, grant{question: question, at: now, load: l})
+	p.peers[peer] = r
+	c.state.peers.add(l, now)
+	if q.Prompt != nil {
+		p.remember(now, c, q)
+	}
+	return Advice{
+		Upstream: c.state.key, Version: c.Version, Misses: c.Misses, Running: c.Running, WaitMs: c.WaitMs,
+		Source: c.from, Save: c.Save != "",
+	}, true
+}
+
+// Follow turns advice for q into a choice, unless this node knows better.
+func (p *Placer) Follow(now time.Time, a Advice, q *Query) (Choice, bool) {
+	p.desperate = false
+	s := p.keys[a.Upstream]
+	if s == nil || !s.present || s.up.Service != q.Service || !p.eligible(now, s, q) {
+		return Choice{}, false
+	}
+	c := Choice{
+		Upstream: s.up, WaitMs: a.WaitMs, Misses: a.Misses, Running: a.Running, state: s,
+	}
+	if q.Prompt == nil {
+		return c, true
+	}
+	c.Version = max(a.Version, s.version(q.Prompt.Model))
+	c.tokens = q.Prompt.Tokens - q.Prompt.Shared() + q.Prompt.MaxOutput
+	c.Source = q.Cache
+	if source := p.keys[a.Source]; a.Source != cacheKey && source != nil {
+		c.Source, c.from = source.up.Address, a.Source
+	}
+	if a.Save {
+		c.Save = q.Cache
+	}
+	return c, true
+}
--- /dev/null
+++ b/pkg/placer/advice_test.go
@@ -0,0 +1,152 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// Pattern: many nodes that send within one round of reports, before anyone
+// hears of it. A node in charge spreads their prompts; without one all choose
+// the engine that holds the shared parts.
+func TestNodeInChargeSpreadsWhatManySendAtOnce(t *testing.T) {
+	const nodes, each = 40, 2
+	hub := newPlacer(1, engines(10, one))
+	hub.SetFleet(nodes)
+	reading := map[string]int{}
+	for i := range nodes * each {
+		q := prompt("hot", 1000+i)
+		a, ok := hub.Advise(start.Add(time.Duration(i)*time.Millisecond), fmt.Sprint("n", i%nodes), uint64(i), q)
+		if !ok {
+			t.Fatal("no advice")
+		}
+		node := newPlacer(uint64(i), engines(10, one))
+		c, ok := node.Follow(start, a, q)
+		if !ok {
+			t.Fatal("advice isn't followed")
+		}
+		reading[c.Upstream.ID] += c.Misses
+	}
+	total, most := 0, 0
+	for _, n := range reading {
+		total += n
+		most = max(most, n)
+	}
+	if len(reading) != 10 || most > 2*total/10 {
+		t.Errorf("tokens to read by engine: %v", reading)
+	}
+}
+
+func TestAdviceCountsUntilTheReportShowsIt(t *testing.T) {
+	hub := newPlacer(2, engines(1, one))
+	inc := "e00@1"
+	running := func(now time.Time) int { return hub.Look(now, inc).Running }
+	for i := range 3 {
+		if _, ok := hub.Advise(start, "n", uint64(10+i), prompt("s", 100+i)); !ok {
+			t.Fatal("no advice")
+		}
+	}
+	if got := running(start); got != 3 {
+		t.Fatalf("%d requests count after three questions", got)
+	}
+	// The report shows the first two; the third is on its way.
+	load := placer.Load{Upstream: placer.Key(inc), Running: 2, Reading: 50}
+	hub.Heard(start, "n", placer.Report{Loads: []placer.Load{load}, Settled: 11})
+	if got := running(start); got != 3 {
+		t.Errorf("%d requests count with two reported and one on its way", got)
+	}
+	hub.Heard(start, "n", placer.Report{Loads: []placer.Load{load}, Settled: 12})
+	if got := running(start); got != 2 {
+		t.Errorf("%d requests count after the third question was dropped", got)
+	}
+	// A node that isn't heard any more doesn't count for ever.
+	if got := running(start.Add(3 * time.Second)); got != 0 {
+		t.Errorf("%d requests of a silent node count", got)
+	}
+}
+
+func TestAdviceIsDroppedWhereTheNodeKnowsBetter(t *testing.T) {
+	ups := engines(2, one)
+	q := prompt("s", 100)
+	ask := func() placer.Advice {
+		a, _ := newPlacer(3, ups[:1]).Advise(start, "n", 1, q)
+		return a
+	}
+	leaving := append([]traffic.Upstream(nil), ups...)
+	leaving[0].Draining = true
+	excluded := *q
+	excluded.Exclude = []string{"e00@1"}
+	closed := newPlacer(4, ups)
+	closed.Close("e00@1", start.Add(time.Second))
+	broken := newPlacer(4, ups)
+	c, _ := broken.Follow(start, ask(), q)
+	broken.Unreachable(start, broken.Sent(start, c, q))
+	for name, x := range map[string]struct {
+		node *placer.Placer
+		q    *placer.Query
+	}{
+		"leaving":  {newPlacer(4, leaving), q},
+		"unknown":  {newPlacer(4, ups[1:]), q},
+		"excluded": {newPlacer(4, ups), &excluded},
+		"closed":   {closed, q},
+		"broken":   {broken, q},
+	} {
+		if _, ok := x.node.Follow(start, ask(), x.q); ok {
+			t.Errorf("%s: the advice is followed", name)
+		}
+	}
+	if c, ok := newPlacer(4, ups).Follow(start, ask(), q); !ok || c.Upstream.ID != "e00" || c.Save != cache || c.Misses < 6000 {
+		t.Errorf("choice %+v, followed %v", c, ok)
+	}
+}
+
+// Pattern: engines that take connections and stay silent. Each node would lose
+// a request to find that out.
+func TestFailuresThatTwoNodesSawKeepAllAway(t *testing.T) {
+	ups := engines(3, one)
+	hub := newPlacer(5, ups)
+	bad := placer.Key("e01@1")
+	uses := func() bool {
+		for i := range 30 {
+			if a, _ := hub.Advise(start, "n", uint64(i), prompt(fmt.Sprint("s", i), 5000)); a.Upstream == bad {
+				return true
+			}
+		}
+		return false
+	}
+	hub.Heard(start, "a", placer.Report{Broken: []uint32{bad}})
+	if !uses() {
+		t.Error("the word of one node, whose link may be bad, keeps all away")
+	}
+	hub.Heard(start, "b", placer.Report{Broken: []uint32{bad}})
+	if uses() {
+		t.Error("an engine that failed at two nodes is advised")
+	}
+	// Nodes that are cut off accuse everyone.
+	all := []uint32{placer.Key("e00@1"), bad, placer.Key("e02@1")}
+	hub.Heard(start, "a", placer.Report{Broken: all})
+	hub.Heard(start, "b", placer.Report{Broken: all})
+	if !uses() {
+		t.Error("nodes that reach nobody keep all away from an engine")
+	}
+}
+
+// Pattern: thousands of questions a second at the node in charge.
+func BenchmarkAdviseAmongEngines(b *testing.B) {
+	for _, n := range []int{90, 200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			hub := newPlacer(6, engines(n, one))
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(2 * time.Millisecond)
+				hub.Advise(now, "n", uint64(i), prompt(fmt.Sprint("s", i%800), 1000+i%977))
+				if i%50 == 0 {
+					hub.Heard(now, "n", placer.Report{Settled: uint64(i)})
+				}
+			}
+		})
+	}
+}
--- a/pkg/placer/load.go
+++ b/pkg/placer/load.go
@@ -58,6 +58,14 @@
 	return float64(now.Sub(p.waitsSince)) / float64(time.Millisecond)
 }
 
+const (
+	// mostBroken bounds a report.
+	mostBroken = 64
+	// enoughAccusers is how many nodes' failures keep an upstream from the work
+	// of all: one alone may have a bad link.
+	enoughAccusers = 2
+)
+
 // mostPlacements bounds what waits to be told to peers.
 const mostPlacements = 64
 
@@ -93,33 +101,87 @@
 	return out
 }
 
-// Heard takes the loads of a peer.
-func (p *Placer) Heard(now time.Time, peer string, loads []Load) {
-	p.peers[peer] = peerLoads{at: now, loads: loads}
-	for name, l := range p.peers {
-		if now.Sub(l.at) > peerMemory {
+// Report is what a node tells of its own traffic.
+type Report struct {
+	Loads []Load
+	// Settled is the last question up to which all of the node's questions to a
+	// node in charge have shown in Loads, or were dropped.
+	Settled uint64
+	// Broken are the upstreams that the node keeps from work for their failures.
+	Broken []uint32
+}
+
+// Heard takes the report of a peer.
+func (p *Placer) Heard(now time.Time, peer string, r Report) {
+	grants := p.peers[peer].grants
+	kept := grants[:0]
+	for _, g := range grants {
+		if g.question > r.Settled && now.Sub(g.at) < grantMemory {
+			kept = append(kept, g)
+		}
+	}
+	p.peers[peer] = peerReport{at: now, Report: r, grants: kept}
+	for name, r := range p.peers {
+		if now.Sub(r.at) > peerMemory {
 			delete(p.peers, name)
 		}
 	}
-	p.sumPeers()
+	p.summed = false
 }
 
-func (p *Placer) sumPeers() {
+// sum adds up what the peers have sent, unless nothing has changed since.
+func (p *Placer) sum(now time.Time) {
+	if p.summed && now.Sub(p.summedAt) < peerMemory {
+		return
+	}
+	p.summed, p.summedAt = true, now
 	for _, s := range p.states {
-		s.peers = peerSum{}
+		s.peers, s.accusers = peerSum{}, 0
 	}
-	for _, pl := range p.peers {
-		for _, l := range pl.loads {
+	for _, r := range p.peers {
+		if now.Sub(r.at) > peerMemory {
+			continue
+		}
+		for _, l := range r.Loads {
 			if s, ok := p.keys[l.Upstream]; ok {
-				s.peers.Running += l.Running
-				s.peers.Reading += l.Reading
-				s.peers.Tokens += l.Tokens
-				s.peers.Fixed += l.Fixed
-				since := pl.at.Add(-time.Duration(l.OldestMS) * time.Millisecond)
-				if l.OldestMS > 0 && (s.peers.waitsSince.IsZero() || since.Before(s.peers.waitsSince)) {
-					s.peers.waitsSince = since
-				}
+				s.peers.add(l, r.at.Add(-time.Duration(l.OldestMS)*time.Millisecond))
+			}
+		}
+		for _, g := range r.grants {
+			if s, ok := p.keys[g.load.Upstream]; ok {
+				s.peers.add(g.load, g.at)
 			}
 		}
+		if len(r.Broken) > len(p.keys)/2 {
+			continue // the node itself is cut off
+		}
+		for _, key := range r.Broken {
+			if s, ok := p.keys[key]; ok {
+				s.accusers++
+			}
+		}
+	}
+}
+
+// add counts what a peer has sent, of which the oldest without a first event
+// waits since a time.
+func (p *peerSum) add(l Load, since time.Time) {
+	p.Running += l.Running
+	p.Reading += l.Reading
+	p.Tokens += l.Tokens
+	p.Fixed += l.Fixed
+	if l.OldestMS > 0 && (p.waitsSince.IsZero() || since.Before(p.waitsSince)) {
+		p.waitsSince = since
+	}
+}
+
+// Broken returns the upstreams that are kept from work for their failures.
+func (p *Placer) Broken(now time.Time) []uint32 {
+	var out []uint32
+	for _, s := range p.states {
+		if s.present && !s.breaker.Allows(now) && len(out) < mostBroken {
+			out = append(out, s.key)
+		}
 	}
+	return out
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,9 @@
 	DataCentre string
 	// Exclude lists incarnations that were tried already.
 	Exclude []string
+	// Broken are upstreams that the asking node keeps from work for their
+	// failures.
+	Broken []uint32
 	// Version is the newest version of the prompt's model, named for Named
 	// long; 0 if none is known.
 	Version int
@@ -54,6 +58,7 @@
 	// Save is the address of the store that is to keep the parts, empty if they
 	// aren't worth it.
 	Save   string
+	from   uint32 // Key of the engine behind Source; 0 if it is none
 	tokens int
 	fixed  bool
 	id     uint64
@@ -75,6 +80,7 @@
 	mine        Load
 	waiting     []waiter // of mine, without a first event, in the order of sending
 	peers       peerSum
+	accusers    int // peers that keep it from work for its failures
 	// closedUntil keeps work away while an order is carried out or after the
 	// upstream refused for lack of room.
 	closedUntil time.Time
@@ -97,7 +103,10 @@
 	keys     map[uint32]*state
 	sent     []Placement // since the last Placements
 	services map[string][]*state
-	peers    map[string]peerLoads
+	peers    map[string]peerReport
+	// summed says that the sums over peers were right at summedAt.
+	summed   bool
+	summedAt time.Time
 	held     holdings
 	nodes    int
 	// desperate lets Pick choose among upstreams that have failed lately.
@@ -107,9 +116,11 @@
 	known     knowledge // scratch
 }
 
-type peerLoads struct {
-	at    time.Time
-	loads []Load
+// peerReport is the last report of a peer, and what it was advised since.
+type peerReport struct {
+	Report
+	at     time.Time
+	grants []grant
 }
 
 // peerMemory is how long a peer's loads count without a newer message. It
@@ -120,7 +131,7 @@
 func New(w Weights, rnd *rand.Rand) *Placer {
 	return &Placer{
 		weights: w, rnd: rnd, states: map[string]*state{}, keys: map[uint32]*state{}, services: map[string][]*state{},
-		peers: map[string]peerLoads{}, held: newHoldings(),
+		peers: map[string]peerReport{}, held: newHoldings(),
 	}
 }
 
@@ -148,7 +159,7 @@
 			delete(p.keys, s.key)
 		}
 	}
-	p.sumPeers()
+	p.summed = false
 }
 
 // Present reports whether the incarnation is registered and takes work.
@@ -164,6 +175,7 @@
 // Pick returns the best upstream at now and whether there is one. Where all have
 // failed lately, one of them is better than none.
 func (p *Placer) Pick(now time.Time, q *Query) (Choice, bool) {
+	p.sum(now)
 	p.desperate = false
 	c, ok := p.pick(now, q)
 	if !ok {
@@ -203,7 +215,7 @@
 				tokens: own + q.Prompt.MaxOutput, state: s, Source: q.Cache,
 			}
 			if e.source != nil && e.source.state != nil {
-				best.Source = e.source.state.up.Address
+				best.Source, best.from = e.source.state.up.Address, e.source.state.key
 			}
 			if q.Prompt.Shared()-int(e.kept) >= saveTokens && (roomy || known.seen(q)) {
 				best.Save = q.Cache
@@ -266,13 +278,14 @@
 }
 
 func (p *Placer) eligible(now time.Time, s *state, q *Query) bool {
-	if s.up.Draining || now.Before(s.closedUntil) || !p.desperate && !s.breaker.Allows(now) {
+	if s.up.Draining || now.Before(s.closedUntil) {
 		return false
 	}
-	for _, x := range q.Exclude {
-		if x == s.incarnation {
-			return false
-		}
+	if !p.desperate && (!s.breaker.Allows(now) || s.accusers >= enoughAccusers) {
+		return false
+	}
+	if slices.Contains(q.Exclude, s.incarnation) || !p.desperate && slices.Contains(q.Broken, s.key) {
+		return false
 	}
 	if q.Prompt == nil {
 		return true
@@ -318,21 +331,28 @@
 	s.waiting = append(s.waiting, waiter{id: c.id, since: now})
 	s.mine.Reading += c.Misses
 	s.mine.Tokens += c.tokens
+	p.remember(now, c, q)
+	if shared := p.chain[:max(0, len(p.chain)-1)]; len(shared) > 0 && len(p.sent) < mostPlacements {
+		p.sent = append(p.sent, Placement{Upstream: s.key, Version: c.Version, Cached: c.cached(q), Prefix: shared[len(shared)-1]})
+	}
+	return c
+}
+
+// remember takes down which parts the chosen engine has from now on.
+func (p *Placer) remember(now time.Time, c Choice, q *Query) {
 	p.chain = appendChain(p.chain[:0], q)
-	by := holder{key: s.key, version: int32(c.Version)}
-	p.held.add(now, p.chain, by)
-	shared := p.chain[:max(0, len(p.chain)-1)]
+	p.held.add(now, p.chain, holder{key: c.state.key, version: int32(c.Version)})
 	if c.Save != "" {
 		p.saving.add(now, q.Prompt.Tokens)
 	}
-	cached := c.Save != "" || c.Source != "" && c.Source == q.Cache
-	if cached {
-		p.held.add(now, shared, holder{key: cacheKey, version: int32(c.Version)})
-	}
-	if len(shared) > 0 && len(p.sent) < mostPlacements {
-		p.sent = append(p.sent, Placement{Upstream: s.key, Version: c.Version, Cached: cached, Prefix: shared[len(shared)-1]})
+	if c.cached(q) {
+		p.held.add(now, p.chain[:max(0, len(p.chain)-1)], holder{key: cacheKey, version: int32(c.Version)})
 	}
-	return c
+}
+
+// cached reports whether the store of cached parts has the prompt from now on.
+func (c *Choice) cached(q *Query) bool {
+	return c.Save != "" || c.Source != "" && c.Source == q.Cache
 }
 
 // Incarnation returns the incarnation behind a key, empty if there is none.
@@ -417,6 +437,7 @@
 
 // Look returns what is known of an incarnation at now.
 func (p *Placer) Look(now time.Time, incarnation string) Look {
+	p.sum(now)
 	s, ok := p.states[incarnation]
 	if !ok {
 		return Look{}
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -221,7 +221,7 @@
 		ups = append(ups, traffic.Upstream{ID: fmt.Sprint("p", i), Service: "plain", Slots: 6, DataCentre: "a"})
 	}
 	p := newPlacer(9, ups)
-	p.Heard(start, "peer", []placer.Load{{Upstream: placer.Key("p0@0"), Running: 6}, {Upstream: placer.Key("p1@0"), Running: 6}})
+	p.Heard(start, "peer", placer.Report{Loads: []placer.Load{{Upstream: placer.Key("p0@0"), Running: 6}, {Upstream: placer.Key("p1@0"), Running: 6}}})
 	q := &placer.Query{Service: "plain", DataCentre: "a"}
 	used := map[string]int{}
 	for range 8 {
@@ -232,7 +232,7 @@
 		t.Errorf("8 requests went to %v", used)
 	}
 	// A peer that is silent doesn't count for ever.
-	p.Heard(start.Add(3*time.Second), "other", nil)
+	p.Heard(start.Add(3*time.Second), "other", placer.Report{})
 	if l := p.Look(start, "p0@0"); l.Running != 0 {
 		t.Errorf("%d requests of a silent peer still count", l.Running)
 	}
