fix: silent engines are kept from work by all; nothing begins on old weights beyond their time

A request whose time was over there counted as its caller's leaving, so that after 5 s such an engine looked idle again.

Now nodes tell how long ago they heard of an engine; one that is silent for 1.5 s while a request waits is kept from work, and tried with one request at a time. A request isn't sent to old weights if its turn is expected to come too late, and is taken back where it hasn't begun in time.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,10 +43,7 @@
 	// proofShare is the part of the time to revoke a key up to which a proof
 	// counts; the rest covers clocks that run apart.
 	proofShare = 0.9
-	// lastCallMargin covers what a request waits at an engine before it begins,
-	// and the time until this node hears of the naming.
-	lastCallMargin = 1500 * time.Millisecond
-	thousand       = 1000
+	thousand   = 1000
 	// defaultBodyBytes bounds bodies before a configuration is known.
 	defaultBodyBytes = 4 << 20
 )
@@ -97,7 +94,7 @@
 	}, duty)
 	advice := adviser.New(clk, log, s.Name, talk.roster)
 	relay := relayer.New(relayer.Settings{
-		DataCentre: s.DataCentre, ProofLimit: limit, LastCall: time.Duration(s.WeightsMS)*time.Millisecond - lastCallMargin,
+		DataCentre: s.DataCentre, ProofLimit: limit, OldWeights: time.Duration(s.WeightsMS) * time.Millisecond,
 		Budget: budgeter.Limits{
 			Ratio: s.RetryRatio, Window: config.Seconds(s.RetryWindowSeconds), Allowance: s.RetryAllowance,
 		},
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -70,9 +70,7 @@
 		now := u.r.Clock.Now()
 		for _, w := range u.view.Weights[q.Prompt.Model] {
 			q.Version, q.Named = w.Version, now.Sub(w.Known)
-			if q.Named > u.r.set.LastCall {
-				q.Required = w.Version
-			}
+			q.Limits = append(q.Limits, placer.Limit{Version: w.Version, Left: u.r.set.OldWeights - q.Named})
 		}
 	}
 	return q
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,9 +21,9 @@
 	DataCentre string
 	// ProofLimit is the age of the proof up to which keyed requests are served.
 	ProofLimit time.Duration
-	// LastCall is the time after the naming of new weights from which requests
-	// aren't sent to older ones any more.
-	LastCall time.Duration
+	// OldWeights is the time after the naming of new weights in which requests
+	// may begin on older ones.
+	OldWeights time.Duration
 	// Budget is the fleet's budget of repeats for each service.
 	Budget budgeter.Limits
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -128,7 +128,7 @@
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
 	b.relay = relayer.New(relayer.Settings{
-		DataCentre: "a", ProofLimit: limit, LastCall: time.Hour,
+		DataCentre: "a", ProofLimit: limit, OldWeights: time.Hour,
 		Budget: budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100},
 	}, relayer.Parts{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,6 +43,8 @@
 	// plainPatience is the same for safe requests.
 	plainPatience = 2.5
 	streamType    = "text/event-stream"
+	// namingSlack covers the time until this node hears of the naming of weights.
+	namingSlack = 500 * time.Millisecond
 )
 
 // run is one request on its way.
@@ -110,6 +113,7 @@
 	}
 	u.sends++
 	defer x.Close()
+	u.lives()
 	a := u.r.Dialect.Answer(x.Status, x.Header)
 	switch {
 	case a.NotRun || a.Misdirected:
@@ -152,7 +156,7 @@
 		Address: u.choice.Upstream.Address, Incarnation: u.choice.Incarnation(),
 		Method: u.req.Method, Target: u.req.Target, Host: u.req.Host,
 		Head: u.r.Dialect.Head(nil, u.req, &a), Body: u.req.Body,
-		Fresh: !u.route.Repeatable(), FirstByte: u.firstByte(remaining),
+		Fresh: !u.route.Repeatable(), FirstByte: min(u.firstByte(remaining), u.mayBegin(q)),
 		Mine: func(h connector.Header) bool { return u.r.Dialect.Answer(0, h).RequestID == id },
 	})
 }
@@ -172,6 +176,24 @@
 	return min(most, max(0, 2*u.route.Priority))
 }
 
+// mayBegin returns for how long the request may still begin on the weights that
+// the engine is believed to have. After that it is taken back.
+func (u *run) mayBegin(q *placer.Query) time.Duration {
+	left := time.Duration(math.MaxInt64)
+	for _, l := range q.Limits {
+		if u.choice.Version < l.Version {
+			left = min(left, l.Left-namingSlack)
+		}
+	}
+	return left
+}
+
+func (u *run) lives() {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	u.r.placer.Lives(u.r.Clock.Now(), u.choice)
+}
+
 // firstByte bounds the wait for an answer's start. A request that can't be
 // sent again is waited for until its time is over.
 func (u *run) firstByte(remaining time.Duration) time.Duration {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -66,6 +66,7 @@
 
 // pass writes whole events to the caller.
 func (u *run) pass(x *connector.Exchange, events []byte) error {
+	u.lives()
 	if !u.first {
 		u.first = true
 		u.firstIn = u.r.Clock.Now().Sub(u.sentAt)
--- a/pkg/breaker/breaker.go
+++ b/pkg/breaker/breaker.go
@@ -60,6 +60,19 @@
 	return b
 }
 
+// Trial reports whether the upstream may be tried at now after it was kept from
+// work, and hasn't succeeded since.
+func (b Breaker) Trial(now time.Time) bool { return b.failures >= failuresToOpen && b.Allows(now) }
+
+// WithLife returns the state after the last sign of life of the upstream: one
+// since it may be tried again counts as a success.
+func (b Breaker) WithLife(at time.Time) Breaker {
+	if b.failures < failuresToOpen || !at.After(b.openUntil) {
+		return b
+	}
+	return b.WithSuccess()
+}
+
 // WithReturn returns the state of an upstream that came back empty at now.
 func (b Breaker) WithReturn(now time.Time) Breaker {
 	b.since = now
--- a/pkg/placer/load.go
+++ b/pkg/placer/load.go
@@ -14,6 +14,9 @@
 	Fixed int
 	// OldestMS is how long the oldest request without a first event waits.
 	OldestMS int64
+	// HeardMS is how long ago the node has had a sign of life of it, plus 1; 0
+	// for never.
+	HeardMS int64
 }
 
 // Plus returns the sum of what two nodes have sent to an upstream.
@@ -21,9 +24,18 @@
 	return Load{
 		Upstream: o.Upstream, Running: l.Running + o.Running, Reading: l.Reading + o.Reading, Tokens: l.Tokens + o.Tokens,
 		Fixed: l.Fixed + o.Fixed, OldestMS: max(l.OldestMS, o.OldestMS),
+		HeardMS: latest(l.HeardMS, o.HeardMS),
 	}
 }
 
+// latest returns the smaller age of two, where 0 stands for none.
+func latest(a, b int64) int64 {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // Less returns what is left of a sum without a part of it.
 func (l Load) Less(o Load) Load {
 	l.Running = max(0, l.Running-o.Running)
@@ -49,6 +61,8 @@
 	Load
 	// waitsSince is since when a request of a peer waits; zero for none.
 	waitsSince time.Time
+	// heard is the last sign of life that a peer has had; zero for none.
+	heard time.Time
 }
 
 func (p *peerSum) oldest(now time.Time) float64 {
@@ -95,6 +109,9 @@
 			if len(s.waiting) > 0 {
 				l.OldestMS = now.Sub(s.waiting[0].since).Milliseconds()
 			}
+			if !s.heard.IsZero() {
+				l.HeardMS = now.Sub(s.heard).Milliseconds() + 1
+			}
 			out = append(out, l)
 		}
 	}
@@ -145,6 +162,9 @@
 		for _, l := range r.Loads {
 			if s, ok := p.keys[l.Upstream]; ok {
 				s.peers.add(l, r.at.Add(-time.Duration(l.OldestMS)*time.Millisecond))
+				if at := r.at.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(s.peers.heard) {
+					s.peers.heard = at
+				}
 			}
 		}
 		for _, g := range r.grants {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -30,8 +30,9 @@
 	// long; 0 if none is known.
 	Version int
 	Named   time.Duration
-	// Required is the oldest version that may still be used.
-	Required int
+	// Limits has the named versions, and for how much longer requests may begin
+	// on older ones.
+	Limits []Limit
 	// Fixed says that the request can't go on at another upstream.
 	Fixed bool
 	// Cache is the address of a store of cached parts, empty for none.
@@ -40,6 +41,13 @@
 	CacheTokens int
 }
 
+// Limit ends the use of weights older than a version.
+type Limit struct {
+	Version int
+	// Left is negative if the time is over.
+	Left time.Duration
+}
+
 // Choice is a chosen upstream. It is passed back as the request proceeds.
 type Choice struct {
 	Upstream traffic.Upstream
@@ -81,6 +89,8 @@
 	waiting     []waiter // of mine, without a first event, in the order of sending
 	peers       peerSum
 	accusers    int // peers that keep it from work for its failures
+	// heard is the last sign of life that this node has had of it.
+	heard time.Time
 	// closedUntil keeps work away while an order is carried out or after the
 	// upstream refused for lack of room.
 	closedUntil time.Time
@@ -196,13 +206,17 @@
 	roomy := p.cacheKeeps(now, q) >= crowded
 	own := q.Prompt.Tokens - q.Prompt.Shared()
 	for _, s := range p.services[q.Service] {
-		if !p.eligible(now, s, q) {
+		p.watch(now, s)
+		if !p.eligible(now, s, q) || p.tested(now, s) {
 			continue
 		}
 		version := s.version(q.Prompt.Model)
 		e := known.expect(s, version)
 		misses := max(0, q.Prompt.Tokens-int(e.have))
 		wait := p.wait(now, s)
+		if !q.mayBegin(version, wait+float64(misses)/p.weights.TokensPerMs) {
+			continue
+		}
 		cost := wait + float64(misses)/p.weights.TokensPerMs + p.runningCost(now, s, own)
 		if e.source != nil {
 			cost += p.weights.FetchMs + e.fetched*p.weights.FetchMsPerToken
@@ -290,15 +304,61 @@
 	if q.Prompt == nil {
 		return true
 	}
-	return s.version(q.Prompt.Model) >= q.Required
+	return q.mayBegin(s.version(q.Prompt.Model), 0)
+}
+
+// beginSlack is kept of the time in which requests may begin on older weights:
+// what is expected to be read first may take longer.
+const beginSlack = 1500 * time.Millisecond
+
+// mayBegin reports whether a request that begins after a wait in ms may do so on
+// a version.
+func (q *Query) mayBegin(version int, wait float64) bool {
+	for _, l := range q.Limits {
+		if version < l.Version && l.Left < beginSlack+time.Duration(wait*float64(time.Millisecond)) {
+			return false
+		}
+	}
+	return true
 }
 
+// silence is how long an engine may give no sign of life to anyone while a
+// request waits: it reads the longest prompts in about a second.
+const silence = 1500 * time.Millisecond
+
+// watch keeps work from an upstream that is silent, and forgives one that has
+// been heard since it was kept from work.
+func (p *Placer) watch(now time.Time, s *state) {
+	heard := s.heard
+	if s.peers.heard.After(heard) {
+		heard = s.peers.heard
+	}
+	s.breaker = s.breaker.WithLife(heard)
+	since := s.peers.waitsSince
+	if len(s.waiting) > 0 && (since.IsZero() || s.waiting[0].since.Before(since)) {
+		since = s.waiting[0].since
+	}
+	if !since.IsZero() && now.Sub(since) > silence && heard.Before(since) && s.breaker.Allows(now) {
+		s.breaker = s.breaker.WithCrash(now)
+	}
+}
+
+// tested reports whether an upstream that has failed lately is being tried with
+// a request: others wait for its outcome.
+func (p *Placer) tested(now time.Time, s *state) bool {
+	return !p.desperate && s.breaker.Trial(now) && s.mine.Running+s.peers.Running > 0
+}
+
+// Lives says that something came from the upstream of the choice at now.
+func (p *Placer) Lives(now time.Time, c Choice) { c.state.heard = now }
+
 func (p *Placer) pickPlain(now time.Time, q *Query) (Choice, bool) {
 	var best *state
 	bestCost := math.Inf(1)
 	var wait float64
 	for _, s := range p.services[q.Service] {
-		if !p.eligible(now, s, q) {
+		p.watch(now, s)
+		if !p.eligible(now, s, q) || p.tested(now, s) {
 			continue
 		}
 		running := float64(s.mine.Running + s.peers.Running)
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -131,14 +131,14 @@
 	p := newPlacer(4, engines(6, func(i int) int { return 1 + i%2 }))
 	for i := range 50 {
 		q := prompt(fmt.Sprint("s", i), 1000)
-		q.Version, q.Named, q.Required = 2, 11*time.Second, 2
+		q.Version, q.Named, q.Limits = 2, 11*time.Second, []placer.Limit{{Version: 2, Left: time.Second}}
 		if c := pick(t, p, start, q); c.Version != 2 {
 			t.Fatalf("request %d was sent to weights of version %d", i, c.Version)
 		}
 	}
 	p.SetUpstreams(engines(6, one), nil)
 	q := prompt("s", 1000)
-	q.Required = 2
+	q.Limits = []placer.Limit{{Version: 2, Left: time.Second}}
 	if _, ok := p.Pick(start, q); ok {
 		t.Fatal("an engine with old weights was found")
 	}
