--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -35,7 +35,7 @@
 
 // Placement makes the choices of the node in charge.
 type Placement interface {
-	Advise(peer string, question uint64, q *placer.Query) (placer.Advice, bool)
+	Advise(peer string, question uint64, q *placer.Query) (placer.Advice, placer.Verdict)
 }
 
 type question struct {
@@ -45,9 +45,9 @@
 }
 
 type answer struct {
-	Number uint64
-	Found  bool
-	Advice placer.Advice
+	Number  uint64
+	Verdict placer.Verdict
+	Advice  placer.Advice
 }
 
 // Adviser is safe for concurrent use.
@@ -84,10 +84,10 @@
 }
 
 // Ask implements relayer.Adviser.
-func (a *Adviser) Ask(ctx context.Context, number uint64, q *placer.Query) (placer.Advice, bool) {
+func (a *Adviser) Ask(ctx context.Context, number uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
 	hub := a.inCharge()
 	if hub == nil || hub.Name == a.self {
-		return placer.Advice{}, false
+		return placer.Advice{}, placer.Unanswered
 	}
 	reply := make(chan answer, 1)
 	a.mu.Lock()
@@ -100,17 +100,17 @@
 	}()
 	if err := a.post.Send(hub.Peer, herald.Question, &question{Number: number, From: a.self, Query: *q}); err != nil {
 		a.missed(hub.Name, err)
-		return placer.Advice{}, false
+		return placer.Advice{}, placer.Unanswered
 	}
 	select {
 	case got := <-reply:
 		a.heard(hub.Name)
-		return got.Advice, got.Found
+		return got.Advice, got.Verdict
 	case <-a.clk.After(patience):
 		a.missed(hub.Name, errors.Timeoutf("answer of the node in charge"))
 	case <-ctx.Done():
 	}
-	return placer.Advice{}, false
+	return placer.Advice{}, placer.Unanswered
 }
 
 // inCharge returns the first hub that answers, nil if none does.
@@ -157,8 +157,8 @@
 	if err := msgpack.Unmarshal(body, &q); err != nil {
 		return errors.Annotate(err, "question")
 	}
-	advice, ok := a.place.Advise(q.From, q.Number, &q.Query)
-	return a.post.Send(from, herald.Answer, &answer{Number: q.Number, Found: ok, Advice: advice})
+	advice, verdict := a.place.Advise(q.From, q.Number, &q.Query)
+	return a.post.Send(from, herald.Answer, &answer{Number: q.Number, Verdict: verdict, Advice: advice})
 }
 
 func (a *Adviser) answered(_ string, body []byte) error {
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -79,15 +79,15 @@
 // take chooses an upstream and counts the send. budget is false if a repeat
 // was not allowed.
 func (u *run) take(q *placer.Query) (c placer.Choice, ok, budget bool) {
-	advice, settle := u.ask(q)
+	advice, verdict, settle := u.ask(q)
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
 	defer settle()
 	now := u.r.Clock.Now()
-	if advice != nil {
-		c, ok = u.r.placer.Follow(now, *advice, q)
+	if verdict == placer.Placed {
+		c, ok = u.r.placer.Follow(now, advice, q)
 	}
-	if u.advised = ok; !ok {
+	if u.advised = ok; !ok && verdict != placer.Wait {
 		c, ok = u.r.placer.Pick(now, q)
 	}
 	if !ok || u.tooLate(now, c) {
@@ -99,11 +99,11 @@
 	return u.r.placer.Sent(now, c, q), true, true
 }
 
-// ask asks the node in charge where to send a prompt; nil for no advice. settle
-// is called with the relayer's lock once the outcome shows in the loads.
-func (u *run) ask(q *placer.Query) (advice *placer.Advice, settle func()) {
+// ask asks the node in charge where to send a prompt. settle is called with the
+// relayer's lock once the outcome shows in the loads.
+func (u *run) ask(q *placer.Query) (advice placer.Advice, v placer.Verdict, settle func()) {
 	if q.Prompt == nil || u.r.Adviser == nil {
-		return nil, func() {}
+		return advice, placer.Unanswered, func() {}
 	}
 	asked := *q
 	u.r.mu.Lock()
@@ -112,10 +112,8 @@
 	u.r.open[id] = struct{}{}
 	asked.Broken = u.r.placer.Broken(u.r.Clock.Now())
 	u.r.mu.Unlock()
-	if a, ok := u.r.Adviser.Ask(u.ctx, id, &asked); ok {
-		advice = &a
-	}
-	return advice, func() { delete(u.r.open, id) }
+	advice, v = u.r.Adviser.Ask(u.ctx, id, &asked)
+	return advice, v, func() { delete(u.r.open, id) }
 }
 
 // tooLate reports whether the engines have so much to read that the request's
--- a/internal/relayer/port.go
+++ b/internal/relayer/port.go
@@ -121,9 +121,9 @@
 
 // Adviser asks the node that knows what all nodes have sent.
 type Adviser interface {
-	// Ask returns its advice, false if there is none in time. The numbers of
-	// questions rise.
-	Ask(ctx context.Context, question uint64, q *placer.Query) (placer.Advice, bool)
+	// Ask returns its advice; placer.Unanswered if there is none in time. The
+	// numbers of questions rise.
+	Ask(ctx context.Context, question uint64, q *placer.Query) (placer.Advice, placer.Verdict)
 }
 
 // BootClock goes on while the VM is suspended.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -118,7 +118,7 @@
 }
 
 // Advise answers the question of a peer where to send a prompt.
-func (r *Relayer) Advise(peer string, question uint64, q *placer.Query) (placer.Advice, bool) {
+func (r *Relayer) Advise(peer string, question uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.placer.Advise(r.Clock.Now(), peer, question, q)
--- a/pkg/placer/advice.go
+++ b/pkg/placer/advice.go
@@ -11,6 +11,7 @@
 	Upstream uint32 // its Key
 	Version  int
 	Misses   int
+	Tokens   int // of the engine's memory
 	Running  int
 	WaitMs   float64
 	// Source is the Key of an engine to fetch cached parts from, 0 for the store
@@ -27,12 +28,28 @@
 	load     Load
 }
 
+// Verdict says what became of a question.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Unanswered means that nobody is there who knows better.
+	Unanswered Verdict = iota
+	// Wait means that no engine has room for the prompt now.
+	Wait
+	// Placed comes with advice.
+	Placed
+)
+
 // Advise answers a peer's question with a choice, and counts it as followed.
 // The numbers of a peer's questions rise.
-func (p *Placer) Advise(now time.Time, peer string, question uint64, q *Query) (Advice, bool) {
+func (p *Placer) Advise(now time.Time, peer string, question uint64, q *Query) (Advice, Verdict) {
 	c, ok := p.Pick(now, q)
-	if !ok {
-		return Advice{}, false
+	switch {
+	case !ok && len(p.services[q.Service]) == 0:
+		return Advice{}, Unanswered
+	case !ok:
+		return Advice{}, Wait
 	}
 	l := Load{Upstream: c.state.key, Running: 1, Reading: c.Misses, Tokens: c.tokens, OldestMS: 1}
 	if q.Fixed {
@@ -49,9 +66,9 @@
 		p.remember(now, c, q)
 	}
 	return Advice{
-		Upstream: c.state.key, Version: c.Version, Misses: c.Misses, Running: c.Running, WaitMs: c.WaitMs,
+		Upstream: c.state.key, Version: c.Version, Misses: c.Misses, Tokens: c.tokens, Running: c.Running, WaitMs: c.WaitMs,
 		Source: c.from, Save: c.Save != "",
-	}, true
+	}, Placed
 }
 
 // Follow turns advice for q into a choice, unless this node knows better.
@@ -68,7 +85,7 @@
 		return c, true
 	}
 	c.Version = max(a.Version, s.version(q.Prompt.Model))
-	c.tokens = q.Prompt.Tokens - q.Prompt.Shared() + q.Prompt.MaxOutput
+	c.tokens = a.Tokens
 	c.Source = q.Cache
 	if source := p.keys[a.Source]; a.Source != cacheKey && source != nil {
 		c.Source, c.from = source.up.Address, a.Source
--- a/pkg/placer/knowledge.go
+++ b/pkg/placer/knowledge.go
@@ -22,6 +22,7 @@
 // expectation is what an engine would find of the shared parts of a prompt.
 type expectation struct {
 	have float64 // tokens, its own and fetched
+	own  float64 // of these, its own
 	// fetched tokens of have come from source; nil for none.
 	fetched float64
 	source  *depth
@@ -137,7 +138,7 @@
 			e.kept = float64(d.tokens) * d.likely
 		}
 	}
-	e.have = own
+	e.have, e.own = own, own
 	for i := range k {
 		d := &k[i]
 		if d.version != version || d.state == s || !d.usable {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -204,7 +204,6 @@
 	var best Choice
 	bestCost := math.Inf(1)
 	roomy := p.cacheKeeps(now, q) >= crowded
-	own := q.Prompt.Tokens - q.Prompt.Shared()
 	for _, s := range p.services[q.Service] {
 		p.watch(now, s)
 		if !p.eligible(now, s, q) || p.tested(now, s) {
@@ -214,10 +213,14 @@
 		e := known.expect(s, version)
 		misses := max(0, q.Prompt.Tokens-int(e.have))
 		wait := p.wait(now, s)
+		tokens := q.Prompt.Tokens - int(e.own) + q.Prompt.MaxOutput
+		if p.full(s, tokens) {
+			continue
+		}
 		if !q.mayBegin(version, wait+float64(misses)/p.weights.TokensPerMs) {
 			continue
 		}
-		cost := wait + float64(misses)/p.weights.TokensPerMs + p.runningCost(now, s, own)
+		cost := wait + float64(misses)/p.weights.TokensPerMs + p.runningCost(now, s)
 		if e.source != nil {
 			cost += p.weights.FetchMs + e.fetched*p.weights.FetchMsPerToken
 		}
@@ -226,7 +229,7 @@
 			bestCost = cost
 			best = Choice{
 				Upstream: s.up, Version: version, WaitMs: wait, Misses: misses, Running: s.mine.Running + s.peers.Running,
-				tokens: own + q.Prompt.MaxOutput, state: s, Source: q.Cache,
+				tokens: tokens, state: s, Source: q.Cache,
 			}
 			if e.source != nil && e.source.state != nil {
 				best.Source, best.from = e.source.state.up.Address, e.source.state.key
@@ -257,15 +260,19 @@
 // the store of cached parts.
 const saveTokens = 256
 
-func (p *Placer) runningCost(now time.Time, s *state, tokens int) float64 {
+// full reports whether an engine has no memory for further tokens beside the
+// cached parts that make it fast.
+func (p *Placer) full(s *state, tokens int) bool {
+	used := s.mine.Tokens + s.peers.Tokens
+	return s.memory > 0 && used > 0 && float64(used+tokens) > fullShare*float64(s.memory)
+}
+
+func (p *Placer) runningCost(now time.Time, s *state) float64 {
 	running := s.mine.Running + s.peers.Running
 	cost := p.weights.RunningMs * float64(running)
 	if slots := float64(s.up.Slots) * s.breaker.Share(now); slots > 0 && float64(running) >= slots {
 		cost += crowdedMs
 	}
-	if used := s.mine.Tokens + s.peers.Tokens + tokens; s.memory > 0 && float64(used) > fullShare*float64(s.memory) {
-		cost += crowdedMs
-	}
 	return cost
 }
 
@@ -274,7 +281,7 @@
 	// request waits there for another one's end.
 	crowdedMs = 400
 	// fullShare leaves room for the cached parts that make an engine fast.
-	fullShare = 0.8
+	fullShare = 0.5
 )
 
 func (p *Placer) placeCost(s *state, q *Query) float64 {
