--- /dev/null
+++ b/internal/soak/proxier/proxier_test.go
@@ -0,0 +1,96 @@
+package proxier_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/soak/planner"
+	"github.com/auburnnotch/auburnnotch/internal/soak/proxier"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+)
+
+// echoes listens and sends each line back.
+func echoes(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestTroublesOfLinks(t *testing.T) {
+	for _, c := range []struct {
+		trouble planner.LinkTrouble
+		// old and fresh say whether an open and a new connection answer.
+		old, fresh bool
+	}{
+		{"", true, true},
+		{planner.Delayed, true, true},
+		{planner.Reset, false, true},
+		{planner.Silenced, false, true},
+		{planner.Forward, false, false},
+		{planner.Backward, false, false},
+		{planner.Unreached, false, false},
+	} {
+		t.Run(string(c.trouble), func(t *testing.T) {
+			p, err := proxier.New(systemclock.New(), "127.0.0.1:0", echoes(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = p.Run(ctx) })
+			defer wg.Wait()
+			defer cancel()
+			answers := func(conn net.Conn) bool {
+				if _, err := io.WriteString(conn, "x\n"); err != nil {
+					return false
+				}
+				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+				line, err := bufio.NewReader(conn).ReadString('\n')
+				return err == nil && line == "x\n"
+			}
+			open, err := net.Dial("tcp4", p.Addr())
+			if err != nil || !answers(open) {
+				t.Fatalf("no answer without trouble: %v", err)
+			}
+			defer open.Close()
+			p.SetTrouble(c.trouble)
+			if got := answers(open); got != c.old {
+				t.Errorf("open connection answers: %v", got)
+			}
+			fresh, err := net.Dial("tcp4", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer fresh.Close()
+			if got := answers(fresh); got != c.fresh {
+				t.Errorf("new connection answers: %v", got)
+			}
+			p.SetTrouble("")
+			again, err := net.Dial("tcp4", p.Addr())
+			if err != nil || !answers(again) {
+				t.Errorf("no answer after the trouble: %v", err)
+			}
+			if again != nil {
+				_ = again.Close()
+			}
+		})
+	}
+}
