perf: parts are fetched only from engines that have read them

Cause: an engine counted as a source from the moment a prompt was sent to it; one that was told to fetch from it before it had read the prompt found nothing and read again.

--- a/pkg/placer/holdings.go
+++ b/pkg/placer/holdings.go
@@ -22,6 +22,8 @@
 	key     uint32
 	version int32
 	used    int32 // ms since the start of the holdings
+	// ready is when the engine will have read the part, in the same ms.
+	ready int32
 }
 
 // cacheKey stands for the store of cached parts, which isn't an upstream.
@@ -45,12 +47,14 @@
 	return holdings{young: map[uint64]holders{}, old: map[uint64]holders{}}
 }
 
-// add remembers that an engine was sent a prompt.
-func (h *holdings) add(now time.Time, chain []uint64, by holder) {
+// add remembers that an engine was sent a prompt, which it will have read after
+// reading.
+func (h *holdings) add(now time.Time, chain []uint64, by holder, reading time.Duration) {
 	if h.started.IsZero() {
 		h.started = now
 	}
 	by.used = int32(now.Sub(h.started) / time.Millisecond)
+	by.ready = by.used + int32(reading/time.Millisecond)
 	if now.Sub(h.turned) > generation || len(h.young) > partsPerGeneration {
 		h.young, h.old = map[uint64]holders{}, h.young
 		h.turned = now
@@ -60,6 +64,12 @@
 	}
 }
 
+// unread returns for how long a holder still reads a part; it is negative once
+// it has read it.
+func (h *holdings) unread(now time.Time, by holder) time.Duration {
+	return time.Duration(by.ready)*time.Millisecond - now.Sub(h.started)
+}
+
 func (h *holdings) find(key uint64) holders {
 	if e, ok := h.young[key]; ok {
 		return e
@@ -74,6 +84,9 @@
 	for i, x := range e {
 		if x.key == by.key && x.version != 0 {
 			last = i
+			if x.version == by.version {
+				by.ready = min(by.ready, x.ready) // it has been read before
+			}
 			break
 		}
 	}
--- a/pkg/placer/knowledge.go
+++ b/pkg/placer/knowledge.go
@@ -14,6 +14,8 @@
 	// likely is the chance that it hasn't been evicted since.
 	likely float64
 	usable bool // as a source for engines
+	// unreadMs is for how long it is still being read there.
+	unreadMs float64
 }
 
 // knowledge is what is believed of the holders of one prompt.
@@ -111,19 +113,27 @@
 		if q.Cache == "" || by.version == 0 {
 			return depth{}, false
 		}
-		return depth{version: int(by.version), likely: math.Exp(-age / float64(p.cacheKeeps(now, q))), usable: true}, true
+		return depth{
+			version: int(by.version), likely: math.Exp(-age / float64(p.cacheKeeps(now, q))), usable: true, unreadMs: p.unreadMs(now, by),
+		}, true
 	}
 	s := p.keys[by.key]
 	if s == nil || !s.present || by.version != int32(s.version(q.Prompt.Model)) {
 		return depth{}, false
 	}
 	usable := !s.up.Draining && s.breaker.Allows(now) && s.up.Service == q.Service && !now.Before(s.closedUntil)
-	return depth{state: s, version: int(by.version), likely: math.Exp(-age / float64(engineKeeps)), usable: usable}, true
+	return depth{
+		state: s, version: int(by.version), likely: math.Exp(-age / float64(engineKeeps)), usable: usable, unreadMs: p.unreadMs(now, by),
+	}, true
+}
+
+func (p *Placer) unreadMs(now time.Time, by holder) float64 {
+	return float64(p.held.unread(now, by)) / float64(time.Millisecond)
 }
 
 // expect weighs what an engine holds itself and where the rest is best fetched
-// from.
-func (k knowledge) expect(s *state, version int) expectation {
+// from, once the engine turns to the prompt after a wait in ms.
+func (k knowledge) expect(s *state, version int, wait float64) expectation {
 	var e expectation
 	own := 0.0
 	for i := range k {
@@ -141,7 +151,7 @@
 	e.have, e.own = own, own
 	for i := range k {
 		d := &k[i]
-		if d.version != version || d.state == s || !d.usable {
+		if d.version != version || d.state == s || !d.usable || d.unreadMs > wait {
 			continue
 		}
 		if brought := (float64(d.tokens) - own) * d.likely; own+brought > e.have {
--- a/pkg/placer/load.go
+++ b/pkg/placer/load.go
@@ -90,12 +90,16 @@
 	return out
 }
 
+// toldReading is how long the engine still reads a prompt of which a peer tells:
+// one is told of about 100 ms late, and read in up to 300 ms.
+const toldReading = 200 * time.Millisecond
+
 // Learned takes a peer's word about where it sent a prompt.
 func (p *Placer) Learned(now time.Time, pl Placement) {
 	prefix := []uint64{pl.Prefix}
-	p.held.add(now, prefix, holder{key: pl.Upstream, version: int32(pl.Version)})
+	p.held.add(now, prefix, holder{key: pl.Upstream, version: int32(pl.Version)}, toldReading)
 	if pl.Cached {
-		p.held.add(now, prefix, holder{key: cacheKey, version: int32(pl.Version)})
+		p.held.add(now, prefix, holder{key: cacheKey, version: int32(pl.Version)}, toldReading)
 	}
 }
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -210,9 +210,9 @@
 			continue
 		}
 		version := s.version(q.Prompt.Model)
-		e := known.expect(s, version)
-		misses := max(0, q.Prompt.Tokens-int(e.have))
 		wait := p.wait(now, s)
+		e := known.expect(s, version, wait)
+		misses := max(0, q.Prompt.Tokens-int(e.have))
 		tokens := q.Prompt.Tokens - int(e.own) + q.Prompt.MaxOutput
 		if p.full(s, tokens) {
 			continue
@@ -408,12 +408,13 @@
 // remember takes down which parts the chosen engine has from now on.
 func (p *Placer) remember(now time.Time, c Choice, q *Query) {
 	p.chain = appendChain(p.chain[:0], q)
-	p.held.add(now, p.chain, holder{key: c.state.key, version: int32(c.Version)})
+	reading := time.Duration((c.WaitMs + float64(c.Misses)/p.weights.TokensPerMs) * float64(time.Millisecond))
+	p.held.add(now, p.chain, holder{key: c.state.key, version: int32(c.Version)}, reading)
 	if c.Save != "" {
 		p.saving.add(now, q.Prompt.Tokens)
 	}
 	if c.cached(q) {
-		p.held.add(now, p.chain[:max(0, len(p.chain)-1)], holder{key: cacheKey, version: int32(c.Version)})
+		p.held.add(now, p.chain[:max(0, len(p.chain)-1)], holder{key: cacheKey, version: int32(c.Version)}, reading)
 	}
 }
 
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -324,3 +324,24 @@
 		})
 	}
 }
+
+// Pattern: one session asked for twice within the time of reading it. The second
+// prompt can't fetch what the first one's engine hasn't read yet.
+func TestPartsAreFetchedOnlyOnceTheyAreRead(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		fetch bool
+	}{{10 * time.Millisecond, false}, {time.Second, true}} {
+		p := newPlacer(11, engines(2, one))
+		q := prompt("s", 1000)
+		q.Cache = ""
+		first := pick(t, p, start, q)
+		now := start.Add(c.after)
+		other := prompt("s", 2000)
+		other.Cache, other.Exclude = "", []string{first.Upstream.Incarnation()}
+		got := pick(t, p, now, other)
+		if fetched := got.Source == first.Upstream.Address && got.Misses < 3000; fetched != c.fetch {
+			t.Errorf("after %v: source %q, %d tokens to read", c.after, got.Source, got.Misses)
+		}
+	}
+}
