fix: the node in charge counts what the store of cached parts takes in once

Cause: a node takes what it saves itself times the number of nodes for what all save; the node in charge knows of all, and so counted 91-fold: it believed that the store kept parts for a second only.

--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -50,7 +50,12 @@
 	m.Revision, m.Sum, m.Newest = d.Revision, d.Sum, d.Config
 	m.Reader = fresh && g.roster().IsHub(m.From)
 	m.CacheDown = g.cache.Down()
-	g.relay.SetFleet(len(g.looks.Fleet().Nodes))
+	fleet := g.roster()
+	if hubs := fleet.Hubs(); len(hubs) > 0 && hubs[0].Name == g.self {
+		g.relay.SetFleet(1)
+	} else {
+		g.relay.SetFleet(len(fleet.Nodes()))
+	}
 	g.mu.Lock()
 	g.told = t.Loads
 	g.mu.Unlock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -124,7 +124,7 @@
 	return r.placer.Advise(r.Clock.Now(), peer, question, q)
 }
 
-// SetFleet tells how many nodes there are.
+// SetFleet is that of the placer.
 func (r *Relayer) SetFleet(nodes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -253,7 +253,8 @@
 	return max(reading, oldest, s.peers.oldest(now))
 }
 
-// SetFleet tells how many nodes there are.
+// SetFleet tells how many nodes place as many prompts as this one does by what
+// it knows; 1 for a node in charge, which knows of all.
 func (p *Placer) SetFleet(nodes int) { p.nodes = nodes }
 
 // saveTokens is how many shared tokens must be read anew to be worth a place in
