perf: what an engine takes in has a price, since it pushes out cached parts

Cause: a session that moves to another engine, by a fetch or a new read, takes 6,300 tokens of memory there, for which others' parts are dropped and read again; placement knew only the time of the move.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -221,6 +221,7 @@
 			continue
 		}
 		cost := wait + float64(misses)/p.weights.TokensPerMs + p.runningCost(now, s)
+		cost += float64(q.Prompt.Tokens-int(e.own)) * p.weights.EvictMsPerToken
 		if e.source != nil {
 			cost += p.weights.FetchMs + e.fetched*p.weights.FetchMsPerToken
 		}
--- a/pkg/placer/weights.go
+++ b/pkg/placer/weights.go
@@ -13,6 +13,9 @@
 	// engine, FetchMsPerToken that of each token.
 	FetchMs         float64
 	FetchMsPerToken float64
+	// EvictMsPerToken is the price of each token that an engine takes in: it
+	// pushes out another cached one, which may have to be read again.
+	EvictMsPerToken float64
 	// FarMs is the price of an upstream in another data centre.
 	FarMs float64
 	// OldWeightsMs is the price of an answer on weights after newer ones were
@@ -33,6 +36,8 @@
 		FetchMs:     6,  // a round trip, a look, and a source that may have lost the part
 		// 18 KB a token over a link of 280 Gbit/s, twice that between data centres.
 		FetchMsPerToken: 0.015,
+		// A third of what is pushed out is asked for again, and read in 0.028 ms.
+		EvictMsPerToken: 0.01,
 		FarMs:           8,   // a round trip of 2 ms, and the priced bytes
 		OldWeightsMs:    160, // a fifth of the worth of an answer whose objective is 800 ms
 		Grace:           1500 * time.Millisecond,
