--- a/pkg/placer/weights.go
+++ b/pkg/placer/weights.go
@@ -36,8 +36,8 @@
 		FetchMs:     6,  // a round trip, a look, and a source that may have lost the part
 		// 18 KB a token over a link of 280 Gbit/s, twice that between data centres.
 		FetchMsPerToken: 0.015,
-		// A third of what is pushed out is asked for again, and read in 0.028 ms.
-		EvictMsPerToken: 0.01,
+		// Most of what is pushed out is asked for again, and then read in 0.028 ms.
+		EvictMsPerToken: 0.025,
 		FarMs:           8,   // a round trip of 2 ms, and the priced bytes
 		OldWeightsMs:    160, // a fifth of the worth of an answer whose objective is 800 ms
 		Grace:           1500 * time.Millisecond,
