perf: nodes campaign by rank; a hub that reads the store is asked for placement

The office fell to a hub that was cut off from the store at 8 s, and 2.5 s more passed until a node that isn't a hub took it; engines stayed on old weights beyond the time in which these may be used. The same hub, which the others still reached, was asked for placement without knowing of the roll-out.

Nodes campaign 50 ms later for each place in the roster. Of the hubs that answer the one is asked that has said lately that it reads the store.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -36,6 +36,8 @@
 // Placement makes the choices of the node in charge.
 type Placement interface {
 	Advise(peer string, question uint64, q *placer.Query) (placer.Advice, placer.Verdict)
+	// Informed reports whether a hub has said lately that it reads the store.
+	Informed(node string) bool
 }
 
 type question struct {
@@ -113,19 +115,27 @@
 	return placer.Advice{}, placer.Unanswered
 }
 
-// inCharge returns the first hub that answers, nil if none does.
+// inCharge returns the first hub that answers and knows the fleet as it is. Where
+// none can read the store, the first one that answers; nil if none does.
 func (a *Adviser) inCharge() *traffic.Node {
 	hubs := a.fleet().Hubs()
 	now := a.clk.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	var answers *traffic.Node
 	for i := range hubs {
-		if now.Before(a.silent[hubs[i].Name].until) {
+		hub := &hubs[i]
+		if now.Before(a.silent[hub.Name].until) {
 			continue
 		}
-		return &hubs[i]
+		if a.place.Informed(hub.Name) {
+			return hub
+		}
+		if answers == nil {
+			answers = hub
+		}
 	}
-	return nil
+	return answers
 }
 
 func (a *Adviser) missed(node string, err error) {
--- a/internal/adviser/adviser_test.go
+++ b/internal/adviser/adviser_test.go
@@ -58,7 +58,12 @@
 }
 
 // place gives the node's own number as advice.
-type place struct{ version int }
+type place struct {
+	version    int
+	uninformed *string // a node that doesn't read the store
+}
+
+func (p place) Informed(node string) bool { return node != *p.uninformed }
 
 func (p place) Advise(_ string, _ uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
 	return placer.Advice{Version: p.version, Misses: q.Prompt.Tokens}, placer.Placed
@@ -70,6 +75,8 @@
 	nodes []*adviser.Adviser
 	hubs  []string // addresses, the one in charge first
 	hook  *logtest.Hook
+	// uninformed is a node that doesn't read the store.
+	uninformed string
 }
 
 func newWorld(t *testing.T) *world {
@@ -88,7 +95,7 @@
 	w.hook = hook
 	for i := range nodes {
 		a := adviser.New(w.clk, log, nodes[i].Name, func() *roster.Roster { return fleet })
-		a.Join(port{n: w.net, addr: nodes[i].Peer}, place{version: i + 1})
+		a.Join(port{n: w.net, addr: nodes[i].Peer}, place{version: i + 1, uninformed: &w.uninformed})
 		w.nodes = append(w.nodes, a)
 	}
 	return w
@@ -174,3 +181,21 @@
 		t.Error("an unreadable answer passes")
 	}
 }
+
+// A hub that is cut off from the store doesn't hear of new engines and weights.
+func TestTheHubThatReadsTheStoreIsAsked(t *testing.T) {
+	w := newWorld(t)
+	w.uninformed = "n0"
+	if v, asked := w.ask(t, 2, 1); v != 2 || asked != "a1" {
+		t.Errorf("advice %d of %s", v, asked)
+	}
+	// Where the other one is silent, its word is better than none.
+	w.net.mu.Lock()
+	w.net.dead["a1"] = true
+	w.net.mu.Unlock()
+	w.ask(t, 2, 2)
+	w.ask(t, 2, 3)
+	if v, asked := w.ask(t, 2, 4); v != 1 || asked != "a0" {
+		t.Errorf("with the other hub silent: advice %d of %s", v, asked)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,7 +84,7 @@
 	limit := time.Duration(proofShare * float64(s.RevokeMS) * float64(time.Millisecond))
 	conns := connector.New(clk)
 	ups := orders.New(conns)
-	talk := &gossip{self: s.Name, clk: clk, boot: boot, looks: looks, leaving: map[string]leaver{}}
+	talk := &gossip{self: s.Name, clk: clk, boot: boot, looks: looks, leaving: map[string]leaver{}, readers: map[string]time.Time{}}
 	duty := func() bool { return talk.roster().IsHub(s.Name) }
 	cache := prober.New(clk, log, ups, func() string {
 		if v := looks.View(); v != nil && v.Matcher.Cache() != nil {
@@ -109,7 +109,7 @@
 		return nil, errors.Trace(err)
 	}
 	talk.herald = tell
-	advice.Join(tell, relay)
+	advice.Join(tell, talk)
 	looks.SetReader(duty)
 	issue := orderer.New(orderer.Settings{
 		Node: s.Name, Gap: time.Duration(s.OrderGapMS) * time.Millisecond,
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -31,9 +31,10 @@
 
 	mu      sync.Mutex
 	leaving map[string]leaver
-	silent  []string      // nodes that a hub doesn't hear from
-	heardAt time.Time     // of the last word about them
-	told    []placer.Load // in the last message
+	readers map[string]time.Time // when hubs were heard that read the store
+	silent  []string             // nodes that a hub doesn't hear from
+	heardAt time.Time            // of the last word about them
+	told    []placer.Load        // in the last message
 }
 
 // wholeFleet stands for all other nodes as the source of a sum.
@@ -80,6 +81,9 @@
 	now := g.clk.Now()
 	g.heardLoads(m)
 	if m.Reader {
+		g.mu.Lock()
+		g.readers[m.From] = now
+		g.mu.Unlock()
 		g.looks.HeardDigest(observer.Digest{Revision: m.Revision, Sum: m.Sum, Config: m.Newest})
 		g.cache.Heard(m.CacheDown)
 	}
@@ -149,6 +153,26 @@
 	return ok && l.boot == boot && g.clk.Now().Sub(l.at) < leavingMemory
 }
 
+// readerMemory is how long a hub's word that it reads the store counts: three of
+// its messages in a large fleet.
+const readerMemory = 1500 * time.Millisecond
+
+// Informed implements adviser.Placement.
+func (g *gossip) Informed(node string) bool {
+	if node == g.self {
+		_, fresh := g.looks.Digest()
+		return fresh
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.clk.Now().Sub(g.readers[node]) < readerMemory
+}
+
+// Advise implements adviser.Placement.
+func (g *gossip) Advise(peer string, question uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
+	return g.relay.Advise(peer, question, q)
+}
+
 // silentMemory is how long a hub's word about silent nodes counts.
 const silentMemory = 3 * time.Second
 
--- a/internal/herald/herald.go
+++ b/internal/herald/herald.go
@@ -23,7 +23,7 @@
 	// about as long.
 	every = 100 * time.Millisecond
 	// hubRounds is how many rounds pass between two sums of a hub.
-	hubRounds = 2
+	hubRounds = 5
 	// silentAfter is the silence after which callers aren't sent to a node: about
 	// ten of its messages, of which some may be lost.
 	silentAfter = time.Second
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -36,10 +36,11 @@
 	// campaignPause keeps nodes from writing the office all at once again and
 	// again.
 	campaignPause = 400 * time.Millisecond
-	// hubsFirst is how long the office must be free for nodes other than the hubs
-	// to campaign: some 90 nodes that do so at once make 270 priced calls. Hubs
-	// that live take it within two looks at the store.
-	hubsFirst = 2500 * time.Millisecond
+	// turn is how much later than the one before it in the roster a node campaigns:
+	// some 90 nodes that do so at once make 270 priced calls. Within a look at the
+	// store, some 15 do.
+	turn        = 50 * time.Millisecond
+	longestTurn = 1500 * time.Millisecond
 	// noteEvery lets the store be read between two writes of namings.
 	noteEvery = 2 * time.Second
 	// closeFor is how long an engine with an order gets no work, unless it is
@@ -153,9 +154,11 @@
 		switch {
 		case !f.Read || f.Issuer != nil && f.Issuer.Node != "":
 			vacant = time.Time{}
-		case vacant.IsZero() && !f.Roster.IsHub(o.set.Node):
+		case vacant.IsZero():
 			vacant = o.clk.Now()
-		case f.Roster.IsHub(o.set.Node) || o.clk.Now().Sub(vacant) > hubsFirst:
+			o.wait(ctx, min(longestTurn, time.Duration(f.Roster.Rank(o.set.Node))*turn))
+			continue
+		default:
 			o.campaign(ctx, f.Issuer)
 		}
 		o.wait(ctx, campaignPause)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -21,39 +21,43 @@
 // Roster is the nodes at one moment. It is immutable.
 type Roster struct {
 	nodes []traffic.Node
-	hubs  []traffic.Node
+	order []traffic.Node // hubs first
 }
 
 // New returns the Roster of nodes, which mustn't be changed any more. The hubs
 // are those of the most powerful nodes that hashing puts first, so that all
 // nodes agree.
 func New(nodes []traffic.Node) *Roster {
-	hubs := append([]traffic.Node(nil), nodes...)
-	sort.Slice(hubs, func(i, j int) bool {
-		if hubs[i].Power != hubs[j].Power {
-			return hubs[i].Power > hubs[j].Power
+	order := append([]traffic.Node(nil), nodes...)
+	sort.Slice(order, func(i, j int) bool {
+		if order[i].Power != order[j].Power {
+			return order[i].Power > order[j].Power
 		}
-		return xxhash.Sum64String(hubs[i].Name) > xxhash.Sum64String(hubs[j].Name)
+		return xxhash.Sum64String(order[i].Name) > xxhash.Sum64String(order[j].Name)
 	})
-	return &Roster{nodes: nodes, hubs: hubs[:min(hubCount, len(hubs))]}
+	return &Roster{nodes: nodes, order: order}
 }
 
 // Nodes returns all nodes. They mustn't be changed.
 func (r *Roster) Nodes() []traffic.Node { return r.nodes }
 
 // Hubs returns the nodes that work for the others, the one in charge first.
-func (r *Roster) Hubs() []traffic.Node { return r.hubs }
-
-// IsHub reports whether a node works for the others.
-func (r *Roster) IsHub(name string) bool {
-	for i := range r.hubs {
-		if r.hubs[i].Name == name {
-			return true
+func (r *Roster) Hubs() []traffic.Node { return r.order[:min(hubCount, len(r.order))] }
+
+// Rank returns the place of a node among all, from 0 on, hubs first. A node that
+// isn't registered comes last.
+func (r *Roster) Rank(name string) int {
+	for i := range r.order {
+		if r.order[i].Name == name {
+			return i
 		}
 	}
-	return false
+	return len(r.order)
 }
 
+// IsHub reports whether a node works for the others.
+func (r *Roster) IsHub(name string) bool { return r.Rank(name) < min(hubCount, len(r.order)) }
+
 // Mesh reports whether the fleet is so small that every node tells every other
 // one of its traffic.
 func (r *Roster) Mesh() bool { return len(r.nodes) <= meshNodes }
