--- a/internal/relayer/advised_test.go
+++ b/internal/relayer/advised_test.go
@@ -29,7 +29,7 @@
 	if g.during != nil {
 		g.during()
 	}
-	return placer.Advice{Upstream: g.key, Misses: 10}, g.verdict
+	return placer.Advice{Upstream: g.key, Misses: 10, By: "hub"}, g.verdict
 }
 
 func ask(b *bench) *reply {
@@ -102,4 +102,7 @@
 	if r.kind != failure.NoUpstream || r.after <= 0 || b.sent() != 0 {
 		t.Errorf("kind %s, back after %v, %d sent", r.kind, r.after, b.sent())
 	}
+	if e := b.hook.LastEntry(); e.Data["event"] != "refused" || e.Data["adviser"] != "hub" {
+		t.Errorf("the log doesn't tell who knew of no room: %v", e.Data)
+	}
 }
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -84,6 +84,7 @@
 	defer u.r.mu.Unlock()
 	defer settle()
 	now := u.r.Clock.Now()
+	u.adviser = advice.By
 	if verdict == placer.Placed {
 		c, ok = u.r.placer.Follow(now, advice, q)
 	}
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -116,5 +116,8 @@
 		f["running"] = u.choice.Running
 		f["advised"] = u.advised
 	}
+	if u.adviser != "" {
+		f["adviser"] = u.adviser
+	}
 	return u.r.Log.WithFields(f)
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -66,8 +66,9 @@
 	began   bool
 	last    string // last event passed on
 	choice  placer.Choice
-	advised bool // the choice is that of the node in charge
-	first   bool // the current attempt has given its first event
+	advised bool   // the choice is that of the node in charge
+	adviser string // who gave the last advice, or knew of no room; empty for nobody
+	first   bool   // the current attempt has given its first event
 	sentAt  time.Time
 	firstIn time.Duration // from the last send to its first event
 	reason  string
--- a/pkg/placer/advice.go
+++ b/pkg/placer/advice.go
@@ -19,6 +19,8 @@
 	Source uint32
 	// Save says that the store of cached parts is to keep the prompt.
 	Save bool
+	// By is the node that gives the advice; the one that asks fills it in.
+	By string `msgpack:"-"`
 }
 
 // grant is advice that the peer's reports don't show yet.
