--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -69,10 +69,11 @@
 			return false, errors.Annotatef(err, "build the program: %s", out)
 		}
 	}
-	outcomes := make([]reporter.Outcome, len(a.seeds()))
+	seeds := a.seeds()
+	outcomes := make([]reporter.Outcome, len(seeds))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(a.Jobs)
-	for i, seed := range a.seeds() {
+	for i, seed := range seeds {
 		g.Go(func() (err error) {
 			outcomes[i], err = a.soak(ctx, seed, i)
 			return errors.Annotatef(err, "seed %d", seed)
@@ -98,7 +99,6 @@
 	first := a.Seed
 	if a.Fresh {
 		first = uint64(time.Now().Unix())
-		a.Seed, a.Fresh = first, false
 	}
 	var out []uint64
 	for i := range a.Seeds {
