--- a/internal/herald/herald.go
+++ b/internal/herald/herald.go
@@ -114,9 +114,6 @@
 	Heard(m *Message)
 }
 
-// BootClock goes on while the VM is suspended.
-type BootClock interface{ Elapsed() time.Duration }
-
 type closing struct {
 	upstream uint32
 	until    time.Time
@@ -131,7 +128,7 @@
 // Herald is a kernel service.
 type Herald struct {
 	clk   clock.Clock
-	boot  BootClock
+	boot  clock.Boot
 	log   logrus.FieldLogger
 	self  traffic.Node
 	conn  *net.UDPConn
@@ -153,7 +150,7 @@
 }
 
 // New opens the socket of a node. fleet returns the registered nodes.
-func New(clk clock.Clock, boot BootClock, log logrus.FieldLogger, self traffic.Node, fleet func() *roster.Roster, local Local) (*Herald, error) {
+func New(clk clock.Clock, boot clock.Boot, log logrus.FieldLogger, self traffic.Node, fleet func() *roster.Roster, local Local) (*Herald, error) {
 	addr, err := net.ResolveUDPAddr("udp4", self.Peer)
 	if err != nil {
 		return nil, errors.Annotate(err, "peerListen")
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -11,7 +11,6 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/observer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
-	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roller"
@@ -81,7 +80,7 @@
 type Orderer struct {
 	set     Settings
 	clk     clock.Clock
-	boot    relayer.BootClock
+	boot    clock.Boot
 	log     logrus.FieldLogger
 	store   platform.Store
 	looks   *observer.Observer
@@ -99,7 +98,7 @@
 }
 
 // New returns an Orderer without the office.
-func New(s Settings, clk clock.Clock, boot relayer.BootClock, log logrus.FieldLogger, st platform.Store, looks *observer.Observer, ups Upstreams, t Traffic) *Orderer {
+func New(s Settings, clk clock.Clock, boot clock.Boot, log logrus.FieldLogger, st platform.Store, looks *observer.Observer, ups Upstreams, t Traffic) *Orderer {
 	return &Orderer{
 		set: s, clk: clk, boot: boot, log: log, store: st, looks: looks, ups: ups, traffic: t, roller: roller.New(),
 	}
--- a/internal/relayer/port.go
+++ b/internal/relayer/port.go
@@ -125,6 +125,3 @@
 	// numbers of questions rise.
 	Ask(ctx context.Context, question uint64, q *placer.Query) (placer.Advice, placer.Verdict)
 }
-
-// BootClock goes on while the VM is suspended.
-type BootClock interface{ Elapsed() time.Duration }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -31,7 +31,7 @@
 // Parts are the services that the relayer works with.
 type Parts struct {
 	Clock     clock.Clock
-	Boot      BootClock
+	Boot      clock.Boot
 	Log       logrus.FieldLogger
 	Fleet     Fleet
 	Connector *connector.Connector
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -21,3 +21,6 @@
 	// Reset moves the call to d from now.
 	Reset(d time.Duration) bool
 }
+
+// Boot tells the time since the VM's start. It goes on while the VM is suspended.
+type Boot interface{ Elapsed() time.Duration }
