--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -65,7 +65,14 @@
 			var after atomic.Pointer[func()]
 			var runs atomic.Int32
 			k := closer.New()
-			s := &http.Server{ConnState: k.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			idle := make(chan struct{}, 8)
+			state := func(c net.Conn, s http.ConnState) {
+				k.ConnState(c, s)
+				if s == http.StateIdle {
+					idle <- struct{}{}
+				}
+			}
+			s := &http.Server{ConnState: state, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				runs.Add(1)
 				_, _ = io.WriteString(w, "answer")
 			})}
@@ -91,6 +98,7 @@
 			if err := ask(); err != nil {
 				t.Fatal(err)
 			}
+			<-idle // the answer may arrive before its end is noticed here
 			stop := func() { k.CloseIdle() }
 			after.Store(&stop)
 			err = ask()
