--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 )
 
 type applyCommand struct {
@@ -50,10 +51,8 @@
 			}
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, clk, pause) {
 			return ctx.Err()
-		case <-clk.After(pause):
 		}
 	}
 	return errors.Errorf("revision %d is accepted but not yet in force on every node; see `auburnnotch status`", revision)
--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -5,25 +5,63 @@
 package closer
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 )
 
+// sweepEvery is the time between two looks for connections that have become idle
+// during a stop.
+const sweepEvery = 20 * time.Millisecond
+
 // Closer keeps the connections of one server. It is safe for concurrent use.
 type Closer struct {
-	mu    sync.Mutex
-	conns map[string]*conn // by the caller's address
+	clk     clock.Clock
+	closing atomic.Bool
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[string]*conn // by the caller's address
 }
 
 // New returns a Closer without connections.
-func New() *Closer { return &Closer{conns: map[string]*conn{}} }
+func New(clk clock.Clock) *Closer { return &Closer{clk: clk, conns: map[string]*conn{}} }
 
 // Wrap returns l with the connections that it accepts kept.
-func (c *Closer) Wrap(l net.Listener) net.Listener { return &listener{Listener: l, closer: c} }
+func (c *Closer) Wrap(l net.Listener) net.Listener {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, l)
+	return &listener{Listener: l, closer: c}
+}
+
+// Closing reports whether the server ends: each answer is then the last one on
+// its connection, and is to say so.
+func (c *Closer) Closing() bool { return c.closing.Load() }
+
+// Finish stops listening, waits until every connection is idle or ctx ends, and
+// returns how many are left.
+func (c *Closer) Finish(ctx context.Context) int {
+	c.closing.Store(true)
+	c.mu.Lock()
+	for _, l := range c.listeners {
+		_ = l.Close() // whoever comes now is told so by the port
+	}
+	c.mu.Unlock()
+	left := c.CloseIdle()
+	for left > 0 && clock.Sleep(ctx, c.clk, sweepEvery) {
+		left = c.CloseIdle()
+	}
+	return left
+}
 
 // ConnState is to be the server's hook of that name.
 func (c *Closer) ConnState(nc net.Conn, s http.ConnState) {
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/auburnnotch/auburnnotch/internal/closer"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 )
 
 // hooks lets a test act between the arrival of bytes and their reader's hearing
@@ -64,7 +65,7 @@
 			}
 			var after atomic.Pointer[func()]
 			var runs atomic.Int32
-			k := closer.New()
+			k := closer.New(systemclock.New())
 			idle := make(chan struct{}, 8)
 			state := func(c net.Conn, s http.ConnState) {
 				k.ConnState(c, s)
--- a/internal/configkeeper/configkeeper.go
+++ b/internal/configkeeper/configkeeper.go
@@ -185,12 +185,12 @@
 	pause := firstPause
 	for ctx.Err() == nil {
 		if !p.watches() && p.Revision() > 0 {
-			p.sleep(ctx, maxPause)
+			clock.Sleep(ctx, p.clk, maxPause)
 			continue
 		}
 		e, err := p.store.Watch(ctx, platform.LineConfig, Key, version, watchWait)
 		if err != nil {
-			p.sleep(ctx, pause)
+			clock.Sleep(ctx, p.clk, pause)
 			pause = min(maxPause, 2*pause)
 			continue
 		}
@@ -206,19 +206,12 @@
 		}
 		_ = p.events.Put(ctx, follower.FromPlatform{Document: doc, Version: e.Version})
 		if e.Version == 0 {
-			p.sleep(ctx, firstPause)
+			clock.Sleep(ctx, p.clk, firstPause)
 		}
 	}
 	return nil
 }
 
-func (k *Keeper) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-k.clk.After(d):
-	}
-}
-
 func decode(e platform.Entry) (follower.Document, error) {
 	var d follower.Document
 	if e.Version == 0 {
@@ -321,7 +314,7 @@
 				return failure.New(failure.Conflict, "another operator's change came first; look at it and submit again")
 			}
 		}
-		k.sleep(ctx, firstPause)
+		clock.Sleep(ctx, k.clk, firstPause)
 	}
 	return failure.New(failure.OutcomeUnknown, "the platform's reply was lost; `auburnnotch status` shows whether revision %d came in force", doc.Revision)
 }
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -48,13 +48,13 @@
 // Fill implements herald.Local.
 func (g *gossip) Fill(m *herald.Message) {
 	t := g.relay.Tell()
-	m.Loads, m.Settled, m.Broken, m.Sent = t.Loads, t.Settled, t.Broken, t.Sent
+	m.Report, m.Sent = t.Report, t.Sent
 	d, fresh := g.looks.Digest()
 	m.Revision, m.Sum, m.Newest = d.Revision, d.Sum, d.Config
-	m.Reader = fresh && g.roster().IsHub(m.From)
-	m.CacheDown = g.cache.Down()
 	fleet := g.roster()
-	if hubs := fleet.Hubs(); len(hubs) > 0 && hubs[0].Name == g.self {
+	m.Reader = fresh && fleet.IsHub(g.self)
+	m.CacheDown = g.cache.Down()
+	if fleet.Rank(g.self) == 0 && len(fleet.Nodes()) > 0 {
 		g.relay.SetFleet(1)
 	} else {
 		g.relay.SetFleet(len(fleet.Nodes()))
@@ -114,12 +114,10 @@
 // heardLoads takes the loads of each peer in a small fleet and at a hub, and the
 // sum that a hub tells elsewhere.
 func (g *gossip) heardLoads(m *herald.Message) {
-	each := g.roster().Mesh() || g.roster().IsHub(g.self)
+	each := g.hearsAll()
 	switch {
 	case each && !m.Total:
-		g.relay.Heard(m.From, relayer.Told{
-			Report: placer.Report{Loads: m.Loads, Settled: m.Settled, Broken: m.Broken}, Sent: m.Sent,
-		})
+		g.relay.Heard(m.From, relayer.Told{Report: m.Report, Sent: m.Sent})
 	case !each && m.Total:
 		g.mu.Lock()
 		g.silent, g.heardAt = m.Silent, g.clk.Now()
@@ -145,6 +143,12 @@
 // roster returns the registered nodes and those that work for the others.
 func (g *gossip) roster() *roster.Roster { return g.looks.Fleet().Roster }
 
+// hearsAll reports whether every node tells this one of its traffic.
+func (g *gossip) hearsAll() bool {
+	fleet := g.roster()
+	return fleet.Mesh() || fleet.IsHub(g.self)
+}
+
 // leaves reports whether a node has said that it leaves.
 func (g *gossip) leaves(name string, boot uint64) bool {
 	g.mu.Lock()
@@ -178,7 +182,7 @@
 
 // silentNodes returns the registered nodes that give no sign of life.
 func (g *gossip) silentNodes() []string {
-	if g.roster().Mesh() || g.roster().IsHub(g.self) {
+	if g.hearsAll() {
 		return g.herald.Silent()
 	}
 	g.mu.Lock()
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/token"
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/dispatcher"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
@@ -125,7 +126,7 @@
 	if reports := r.f.sched.Crashed(*r.run); len(reports) > 0 {
 		r.f.members.Tell(context.WithoutCancel(r.ctx), everyone, &peerlink.Message{Suspects: reports})
 	}
-	r.sleep(suspectPause)
+	clock.Sleep(r.ctx, r.f.clk, suspectPause)
 }
 
 // health is what an engine looks like after an attempt broke.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,10 +44,6 @@
 	Drainer   *drainer.Drainer
 }
 
-// sweepEvery is the time between two looks for connections that have become idle
-// during a stop.
-const sweepEvery = 20 * time.Millisecond
-
 // Front is a kernel service.
 type Front struct {
 	clk       clock.Clock
@@ -93,11 +89,10 @@
 // answer: it leaves the list of entries, waits as long as callers may keep an
 // old list, stops accepting, and finishes what runs.
 func (f *Front) Run(ctx context.Context) error {
-	var closing atomic.Bool // each answer ends its connection
-	conns := closer.New()
+	conns := closer.New(f.clk)
 	routes := f.routes()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if closing.Load() {
+		if conns.Closing() {
 			w.Header().Set("Connection", "close")
 		}
 		routes.ServeHTTP(w, r)
@@ -108,7 +103,7 @@
 	}
 	g, failed := errgroup.WithContext(context.WithoutCancel(ctx))
 	g.Go(func() error {
-		if err := srv.Serve(conns.Wrap(f.listener)); !closing.Load() {
+		if err := srv.Serve(conns.Wrap(f.listener)); !conns.Closing() {
 			return errors.Trace(err)
 		}
 		return nil
@@ -122,11 +117,7 @@
 	f.draining.Store(true)
 	f.members.Leave()
 	<-f.clk.After(config.Seconds(f.limits.EntrySeconds))
-	closing.Store(true)
-	_ = f.listener.Close() // whoever comes now is told so by the port
-	for conns.CloseIdle() > 0 {
-		<-f.clk.After(sweepEvery)
-	}
+	conns.Finish(context.WithoutCancel(ctx))
 	_ = srv.Close() // nothing is open any more
 	err := g.Wait()
 	f.flushLedger()
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -14,6 +14,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/pkg/admitter"
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/dispatcher"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/router"
@@ -112,7 +113,7 @@
 	case dispatcher.Claim:
 		r.next = r.claim
 	case dispatcher.WaitClaim:
-		r.next = func() { r.sleep(a.Pause); r.claim() }
+		r.next = func() { clock.Sleep(r.ctx, r.f.clk, a.Pause); r.claim() }
 	case dispatcher.Route:
 		r.next = func() { r.route(a) }
 	case dispatcher.Send:
@@ -139,13 +140,6 @@
 	}
 }
 
-func (r *runner) sleep(d time.Duration) {
-	select {
-	case <-r.ctx.Done():
-	case <-r.f.clk.After(d):
-	}
-}
-
 func (r *runner) enqueue() {
 	j := r.job
 	ctx, cancel := context.WithDeadline(r.ctx, j.deadline)
@@ -210,7 +204,7 @@
 		case p.Quarantine:
 			r.step(dispatcher.Poisoned{})
 		case p.Wait && r.f.clk.Now().Before(r.job.deadline) && r.ctx.Err() == nil:
-			r.sleep(suspectPause)
+			clock.Sleep(r.ctx, r.f.clk, suspectPause)
 			continue
 		case p.Kind == failure.NoUpstream && r.fallback(&q):
 			continue
--- a/internal/herald/herald.go
+++ b/internal/herald/herald.go
@@ -79,11 +79,8 @@
 	// answer.
 	CacheDown     bool
 	Revision, Sum uint64
-	Loads         []placer.Load
-	Sent          []placer.Placement
-	// Settled and Broken are those of placer.Report.
-	Settled uint64
-	Broken  []uint32
+	placer.Report
+	Sent []placer.Placement
 	// Silent are registered nodes that a hub doesn't hear from.
 	Silent  []string
 	Weights []Named
@@ -291,24 +288,11 @@
 }
 
 func (h *Herald) post(n *traffic.Node, m *Message) {
-	addr, err := net.ResolveUDPAddr("udp4", n.Peer)
-	if err != nil {
-		h.failure(n.Name, err)
-		return
-	}
 	h.mu.Lock()
 	m.Echo = h.echoes[n.Name]
 	h.mu.Unlock()
 	m.Stamp = int64(h.boot.Elapsed())
-	h.failure(n.Name, h.write(addr, kindMessage, m))
-}
-
-func (h *Herald) write(addr *net.UDPAddr, kind Kind, v any) error {
-	b, err := encode(kind, v)
-	if err == nil {
-		_, err = h.conn.WriteToUDP(b, addr)
-	}
-	return errors.Trace(err)
+	h.failure(n.Name, h.Send(n.Peer, kindMessage, m))
 }
 
 // Handle names who takes datagrams of a kind. It is called before Run.
@@ -320,7 +304,11 @@
 	if err != nil {
 		return errors.Annotatef(err, "address %q of a node", address)
 	}
-	return h.write(addr, kind, v)
+	b, err := encode(kind, v)
+	if err == nil {
+		_, err = h.conn.WriteToUDP(b, addr)
+	}
+	return errors.Trace(err)
 }
 
 // failure logs the change between a peer that can be sent to and one that
@@ -403,7 +391,7 @@
 	h.echoes[m.From] = m.Stamp
 	h.heard[m.From] = h.clk.Now()
 	h.mu.Unlock()
-	if !m.Total {
+	if fleet := h.fleet(); !m.Total && !fleet.Mesh() && fleet.IsHub(h.self.Name) {
 		h.sum.add(h.clk.Now(), &m)
 	}
 	h.local.Heard(&m)
--- /dev/null
+++ b/internal/observer/items.go
@@ -0,0 +1,124 @@
+package observer
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/pkg/matcher"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// absent takes a key away, unless it is an upstream that the store may have
+// dropped while it was away.
+func (o *Observer) absent(key string, k known, now time.Time) {
+	u, ok := k.fact.(*traffic.Upstream)
+	if ok && !u.Draining && !o.returned.IsZero() && now.Sub(o.returned) < returnGrace {
+		return
+	}
+	delete(o.items, key)
+	if ok {
+		o.log.WithFields(logrus.Fields{"event": "upstreamGone", "upstream": u.Incarnation()}).Info("the upstream is not registered any more")
+	}
+}
+
+// applyItem takes a key's state. starting says that it is the first look.
+func (o *Observer) applyItem(it platform.Item, starting bool) {
+	old, ok := o.items[it.Key]
+	if ok && old.revision >= it.Revision {
+		return
+	}
+	f, err := o.layout.Decode(it)
+	if err != nil {
+		o.log.WithError(err).WithFields(logrus.Fields{"event": "itemUnreadable", "key": it.Key, "revision": it.Revision}).
+			Warn("a key of the store can't be read")
+		if before, isConfig := old.fact.(*traffic.Catalog); isConfig && f == nil {
+			f = before
+		}
+	}
+	if u, ok := f.(*traffic.Upstream); ok {
+		if before, ok := old.fact.(*traffic.Upstream); ok && u.Born < before.Born {
+			o.log.WithFields(logrus.Fields{"event": "registrationStale", "upstream": u.Incarnation(), "known": before.Born}).
+				Info("a registration of an earlier life is passed over")
+			f = before
+		}
+	}
+	o.items[it.Key] = known{revision: it.Revision, fact: f}
+	switch f := f.(type) {
+	case *traffic.Catalog:
+		o.setCatalog(f)
+	case *traffic.Weights:
+		o.setWeights(f, starting)
+	case *traffic.Upstream:
+		o.upstreamChanged(old.fact, f)
+	}
+}
+
+func (o *Observer) setCatalog(c *traffic.Catalog) {
+	if o.catalog != nil && c.Version <= o.catalog.Version {
+		return
+	}
+	o.catalog = c
+	o.log.WithFields(logrus.Fields{
+		"event": "configTaken", "config": c.Version, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
+	}).Info("a new configuration is in force")
+}
+
+func (o *Observer) upstreamChanged(before traffic.Fact, u *traffic.Upstream) {
+	old, ok := before.(*traffic.Upstream)
+	if ok && old.Incarnation() == u.Incarnation() && old.Draining == u.Draining {
+		return
+	}
+	o.log.WithFields(logrus.Fields{
+		"event": "upstreamSeen", "upstream": u.Incarnation(), "service": u.Service, "address": u.Address, "draining": u.Draining,
+	}).Info("an upstream is new or leaves")
+}
+
+// publish hands the view to the other services.
+func (o *Observer) publish() {
+	fleet := &Fleet{Read: !o.lastRead.IsZero()}
+	for _, k := range o.items {
+		switch f := k.fact.(type) {
+		case *traffic.Upstream:
+			fleet.Upstreams = append(fleet.Upstreams, *f)
+		case *traffic.Node:
+			fleet.Nodes = append(fleet.Nodes, *f)
+		case *traffic.Weights:
+			fleet.Weights = append(fleet.Weights, *f)
+		case *traffic.Issuer:
+			fleet.Issuer = f
+		case *traffic.Namings:
+			fleet.Namings = append(fleet.Namings, *f)
+		}
+	}
+	sort.Slice(fleet.Upstreams, func(i, j int) bool { return fleet.Upstreams[i].ID < fleet.Upstreams[j].ID })
+	sort.Slice(fleet.Nodes, func(i, j int) bool { return fleet.Nodes[i].Name < fleet.Nodes[j].Name })
+	sort.Slice(fleet.Weights, func(i, j int) bool { return fleet.Weights[i].Model < fleet.Weights[j].Model })
+	fleet.Roster = roster.New(fleet.Nodes)
+	o.fleet.Store(fleet)
+	o.sum = fleet.sum()
+	if o.catalog == nil {
+		return
+	}
+	v := &relayer.View{Nodes: len(fleet.Nodes), Weights: make(map[string][]relayer.Weights, len(o.weights))}
+	for model, w := range o.weights {
+		v.Weights[model] = w
+	}
+	if old := o.view.Load(); old != nil && old.Matcher.Catalog() == o.catalog {
+		v.Matcher = old.Matcher
+	} else {
+		v.Matcher = matcher.New(o.catalog)
+	}
+	o.view.Store(v)
+	memory := map[string]int{}
+	for i := range o.catalog.Services {
+		if s := &o.catalog.Services[i]; s.Engine != nil {
+			memory[s.Name] = s.Engine.MemoryTokens
+		}
+	}
+	o.listener.SetUpstreams(fleet.Upstreams, memory)
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -133,34 +133,27 @@
 	e.Info("this node doesn't issue orders any more")
 }
 
-func (o *Orderer) wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-o.clk.After(d):
-	}
-}
-
 // hold keeps the office or campaigns for it.
 func (o *Orderer) hold(ctx context.Context) error {
-	var vacant time.Time // since when the office is seen to be free
+	vacant := false // the office was free at the last look
 	for ctx.Err() == nil {
 		if o.holds() {
 			o.renew(ctx)
-			o.wait(ctx, renewEvery)
+			clock.Sleep(ctx, o.clk, renewEvery)
 			continue
 		}
 		f := o.looks.Fleet()
 		switch {
 		case !f.Read || f.Issuer != nil && f.Issuer.Node != "":
-			vacant = time.Time{}
-		case vacant.IsZero():
-			vacant = o.clk.Now()
-			o.wait(ctx, min(longestTurn, time.Duration(f.Roster.Rank(o.set.Node))*turn))
+			vacant = false
+		case !vacant:
+			vacant = true
+			clock.Sleep(ctx, o.clk, min(longestTurn, time.Duration(f.Roster.Rank(o.set.Node))*turn))
 			continue
 		default:
 			o.campaign(ctx, f.Issuer)
 		}
-		o.wait(ctx, campaignPause)
+		clock.Sleep(ctx, o.clk, campaignPause)
 	}
 	return nil
 }
@@ -235,7 +228,7 @@
 // issue carries out what the roller decides.
 func (o *Orderer) issue(ctx context.Context, g *errgroup.Group) error {
 	for ctx.Err() == nil {
-		o.wait(ctx, tick)
+		clock.Sleep(ctx, o.clk, tick)
 		if ctx.Err() != nil || o.mayIssue() == 0 {
 			continue
 		}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -70,7 +70,7 @@
 	for ctx.Err() == nil {
 		addr := p.addr()
 		if addr == "" || !p.duty() {
-			p.wait(ctx, idlePause)
+			clock.Sleep(ctx, p.clk, idlePause)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, callTime)
@@ -82,7 +82,7 @@
 		p.set(err != nil, err)
 		if err != nil {
 			since = 0
-			p.wait(ctx, retryPause)
+			clock.Sleep(ctx, p.clk, retryPause)
 			continue
 		}
 		since = next
@@ -90,13 +90,6 @@
 	return nil
 }
 
-func (p *Prober) wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-p.clk.After(d):
-	}
-}
-
 func (p *Prober) set(down bool, err error) {
 	p.mu.Lock()
 	changed := p.down != down
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -61,10 +61,7 @@
 			r.log.WithError(err).WithField("event", "registrationFailed").Info("the registration is tried again")
 			wait = retryEvery
 		}
-		select {
-		case <-ctx.Done():
-		case <-r.clk.After(wait):
-		}
+		clock.Sleep(ctx, r.clk, wait)
 	}
 	return r.leave(context.WithoutCancel(ctx))
 }
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 )
@@ -30,10 +31,7 @@
 			u.fail(failure.NoUpstream)
 			return q, false
 		}
-		select {
-		case <-u.ctx.Done():
-		case <-u.r.Clock.After(pickPause):
-		}
+		clock.Sleep(u.ctx, u.r.Clock, pickPause)
 	}
 }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -66,13 +66,16 @@
 
 // pass writes whole events to the caller.
 func (u *run) pass(x *connector.Exchange, events []byte) error {
-	u.lives()
+	now := u.r.Clock.Now()
+	u.r.mu.Lock()
+	u.r.placer.Lives(now, u.choice)
 	if !u.first {
-		u.first = true
-		u.firstIn = u.r.Clock.Now().Sub(u.sentAt)
-		u.r.mu.Lock()
 		u.r.placer.Began(u.choice)
-		u.r.mu.Unlock()
+	}
+	u.r.mu.Unlock()
+	if !u.first {
+		u.first = true
+		u.firstIn = now.Sub(u.sentAt)
 	}
 	if !u.began {
 		u.began = true
--- a/internal/soak/reporter/reporter.go
+++ b/internal/soak/reporter/reporter.go
@@ -69,23 +69,27 @@
 }
 
 func count(h *judge.History) counts {
-	c := counts{requests: len(h.Requests)}
+	var c counts
 	for i := range h.Requests {
-		x := &h.Requests[i]
-		switch {
-		case x.Status == 200 && x.Whole:
-			c.served++
-			c.latencies = append(c.latencies, x.EndedAt.Sub(x.SentAt))
-		case x.Status == 429 || x.Status == 503:
-			c.refused++
-		case x.Status == 0 || !x.Whole:
-			c.unanswered++
-		}
+		c.add(&h.Requests[i])
 	}
 	sort.Slice(c.latencies, func(i, j int) bool { return c.latencies[i] < c.latencies[j] })
 	return c
 }
 
+func (c *counts) add(x *judge.Request) {
+	c.requests++
+	switch {
+	case x.Status == 200 && x.Whole:
+		c.served++
+		c.latencies = append(c.latencies, x.EndedAt.Sub(x.SentAt))
+	case x.Status == 429 || x.Status == 503:
+		c.refused++
+	case x.Status == 0 || !x.Whole:
+		c.unanswered++
+	}
+}
+
 func (c *counts) share(n int) float64 { return float64(n) / float64(max(1, c.requests)) }
 
 func (c *counts) quantile(q float64) time.Duration {
@@ -115,11 +119,8 @@
 		if at < 0 || at >= len(bars) {
 			continue
 		}
-		one := count(&judge.History{Requests: []judge.Request{*x}})
-		b := &bars[at]
-		b.requests++
-		b.served, b.refused, b.unanswered = b.served+one.served, b.refused+one.refused, b.unanswered+one.unanswered
-		most = max(most, b.requests)
+		bars[at].add(x)
+		most = max(most, bars[at].requests)
 	}
 	c := svg.New(r.out)
 	c.Start(plotWidth, plotHeight)
--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/soak/judge"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 	"github.com/auburnnotch/auburnnotch/platform/standin/client"
 	"github.com/auburnnotch/auburnnotch/platform/standin/upstream"
@@ -49,7 +50,7 @@
 
 func (s *Soaker) call(ctx context.Context, i int, rnd *rand.Rand) {
 	c := &caller{s: s, index: i, rnd: rnd, failed: map[string]time.Time{}}
-	for s.pause(ctx, time.Duration(rnd.Int64N(int64(think)))) {
+	for clock.Sleep(ctx, s.clk, time.Duration(rnd.Int64N(int64(think)))) {
 		if c.conn == nil && !c.connect() {
 			continue
 		}
--- a/internal/soak/soaker/scene.go
+++ b/internal/soak/soaker/scene.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/soak/judge"
 	"github.com/auburnnotch/auburnnotch/internal/soak/proxier"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 	"github.com/auburnnotch/auburnnotch/platform/standin/upstream"
 )
@@ -204,7 +205,7 @@
 				delete(last, id)
 			}
 		}
-		s.pause(ctx, beatEvery)
+		clock.Sleep(ctx, s.clk, beatEvery)
 	}
 }
 
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -1,5 +1,3 @@
-// Package soaker runs a fleet of real processes with stand-ins of the outside
-// systems, strikes it with faults, and keeps what callers and upstreams see.
 package soaker
 
 import (
@@ -78,14 +76,14 @@
 	slots []*slot
 	acts  *errgroup.Group // what follows faults
 
-	mu      sync.Mutex
-	history judge.History
-	runs    map[runKey]int // index in history.Runs
-	stopped []string       // problems of graceful stops
-	version uint64         // of the configuration
-	weights int
-	moved   bool
-	names   int // of upstreams
+	mu       sync.Mutex
+	history  judge.History
+	runs     map[runKey]int // index in history.Runs
+	problems []string       // broken promises that are none of a request
+	version  uint64         // of the configuration
+	weights  int
+	moved    bool
+	names    int // of upstreams
 }
 
 type runKey struct{ id, upstream string }
@@ -123,7 +121,7 @@
 	}
 	s.acts, _ = errgroup.WithContext(ctx)
 	for _, step := range plan {
-		if !s.pause(ctx, began.Add(step.At).Sub(s.clk.Now())) {
+		if !clock.Sleep(ctx, s.clk, began.Add(step.At).Sub(s.clk.Now())) {
 			break
 		}
 		s.log.WithFields(logrus.Fields{"event": "fault", "atMs": step.At.Milliseconds(), "fault": fmt.Sprintf("%T%+v", step.Fault, step.Fault)}).Info("a fault strikes")
@@ -133,16 +131,16 @@
 	s.mu.Lock()
 	s.history.Quiet = s.clk.Now()
 	s.mu.Unlock()
-	s.pause(ctx, began.Add(s.set.Length).Sub(s.clk.Now()))
+	clock.Sleep(ctx, s.clk, began.Add(s.set.Length).Sub(s.clk.Now()))
 	s.recover(ctx)
 	stopTraffic()
 	_ = callers.Wait() // the goroutines return no errors
-	s.pause(ctx, farewell)
+	clock.Sleep(ctx, s.clk, farewell)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.End = s.clk.Now()
 	h := s.history
-	return &h, s.stopped, errors.Trace(context.Cause(ctx))
+	return &h, s.problems, errors.Trace(context.Cause(ctx))
 }
 
 const (
@@ -157,7 +155,7 @@
 // has passed and shows how much is served.
 func (s *Soaker) recover(ctx context.Context) {
 	until := s.clk.Now().Add(Bounds().Recover + shown)
-	for s.clk.Now().Before(until) && s.pause(ctx, shown) && s.served(shown) < wellShare {
+	for s.clk.Now().Before(until) && clock.Sleep(ctx, s.clk, shown) && s.served(shown) < wellShare {
 	}
 }
 
@@ -180,15 +178,6 @@
 	return float64(served) / float64(max(1, asked))
 }
 
-func (s *Soaker) pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.clk.After(max(0, d)):
-		return true
-	}
-}
-
 // open starts the stand-ins and the nodes.
 func (s *Soaker) open(ctx context.Context, g *errgroup.Group) error {
 	if err := s.configure(); err != nil {
@@ -224,7 +213,7 @@
 	until := s.clk.Now().Add(start)
 	for _, n := range s.nodes {
 		for !n.ready() {
-			if s.clk.Now().After(until) || !s.pause(ctx, tick) {
+			if s.clk.Now().After(until) || !clock.Sleep(ctx, s.clk, tick) {
 				return errors.Timeoutf("start of %s; its log is %s.log", n.name, n.path)
 			}
 		}
@@ -235,7 +224,7 @@
 // watchMachine notes when the machine doesn't let the soak run.
 func (s *Soaker) watchMachine(ctx context.Context) {
 	last := s.clk.Now()
-	for s.pause(ctx, tick) {
+	for clock.Sleep(ctx, s.clk, tick) {
 		now := s.clk.Now()
 		if now.Sub(last) > stall {
 			s.disturb(judge.Disturbance{Node: -1, From: last, To: now})
@@ -255,5 +244,5 @@
 func (s *Soaker) problem(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopped = append(s.stopped, fmt.Sprintf(format, args...))
+	s.problems = append(s.problems, fmt.Sprintf(format, args...))
 }
--- a/internal/soak/soaker/strike.go
+++ b/internal/soak/soaker/strike.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/soak/judge"
 	"github.com/auburnnotch/auburnnotch/internal/soak/planner"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/platform/standin/metastore"
 	"github.com/auburnnotch/auburnnotch/platform/standin/upstream"
 )
@@ -30,7 +31,7 @@
 		s.follow(func() {
 			for _, n := range s.nodes {
 				s.stop(ctx, n, 0)
-				s.pause(ctx, f.Gap)
+				clock.Sleep(ctx, s.clk, f.Gap)
 			}
 		})
 	case planner.Kill:
@@ -62,7 +63,7 @@
 		l := s.slots[f.Upstream].life.Load()
 		l.program.SetFaults(errs)
 		s.follow(func() {
-			s.pause(ctx, f.For)
+			clock.Sleep(ctx, s.clk, f.For)
 			l.program.SetFaults(upstream.Faults{})
 		})
 	case planner.UpstreamLeaves:
@@ -113,16 +114,15 @@
 	s.mu.Unlock()
 }
 
-// restart starts a node again, unless another fault already does so.
-func (s *Soaker) restart(ctx context.Context, n *node, from time.Time, rest time.Duration, stopping bool) {
-	s.pause(ctx, rest)
+// restart starts a node again after a rest.
+func (s *Soaker) restart(ctx context.Context, n *node, rest time.Duration) {
+	clock.Sleep(ctx, s.clk, rest)
 	if ctx.Err() != nil {
 		return
 	}
 	if err := n.start(); err != nil {
 		s.problem("%s isn't started again: %v", n.name, err)
 	}
-	s.disturb(judge.Disturbance{Node: n.index, From: from, To: s.clk.Now(), Stopping: stopping})
 }
 
 // stop ends a node as operators do, and starts it again.
@@ -134,8 +134,7 @@
 	from := s.clk.Now()
 	life := int(n.life.Load())
 	s.signal(n, syscall.SIGTERM)
-	// Open until it is known when the process has ended.
-	open := s.opened(judge.Disturbance{Node: n.index, From: from, To: from.Add(time.Hour), Stopping: true})
+	open := s.opened(n.index, true)
 	select {
 	case <-ctx.Done():
 		return
@@ -150,15 +149,19 @@
 	s.mu.Lock()
 	s.history.Stops = append(s.history.Stops, judge.Stop{Node: n.index, Life: life, From: from, To: s.clk.Now()})
 	s.mu.Unlock()
-	s.restart(ctx, n, from, rest, true)
+	s.restart(ctx, n, rest)
 	s.closed(open)
 }
 
-// opened notes a disturbance whose end isn't known yet, closed its end.
-func (s *Soaker) opened(d judge.Disturbance) int {
+// opened notes a disturbance of a node, or of all for -1, whose end isn't known
+// yet, closed its end.
+func (s *Soaker) opened(node int, stopping bool) int {
+	now := s.clk.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Disturbances = append(s.history.Disturbances, d)
+	s.history.Disturbances = append(s.history.Disturbances, judge.Disturbance{
+		Node: node, From: now, To: now.Add(time.Hour), Stopping: stopping,
+	})
 	return len(s.history.Disturbances) - 1
 }
 
@@ -196,18 +199,17 @@
 		return
 	}
 	defer n.busy.Store(false)
-	open := s.opened(judge.Disturbance{Node: n.index, From: s.clk.Now(), To: s.clk.Now().Add(time.Hour)})
-	from := s.clk.Now()
+	open := s.opened(n.index, false)
 	s.signal(n, syscall.SIGKILL)
 	<-n.process.Ended()
-	s.restart(ctx, n, from, rest, false)
+	s.restart(ctx, n, rest)
 	s.closed(open)
 }
 
 func (s *Soaker) freeze(ctx context.Context, n *node, d time.Duration) {
-	open := s.opened(judge.Disturbance{Node: n.index, From: s.clk.Now(), To: s.clk.Now().Add(time.Hour)})
+	open := s.opened(n.index, false)
 	s.signal(n, syscall.SIGSTOP)
-	s.pause(ctx, d)
+	clock.Sleep(ctx, s.clk, d)
 	s.signal(n, syscall.SIGCONT)
 	s.closed(open)
 }
@@ -217,10 +219,10 @@
 	if scope != planner.All {
 		name = s.nodes[scope].name
 	}
-	open := s.opened(judge.Disturbance{Node: int(scope), From: s.clk.Now(), To: s.clk.Now().Add(time.Hour)})
+	open := s.opened(int(scope), false)
 	s.store.SetFaults(name, f)
 	s.follow(func() {
-		s.pause(ctx, d)
+		clock.Sleep(ctx, s.clk, d)
 		s.store.SetFaults(name, metastore.Faults{})
 		s.closed(open)
 	})
@@ -231,9 +233,9 @@
 	if f.Store {
 		proxy, node = s.nodes[f.Index].store, f.Index
 	}
-	open := s.opened(judge.Disturbance{Node: node, From: s.clk.Now(), To: s.clk.Now().Add(time.Hour)})
+	open := s.opened(node, false)
 	proxy.SetTrouble(f.Trouble)
-	s.pause(ctx, f.For)
+	clock.Sleep(ctx, s.clk, f.For)
 	proxy.SetTrouble("")
 	s.closed(open)
 }
@@ -249,7 +251,7 @@
 		return
 	}
 	sl.proxy.SetTrouble(planner.Unreached)
-	s.pause(ctx, d)
+	clock.Sleep(ctx, s.clk, d)
 	s.begin(sl, l.up.ID, l.program.Version())
 	sl.proxy.SetTrouble("")
 }
@@ -268,7 +270,7 @@
 	s.mu.Lock()
 	s.history.Left[l.up.ID] = s.clk.Now()
 	s.mu.Unlock()
-	s.pause(ctx, leaving)
+	clock.Sleep(ctx, s.clk, leaving)
 	s.mu.Lock()
 	l.gone = true
 	s.mu.Unlock()
--- a/internal/soak/starter/starter.go
+++ b/internal/soak/starter/starter.go
@@ -14,8 +14,9 @@
 type Starter struct {
 	program, settings, log string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	reaping sync.WaitGroup
+	mu      sync.Mutex
+	cmd     *exec.Cmd
 	// ended is closed when the process is gone.
 	ended chan struct{}
 	lives int
@@ -44,16 +45,13 @@
 	ended := make(chan struct{})
 	s.cmd, s.ended = cmd, ended
 	s.lives++
-	go wait(cmd, ended)
+	s.reaping.Go(func() {
+		_ = cmd.Wait() // a killed one's status is of no interest
+		close(ended)
+	})
 	return s.lives, nil
 }
 
-// wait reaps the process; a killed one's status is of no interest.
-func wait(cmd *exec.Cmd, ended chan struct{}) {
-	_ = cmd.Wait()
-	close(ended)
-}
-
 // Signal sends a signal to the process, if it still runs.
 func (s *Starter) Signal(sig syscall.Signal) error {
 	s.mu.Lock()
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -2,7 +2,10 @@
 // directly, so that tests can step it.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock tells the time and waits. Implementations are safe for concurrent use.
 type Clock interface {
@@ -24,3 +27,13 @@
 
 // Boot tells the time since the VM's start. It goes on while the VM is suspended.
 type Boot interface{ Elapsed() time.Duration }
+
+// Sleep waits until d has passed or ctx ends, and reports whether d has passed.
+func Sleep(ctx context.Context, clk Clock, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-clk.After(d):
+		return true
+	}
+}
--- a/pkg/placer/load.go
+++ b/pkg/placer/load.go
@@ -190,10 +190,7 @@
 // add counts what a peer has sent, of which the oldest without a first event
 // waits since a time.
 func (p *peerSum) add(l Load, since time.Time) {
-	p.Running += l.Running
-	p.Reading += l.Reading
-	p.Tokens += l.Tokens
-	p.Fixed += l.Fixed
+	p.Load = p.Plus(l)
 	if l.OldestMS > 0 && (p.waitsSince.IsZero() || since.Before(p.waitsSince)) {
 		p.waitsSince = since
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,7 +57,9 @@
 }
 
 // IsHub reports whether a node works for the others.
-func (r *Roster) IsHub(name string) bool { return r.Rank(name) < min(hubCount, len(r.order)) }
+func (r *Roster) IsHub(name string) bool {
+	return slices.ContainsFunc(r.Hubs(), func(n traffic.Node) bool { return n.Name == name })
+}
 
 // Mesh reports whether the fleet is so small that every node tells every other
 // one of its traffic.
