fix: a peer's echo counts only for the life of the node that it is of

The log of the node says proofAgeMs=-. Cause: the VM had lost power and came back with another boot clock; its peers still echoed the stamp of the life before, and a proof borrowed by it was dated 45,570 s ahead. It held for ever, and kept all later ones out.

An echo names the life that it is of. Besides, a proof that is dated ahead is logged and not taken, and none holds. Ruled out: the moment of the revocation at the other nodes, which had the configuration within 0.1 s.

--- a/internal/herald/herald.go
+++ b/internal/herald/herald.go
@@ -63,6 +63,9 @@
 	// Stamp is the sender's boot time in ns; Echo is the last Stamp that the
 	// sender had of the receiver, 0 if none.
 	Stamp, Echo int64
+	// EchoBoot is the Boot of the receiver's life that Echo is of: after a loss of
+	// power its boot time is that of another clock.
+	EchoBoot uint64
 	// Config and ProofMS are the configuration's version and the age of the
 	// proof that it is the newest, -1 if there is none.
 	Config  uint64
@@ -111,6 +114,12 @@
 	Heard(m *Message)
 }
 
+// echo is the last Stamp of a peer, and the life in which it was sent.
+type echo struct {
+	stamp int64
+	boot  uint64
+}
+
 type closing struct {
 	upstream uint32
 	until    time.Time
@@ -137,7 +146,7 @@
 	mu      sync.Mutex
 	sum     *summer
 	round   int
-	echoes  map[string]int64
+	echoes  map[string]echo
 	heard   map[string]time.Time // by node
 	closed  []closing
 	done    []upgrade
@@ -158,7 +167,7 @@
 	}
 	return &Herald{
 		clk: clk, boot: boot, log: log, self: self, conn: conn, fleet: fleet, local: local, questions: map[Kind]Handler{},
-		echoes: map[string]int64{}, heard: map[string]time.Time{}, failed: map[string]bool{}, sum: newSummer(), now: make(chan struct{}, 1),
+		echoes: map[string]echo{}, heard: map[string]time.Time{}, failed: map[string]bool{}, sum: newSummer(), now: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -289,7 +298,7 @@
 
 func (h *Herald) post(n *traffic.Node, m *Message) {
 	h.mu.Lock()
-	m.Echo = h.echoes[n.Name]
+	m.Echo, m.EchoBoot = h.echoes[n.Name].stamp, h.echoes[n.Name].boot
 	h.mu.Unlock()
 	m.Stamp = int64(h.boot.Elapsed())
 	h.failure(n.Name, h.Send(n.Peer, kindMessage, m))
@@ -388,12 +397,15 @@
 		return nil
 	}
 	h.mu.Lock()
-	h.echoes[m.From] = m.Stamp
+	h.echoes[m.From] = echo{stamp: m.Stamp, boot: m.Boot}
 	h.heard[m.From] = h.clk.Now()
 	h.mu.Unlock()
 	if fleet := h.fleet(); !m.Total && !fleet.Mesh() && fleet.IsHub(h.self.Name) {
 		h.sum.add(h.clk.Now(), &m)
 	}
+	if m.EchoBoot != h.self.Boot {
+		m.Echo = 0
+	}
 	h.local.Heard(&m)
 	return nil
 }
--- a/internal/herald/herald_test.go
+++ b/internal/herald/herald_test.go
@@ -14,6 +14,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/herald"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -139,3 +140,54 @@
 		t.Errorf("a node that hears nobody names %v", silent)
 	}
 }
+
+// A VM that has lost power comes back with another boot clock. What its peers
+// still echo of the life before must not date anything on it.
+func TestEchoOfAnEarlierLifeIsNone(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	var nodes []traffic.Node
+	for i := range 2 {
+		l, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: l.LocalAddr().String(), Boot: 1})
+		_ = l.Close()
+	}
+	fleet := roster.New(nodes)
+	run := func(self traffic.Node, clk clock.Clock, booted time.Duration) (*local, func()) {
+		l := &local{heard: map[string]*herald.Message{}, done: map[uint32]bool{}}
+		h, err := herald.New(clk, testlib.NewClock(time.Unix(0, int64(booted))), log, self, func() *roster.Roster { return fleet }, l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = h.Run(ctx) })
+		return l, func() { cancel(); wg.Wait() }
+	}
+	_, stopPeer := run(nodes[1], systemclock.New(), 500*time.Second)
+	defer stopPeer()
+	echoed := func(l *local) (echo int64, ok bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		m := l.heard["n1"]
+		if m == nil {
+			return 0, false
+		}
+		return m.Echo, true
+	}
+	first, stop := run(nodes[0], systemclock.New(), 1000*time.Second)
+	eventually(t, "an echo in the first life", func() bool { echo, _ := echoed(first); return echo == int64(1000*time.Second) })
+	stop()
+
+	reborn := nodes[0]
+	reborn.Boot = 2
+	// Its clock stands, so that it sends nothing and the peer knows the life before.
+	second, stop := run(reborn, testlib.NewClock(time.Unix(0, 0)), 5*time.Second)
+	defer stop()
+	eventually(t, "a message in the second life", func() bool { _, ok := echoed(second); return ok })
+	if echo, _ := echoed(second); echo != 0 {
+		t.Errorf("in its second life, booted 5 s ago, the node is echoed %v", time.Duration(echo))
+	}
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -282,6 +282,11 @@
 // HeardProof takes a peer's proof about the configuration that is in force
 // here too. at is a boot time of this node that the proof isn't older than.
 func (o *Observer) HeardProof(version uint64, at time.Duration) {
+	if now := o.boot.Elapsed(); at > now {
+		o.log.WithFields(logrus.Fields{"event": "proofMisdated", "aheadMs": (at - now).Milliseconds()}).
+			Warn("a peer's proof is dated by another clock")
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.catalog != nil && o.catalog.Version == version {
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -247,6 +247,12 @@
 	if !b.obs.Proof().Holds(now, 2*time.Second) || b.obs.Proof().Holds(now, 900*time.Millisecond) {
 		t.Fatal("the borrowed proof has another age than the peer's")
 	}
+	// One dated ahead would keep all later ones out.
+	b.obs.HeardProof(7, now+time.Hour)
+	b.obs.HeardProof(7, now)
+	if age, _ := b.obs.Proof().Age(now); age != 0 {
+		t.Fatalf("after a proof that is dated ahead, the age of the last one is %v", age)
+	}
 }
 
 // The watch of a node may be deaf; what a reader has in force must be in force
--- a/pkg/prover/prover_test.go
+++ b/pkg/prover/prover_test.go
@@ -41,3 +41,11 @@
 		t.Fatal("a proof that was never given holds")
 	}
 }
+
+// A proof that is dated later than now was dated by another clock.
+func TestProofOfTheFutureDoesNotHold(t *testing.T) {
+	p := prover.New().WithProof(7, time.Hour)
+	if p.Holds(time.Minute, 4*time.Second) {
+		t.Error("a proof that is dated an hour ahead holds")
+	}
+}
