feat: each request that the end of a stop cuts off leaves its line

The line drained told only a number. Lines of requests on a stopping node now carry cutOff and afterSignalMs (when they came, from the signal on), draining the grace, and lines of prompts how much output was asked for.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,6 +50,9 @@
 	set Settings
 	Parts
 
+	// signal is when the node was told to stop; nil before.
+	signal atomic.Pointer[time.Time]
+
 	mu      sync.Mutex
 	placer  *placer.Placer
 	budgets map[string]*budgeter.Budgeter // by service
@@ -161,6 +165,9 @@
 	r.placer.Open(incarnation)
 }
 
+// Stop says when the node was told to stop.
+func (r *Relayer) Stop(signal time.Time) { r.signal.Store(&signal) }
+
 // Serve runs req to its end. It gives up when ctx ends, since then nobody
 // waits for the answer.
 func (r *Relayer) Serve(ctx context.Context, req *Request, w Reply) {
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,6 +61,9 @@
 	u.w.Refuse(k, after)
 }
 
+// cutOff reports whether the node has no time left for the request.
+func (u *run) cutOff() bool { return context.Cause(u.ctx) == ErrStopped }
+
 // recorder returns the histograms of the request's workspace and kind of route.
 func (u *run) recorder() meter.Recorder {
 	name := "public"
@@ -105,7 +109,7 @@
 		f["workspace"] = u.workspace.Name
 	}
 	if p := u.req.Prompt; p != nil {
-		f["prompt"], f["shared"] = p.Tokens, p.Shared()
+		f["prompt"], f["shared"], f["output"] = p.Tokens, p.Shared(), p.MaxOutput
 	}
 	if u.choice.Upstream.ID != "" {
 		f["upstream"] = u.choice.Incarnation()
@@ -119,5 +123,9 @@
 	if u.adviser != "" {
 		f["adviser"] = u.adviser
 	}
+	if signal := u.r.signal.Load(); signal != nil {
+		f["afterSignalMs"] = u.req.Arrived.Sub(*signal).Milliseconds()
+		f["cutOff"] = u.cutOff()
+	}
 	return u.r.Log.WithFields(f)
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -279,7 +279,7 @@
 			p.Failed(u.r.Clock.Now(), c)
 		}
 	})
-	u.log("attemptBroken").WithError(err).WithField("callerGone", gone).Info("the attempt ended early")
+	u.log("attemptBroken").WithError(err).WithField("callerGone", gone && !u.cutOff()).Info("the attempt ended early")
 	if gone || !u.mayRepeat(0) || u.sends >= maxSends {
 		u.reason = "the upstream broke off"
 		u.fail(failure.UpstreamFailed)
