fix: a request that the end of a stop cuts off is told so, if nothing of its answer has left

Callers saw a closed connection, which promises nothing and names no cause, although the node had 700 ms of its grace left.

--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -25,7 +25,10 @@
 
 // fail ends the request with a failure of the fleet's own.
 func (u *run) fail(k failure.Kind) {
-	if u.ctx.Err() != nil && u.r.Clock.Now().Before(u.deadline) {
+	switch {
+	case u.cutOff():
+		k, u.reason = failure.Draining, ErrStopped.Error()
+	case u.ctx.Err() != nil && u.r.Clock.Now().Before(u.deadline):
 		k = failure.CallerGone
 	}
 	if u.began {
