fix: a stopping node begins only requests that end before it does

Callers saw an answer that broke off in its middle, without a fault but the planned restart of a node. Cause: for 3.5 s after its signal a node took every request, whatever its time limit, and broke off all that was open 0.7 s before the grace of 8 s was over. A stream that came then and took over 3.8 s could not end. Streams of up to 955 tokens take up to 12 s where engines are busy.

Ruled out: engine and roll-out (cutOff=true says that the node did it), and the race at the closing of connections.

While callers rightly hold the address, a request begins if, at the pace of its route's last answers (pkg/pacer), it ends in time; after that, only if its time limit ends before the node (pkg/finisher). It is asked again before each send that isn't a repeat, so that it holds for requests that are read slowly or wait for an engine, too. What isn't begun is answered at once: not run, come back in 50 ms on another connection; another node serves it.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -47,6 +47,10 @@
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
+	if u.runs == 0 && !u.begins(now) {
+		u.reason = "it may outlast the node, which stops"
+		return failure.Draining
+	}
 	if !u.allowed() {
 		u.service = u.pickTarget()
 	}
--- a/internal/relayer/port.go
+++ b/internal/relayer/port.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -14,10 +12,6 @@
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
-// ErrStopped is the cause of the end of a request's context where the node has no
-// time left to stop.
-const ErrStopped = errors.ConstError("the node's time to stop is over")
-
 // Request is a request of a caller whose body was read to its end.
 type Request struct {
 	// ID names this attempt of the caller.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -13,6 +13,8 @@
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/finisher"
+	"github.com/auburnnotch/auburnnotch/pkg/pacer"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -50,11 +52,12 @@
 	set Settings
 	Parts
 
-	// signal is when the node was told to stop; nil before.
-	signal atomic.Pointer[time.Time]
+	// finisher is nil until the node is told to stop.
+	finisher atomic.Pointer[finisher.Finisher]
 
 	mu      sync.Mutex
 	placer  *placer.Placer
+	pacer   *pacer.Pacer
 	budgets map[string]*budgeter.Budgeter // by service
 	// questions counts the questions to the node in charge; open are those
 	// whose outcome the loads don't show yet.
@@ -65,7 +68,7 @@
 // New returns a Relayer that knows no upstream.
 func New(s Settings, p Parts) *Relayer {
 	return &Relayer{
-		set: s, Parts: p, placer: placer.New(placer.DefaultWeights(), p.Rand), budgets: map[string]*budgeter.Budgeter{},
+		set: s, Parts: p, placer: placer.New(placer.DefaultWeights(), p.Rand), pacer: pacer.New(), budgets: map[string]*budgeter.Budgeter{},
 		// Numbers of an earlier life of this node are smaller.
 		questions: uint64(p.Clock.Now().UnixMicro()), open: map[uint64]struct{}{},
 	}
@@ -165,8 +168,8 @@
 	r.placer.Open(incarnation)
 }
 
-// Stop says when the node was told to stop.
-func (r *Relayer) Stop(signal time.Time) { r.signal.Store(&signal) }
+// Stop says that the node was told to stop, and by which timetable it does.
+func (r *Relayer) Stop(f finisher.Finisher) { r.finisher.Store(&f) }
 
 // Serve runs req to its end. It gives up when ctx ends, since then nobody
 // waits for the answer.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -22,6 +22,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/finisher"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -385,3 +386,39 @@
 		t.Errorf("two requests left %d lines", lines)
 	}
 }
+
+// Guards against LOST: a stopping node took a stream that, at the pace of the
+// streams before it, couldn't end before the node did.
+func TestStoppingNodeSendsElsewhereWhatIsExpectedToOutlastIt(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	b := newBench(t, func(conn net.Conn, r testlib.Received) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: x\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\n", r.Header.Get("Id"))
+		time.Sleep(pause)
+		fmt.Fprint(conn, "id: 2\ndata: b\n\n")
+		return false
+	})
+	ask := func(output int) *reply {
+		r := &reply{}
+		b.relay.Serve(context.Background(), &relayer.Request{
+			ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: "key",
+			Wait: 3 * time.Second, Arrived: time.Now(), Prompt: &traffic.Prompt{Model: "m", MaxOutput: output},
+		}, r)
+		return r
+	}
+	const output = 10
+	if r := ask(output); r.status != 200 || r.aborted {
+		t.Fatalf("the first stream ended with %d, %v", r.status, r.kind)
+	}
+	now := time.Now()
+	b.relay.Stop(finisher.New(now, now.Add(time.Hour), now.Add(10*pause)))
+	if r := ask(output); r.status != 200 || r.aborted {
+		t.Errorf("a stream that ends in time got %d, %v", r.status, r.kind)
+	}
+	sent := b.sent()
+	if r := ask(100 * output); r.kind != failure.Draining || r.after <= 0 {
+		t.Errorf("a stream that can't end in time got status %d, %v, back after %v", r.status, r.kind, r.after)
+	}
+	if b.sent() != sent {
+		t.Error("it was sent to an upstream")
+	}
+}
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,9 +12,9 @@
 )
 
 const (
-	// staleReturn is when a caller refused for a stale configuration may come
-	// back: another node may serve it at once.
-	staleReturn = 50 * time.Millisecond
+	// elsewhereReturn is when a caller may come back that this node can't serve:
+	// another one may do so at once.
+	elsewhereReturn = 50 * time.Millisecond
 	// fullReturn is the shortest and fullSpread the further time after which
 	// room may have come up; spread, so that those refused don't come back
 	// together.
@@ -48,8 +47,8 @@
 
 func (u *run) returnAfter(k failure.Kind) time.Duration {
 	switch k {
-	case failure.ConfigStale:
-		return staleReturn
+	case failure.ConfigStale, failure.Draining:
+		return elsewhereReturn
 	case failure.NoUpstream, failure.Overloaded:
 		u.r.mu.Lock()
 		defer u.r.mu.Unlock()
@@ -64,9 +63,6 @@
 	u.w.Refuse(k, after)
 }
 
-// cutOff reports whether the node has no time left for the request.
-func (u *run) cutOff() bool { return context.Cause(u.ctx) == ErrStopped }
-
 // recorder returns the histograms of the request's workspace and kind of route.
 func (u *run) recorder() meter.Recorder {
 	name := "public"
@@ -126,9 +122,10 @@
 	if u.adviser != "" {
 		f["adviser"] = u.adviser
 	}
-	if signal := u.r.signal.Load(); signal != nil {
-		f["afterSignalMs"] = u.req.Arrived.Sub(*signal).Milliseconds()
+	if signal, ok := u.r.timetable().Signal(); ok {
+		f["afterSignalMs"] = u.req.Arrived.Sub(signal).Milliseconds()
 		f["cutOff"] = u.cutOff()
+		f["expectedMs"] = u.expected.Milliseconds()
 	}
 	return u.r.Log.WithFields(f)
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -71,7 +71,11 @@
 	first   bool   // the current attempt has given its first event
 	sentAt  time.Time
 	firstIn time.Duration // from the last send to its first event
-	reason  string
+	begunAt time.Time     // when the answer began to be passed on
+	// expected is how long the request was expected to take when that was last
+	// asked, at a node that stops; 0 for not known.
+	expected time.Duration
+	reason   string
 }
 
 func (u *run) serve() {
@@ -303,6 +307,7 @@
 			return
 		}
 		p.Succeeded(c)
+		u.pace(u.r.Clock.Now())
 	})
 	if failed && !u.began && u.mayRepeat(0) && u.sends < maxSends && u.canRepeat() {
 		u.exclude = append(u.exclude, u.choice.Incarnation())
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -78,7 +78,7 @@
 		u.firstIn = now.Sub(u.sentAt)
 	}
 	if !u.began {
-		u.began = true
+		u.began, u.begunAt = true, now
 		u.recorder().FirstToken(u.r.Clock.Now().Sub(u.req.Arrived))
 		u.w.Begin(x.Status, x.Header, -1)
 	}
@@ -89,7 +89,10 @@
 }
 
 func (u *run) finish(x *connector.Exchange) {
-	u.release(func(p *placer.Placer, c placer.Choice) { p.Succeeded(c) })
+	u.release(func(p *placer.Placer, c placer.Choice) {
+		p.Succeeded(c)
+		u.pace(u.begunAt)
+	})
 	if !u.began {
 		u.w.Begin(x.Status, x.Header, -1)
 	}
--- /dev/null
+++ b/pkg/pacer/pacer.go
@@ -0,0 +1,96 @@
+// Package pacer estimates how long a request takes from those of its route that
+// were answered lately.
+package pacer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// kept is the number of answers remembered for each route.
+	kept = 32
+	// memory is how long an answer tells how busy the upstreams are.
+	memory = 10 * time.Second
+	// share of the remembered answers that were faster than the estimate; the
+	// rest had troubles of their own, such as an upstream that stood still.
+	share = 0.95
+)
+
+// Answer is how long a whole answer took.
+type Answer struct {
+	At time.Time
+	// First is the time to its first event, or to the whole answer of a plain
+	// service.
+	First time.Duration
+	// Rest is the time from there to the last event.
+	Rest time.Duration
+	// Output is the largest number of tokens that was asked for; 0 for none.
+	Output int
+}
+
+type route struct {
+	answers [kept]Answer
+	next    int
+}
+
+// Pacer remembers answers. It is not safe for concurrent use.
+type Pacer struct {
+	routes map[string]*route
+	swept  time.Time
+}
+
+// New returns a Pacer that knows no route.
+func New() *Pacer { return &Pacer{routes: map[string]*route{}} }
+
+// Add takes an answer of a route.
+func (p *Pacer) Add(name string, a Answer) {
+	p.sweep(a.At)
+	r, ok := p.routes[name]
+	if !ok {
+		r = &route{}
+		p.routes[name] = r
+	}
+	r.answers[r.next] = a
+	r.next = (r.next + 1) % kept
+}
+
+// Expect returns how long a request of a route that asks for output tokens is
+// expected to take at most, and 0 if no answer of the route is remembered. The
+// wait for the first event and the pace of the others are estimated apart.
+func (p *Pacer) Expect(now time.Time, name string, output int) time.Duration {
+	r, ok := p.routes[name]
+	if !ok {
+		return 0
+	}
+	var firsts, paces []time.Duration
+	for _, a := range r.answers {
+		if now.Sub(a.At) > memory {
+			continue
+		}
+		firsts = append(firsts, a.First)
+		paces = append(paces, a.Rest/time.Duration(max(1, a.Output)))
+	}
+	if len(firsts) == 0 {
+		return 0
+	}
+	return upper(firsts) + upper(paces)*time.Duration(output)
+}
+
+func upper(d []time.Duration) time.Duration {
+	slices.Sort(d)
+	return d[int(share*float64(len(d)))]
+}
+
+// sweep forgets the routes that have had no answer lately.
+func (p *Pacer) sweep(now time.Time) {
+	if now.Sub(p.swept) < memory {
+		return
+	}
+	p.swept = now
+	for name, r := range p.routes {
+		if now.Sub(r.answers[(r.next+kept-1)%kept].At) > memory {
+			delete(p.routes, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/pacer/pacer_test.go
@@ -0,0 +1,58 @@
+package pacer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/pkg/pacer"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+func TestExpectationFollowsTheAnswersOfTheRoute(t *testing.T) {
+	stream := func(first, rest time.Duration, output int) pacer.Answer {
+		return pacer.Answer{At: start, First: first, Rest: rest, Output: output}
+	}
+	many := func(n int, a pacer.Answer, more ...pacer.Answer) []pacer.Answer {
+		out := more
+		for range n {
+			out = append(out, a)
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name    string
+		answers []pacer.Answer
+		after   time.Duration
+		output  int
+		want    time.Duration
+	}{
+		{"nothing known", nil, 0, 100, 0},
+		{"plain", []pacer.Answer{stream(30*time.Millisecond, 0, 0)}, 0, 0, 30 * time.Millisecond},
+		{"a longer stream", []pacer.Answer{stream(50*time.Millisecond, time.Second, 100)}, 0, 900, 50*time.Millisecond + 9*time.Second},
+		{"the slower of two", []pacer.Answer{stream(50*time.Millisecond, time.Second, 100), stream(100*time.Millisecond, time.Second, 1000)}, 0, 100, 1100 * time.Millisecond},
+		{"one that stood still, among many", many(31, stream(0, time.Second, 100), stream(0, 90*time.Second, 100)), 0, 100, time.Second},
+		{"slow ones that are forgotten", many(32, stream(0, time.Second, 100), stream(0, 90*time.Second, 100), stream(0, 90*time.Second, 100)), 0, 100, time.Second},
+		{"old", []pacer.Answer{stream(50*time.Millisecond, time.Second, 100)}, 11 * time.Second, 100, 0},
+	} {
+		p := pacer.New()
+		for _, a := range c.answers {
+			p.Add("r", a)
+		}
+		p.Add("other", stream(time.Hour, time.Hour, 1))
+		if got := p.Expect(start.Add(c.after), "r", c.output); got != c.want {
+			t.Errorf("%s: %v expected, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Routes come and go with configurations; those without answers must not pile up.
+func BenchmarkAddWhileRoutesChange(b *testing.B) {
+	b.ReportAllocs()
+	p := pacer.New()
+	for i := range b.N {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		p.Add(fmt.Sprint("r", i/1000), pacer.Answer{At: at, First: time.Millisecond})
+	}
+}
