--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -2,19 +2,13 @@
 // were answered lately.
 package pacer
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// kept is the number of answers remembered for each route.
 	kept = 32
 	// memory is how long an answer tells how busy the upstreams are.
 	memory = 10 * time.Second
-	// share of the remembered answers that were faster than the estimate; the
-	// rest had troubles of their own, such as an upstream that stood still.
-	share = 0.95
 )
 
 // Answer is how long a whole answer took.
@@ -56,30 +50,22 @@
 }
 
 // Expect returns how long a request of a route that asks for output tokens is
-// expected to take at most, and 0 if no answer of the route is remembered. The
-// wait for the first event and the pace of the others are estimated apart.
+// expected to take at most, and 0 if no answer of the route is remembered. It goes
+// by the longest wait for a first event and the slowest pace after it: requests that
+// take longest are those that haven't been answered yet.
 func (p *Pacer) Expect(now time.Time, name string, output int) time.Duration {
 	r, ok := p.routes[name]
 	if !ok {
 		return 0
 	}
-	var firsts, paces []time.Duration
+	var first, pace time.Duration
 	for _, a := range r.answers {
-		if now.Sub(a.At) > memory {
-			continue
+		if now.Sub(a.At) <= memory {
+			first = max(first, a.First)
+			pace = max(pace, a.Rest/time.Duration(max(1, a.Output)))
 		}
-		firsts = append(firsts, a.First)
-		paces = append(paces, a.Rest/time.Duration(max(1, a.Output)))
-	}
-	if len(firsts) == 0 {
-		return 0
 	}
-	return upper(firsts) + upper(paces)*time.Duration(output)
-}
-
-func upper(d []time.Duration) time.Duration {
-	slices.Sort(d)
-	return d[int(share*float64(len(d)))]
+	return first + pace*time.Duration(output)
 }
 
 // sweep forgets the routes that have had no answer lately.
--- a/pkg/pacer/pacer_test.go
+++ b/pkg/pacer/pacer_test.go
@@ -32,7 +32,7 @@
 		{"plain", []pacer.Answer{stream(30*time.Millisecond, 0, 0)}, 0, 0, 30 * time.Millisecond},
 		{"a longer stream", []pacer.Answer{stream(50*time.Millisecond, time.Second, 100)}, 0, 900, 50*time.Millisecond + 9*time.Second},
 		{"the slower of two", []pacer.Answer{stream(50*time.Millisecond, time.Second, 100), stream(100*time.Millisecond, time.Second, 1000)}, 0, 100, 1100 * time.Millisecond},
-		{"one that stood still, among many", many(31, stream(0, time.Second, 100), stream(0, 90*time.Second, 100)), 0, 100, time.Second},
+		{"a slow one among many", many(31, stream(0, time.Second, 100), stream(0, 90*time.Second, 100)), 0, 100, 90 * time.Second},
 		{"slow ones that are forgotten", many(32, stream(0, time.Second, 100), stream(0, 90*time.Second, 100), stream(0, 90*time.Second, 100)), 0, 100, time.Second},
 		{"old", []pacer.Answer{stream(50*time.Millisecond, time.Second, 100)}, 11 * time.Second, 100, 0},
 	} {
