fix: the head of an upstream's answer is bounded in bytes

An upstream whose bytes without end begin in a head filled the node's memory until the caller's time limit, up to 15 s. A node over its 112 to 134 MB is killed, and the accepted requests of its other callers are lost.

Cause: http.ReadResponse bounds neither a line nor the number of fields, and the only bound of the head was the time to the first byte.

Evidence: TestHeadWithoutEndIsGivenUp pours up to 48 MB. Before, no line, a status line, one field, and bytes after a stray answer: "all bytes were read" and "i/o timeout" after the second that the test allows; many fields: "i/o timeout" while still parsing. Interim answers without end were bounded by strayAnswers already.

Fix: the connection's buffer is filled through a reader that hands out headBytes (32 KB) for each head and is without bound in bodies; one branch and no allocation a read. The exchange ends as Broken, which closes the connection, counts as a run, and is logged as attemptBroken with the error.

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -10,13 +11,43 @@
 	"golang.org/x/sys/unix"
 )
 
-// bufferBytes holds the usual answer of a plain service or some events.
-const bufferBytes = 4 << 10
+const (
+	// bufferBytes holds the usual answer of a plain service or some events.
+	bufferBytes = 4 << 10
+	// headBytes bounds what is read for the head of an answer: twice what
+	// servers usually allow, and little for a node with hundreds of requests.
+	headBytes = 32 << 10
+)
+
+// errHeadTooLong marks bytes that don't end as a head within headBytes.
+const errHeadTooLong = errors.ConstError("the answer's head has no end in time")
+
+// source is what a connection's buffer is filled from.
+type source struct {
+	net.Conn
+	// left is how many bytes may still be read for a head; negative while no
+	// head is read.
+	left int
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if s.left < 0 {
+		return s.Conn.Read(p)
+	}
+	if s.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.Conn.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	return n, err
+}
 
 // conn is one connection, used by one exchange at a time.
 type conn struct {
 	net.Conn
 	incarnation string
+	in          source
 	br          *bufio.Reader
 	idleSince   time.Time
 	// expires is when the upstream may close the idle connection.
@@ -24,7 +55,16 @@
 }
 
 func newConn(nc net.Conn, incarnation string, expires time.Time) *conn {
-	return &conn{Conn: nc, incarnation: incarnation, br: bufio.NewReaderSize(nc, bufferBytes), expires: expires}
+	c := &conn{Conn: nc, incarnation: incarnation, in: source{Conn: nc, left: -1}, expires: expires}
+	c.br = bufio.NewReaderSize(&c.in, bufferBytes)
+	return c
+}
+
+// readResponse reads the head of an answer.
+func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.in.left = headBytes
+	defer func() { c.in.left = -1 }()
+	return http.ReadResponse(c.br, req)
 }
 
 // close ends the connection. Its error says nothing that a caller could use:
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
@@ -219,3 +222,57 @@
 		t.Fatalf("the upstream read %d requests", len(got))
 	}
 }
+
+// endless is what a test's upstream pours out at most: far more than any bound
+// and the buffers of two sockets.
+const endless = 48 << 20
+
+// Guards against a node that gathers a head for as long as its upstream sends:
+// some hundred megabytes within a caller's time limit.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ start, piece string }{
+		"no line":         {piece: "x"},
+		"status line":     {start: "HTTP/1.1 200 ", piece: "OK"},
+		"one field":       {start: "HTTP/1.1 200 OK\r\nField: ", piece: "x"},
+		"many fields":     {start: "HTTP/1.1 200 OK\r\n", piece: "Field: x\r\n"},
+		"interim answers": {piece: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"after an earlier request's answer": {
+			start: "HTTP/1.1 200 OK\r\nId: before\r\nContent-Length: 2\r\n\r\nno", piece: "x",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
+				fmt.Fprint(conn, c.start)
+				taken <- testlib.Pour(conn, c.piece, endless)
+				return false
+			})
+			k := call(u, "1")
+			k.FirstByte = time.Second
+			_, outcome, err := do(connector.New(systemclock.New()), k)
+			if outcome != connector.Broken || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("outcome %d, error %v", outcome, err)
+			}
+			if n := <-taken; n >= endless {
+				t.Errorf("all %d bytes were read", n)
+			}
+		})
+	}
+}
+
+// Guards against a bound that counts bodies, or the heads of earlier exchanges.
+func TestLongBodiesAreNoHeads(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+		return answer(conn, "before", long[:100<<10]) && answer(conn, r.Header.Get("Id"), long)
+	})
+	conns := connector.New(systemclock.New())
+	for range 3 {
+		if body, _, err := do(conns, call(u, "1")); body != long || err != nil {
+			t.Fatalf("%d bytes, %v", len(body), err)
+		}
+	}
+	if n := u.Connections(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -129,7 +129,7 @@
 func readHead(cn *conn, call *Call) (*http.Response, error) {
 	req := &http.Request{Method: call.Method}
 	for range strayAnswers {
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := cn.readResponse(req)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/testlib/upstream.go
+++ b/internal/testlib/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -110,6 +111,24 @@
 	}
 }
 
+// Pour writes piece again and again, up to most bytes, and returns how many
+// were taken before the peer closed the connection. It doesn't return before
+// that.
+func Pour(conn net.Conn, piece string, most int) int {
+	const batch = 16 << 10
+	b := []byte(strings.Repeat(piece, max(1, batch/len(piece))))
+	taken := 0
+	for taken < most {
+		n, err := conn.Write(b)
+		taken += n
+		if err != nil {
+			return taken
+		}
+	}
+	_, _ = conn.Read(make([]byte, 1)) // the end of the connection
+	return taken
+}
+
 // Reset closes a connection so that its peer gets a reset.
 func Reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
