fix: no answer is read out of the body of another request's answer

A caller could get bytes out of the body of an answer to somebody else: an upstream that first sends an answer to an earlier request, longer than what is passed over, was read on in the middle of that body.

Cause: the body of a stray answer was cut at strayBytes (1 MB) by a LimitReader, whose end looks like the body's end, and the next head was read from there.

Evidence: TestNoAnswerIsFoundInsideAnotherBody puts an answer behind 1 MB of such a body. Before, with a length and in one chunk: "outcome 1, error <nil>, body "no"", the inner answer passed on as the call's own.

Fix: one byte more than strayBytes is asked for; if it comes, the exchange is broken and its connection closed. TestFramingWithoutEndIsGivenUp passed before: net/http bounds chunk headers, chunks of next to nothing and trailers; the test keeps that.

--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -276,3 +276,55 @@
 		t.Errorf("%d connections", n)
 	}
 }
+
+// Guards against an answer that is found inside of another request's body, once
+// that body is longer than what is passed over.
+func TestNoAnswerIsFoundInsideAnotherBody(t *testing.T) {
+	inner := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
+	body := strings.Repeat("x", 1<<20) + inner
+	for name, write := range map[string]func(net.Conn){
+		"length": func(conn net.Conn) { answer(conn, "before", body) },
+		"chunk": func(conn net.Conn) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: before\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool { write(conn); return true })
+			k := call(u, "1")
+			k.FirstByte = time.Second
+			got, outcome, err := do(connector.New(systemclock.New()), k)
+			if outcome != connector.Broken || err == nil {
+				t.Errorf("outcome %d, error %v, body %q", outcome, err, got)
+			}
+		})
+	}
+}
+
+// Guards against framing without end: a chunk's header, chunks of next to
+// nothing, or a trailer, which net/http bounds. Nothing of it may look complete.
+func TestFramingWithoutEndIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ start, piece string }{
+		"chunk header":    {piece: "1"},
+		"chunk extension": {start: "2;", piece: "x"},
+		"empty extension": {piece: "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		"trailer line":    {start: "2\r\nok\r\n0\r\n", piece: "x"},
+		"trailer fields":  {start: "2\r\nok\r\n0\r\n", piece: "Field: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%s", c.start)
+				taken <- testlib.Pour(conn, c.piece, endless)
+				return false
+			})
+			k := call(u, "1")
+			k.FirstByte = time.Second
+			if body, outcome, err := do(connector.New(systemclock.New()), k); outcome != connector.Opened || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("outcome %d, error %v after %d bytes", outcome, err, len(body))
+			}
+			if n := <-taken; n >= endless {
+				t.Errorf("all %d bytes were read", n)
+			}
+		})
+	}
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -142,9 +142,13 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errStray
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
+		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		if n > strayBytes { // the next byte belongs to its body, not to a head
+			return nil, errStray
+		}
 	}
 	return nil, errStray
 }
