fix: an answer of more than 16 MB is broken, not complete

Callers got the first 16 MB of an answer without end as a whole answer with status 200 and a length of its own.

Cause: the body was read through a LimitReader, whose end can't be told from the body's.

Fix: one byte more is asked for, and a told length over the bound isn't read at all. The attempt is broken (attemptBroken): an unsafe request ends with its outcome unknown, what may be repeated is repeated elsewhere within the budget, and the connection, whose body wasn't read to its end, is closed.

--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -47,6 +47,9 @@
 	namingSlack = 500 * time.Millisecond
 )
 
+// errTooLong marks an answer that is longer than a node can hold.
+const errTooLong = errors.ConstError("the answer has more bytes than are taken")
+
 // run is one request on its way.
 type run struct {
 	r   *Relayer
@@ -292,7 +295,7 @@
 // whole passes on an answer in one piece.
 func (u *run) whole(x *connector.Exchange) bool {
 	x.Between(max(leastRemaining, u.deadline.Sub(u.r.Clock.Now())))
-	body, err := io.ReadAll(io.LimitReader(x, answerBytes))
+	body, err := readWhole(x)
 	if err != nil {
 		return u.broken(errors.Annotate(err, "read the answer"))
 	}
@@ -320,6 +323,19 @@
 	return false
 }
 
+// readWhole reads a body to its end. A body of more than answerBytes is an
+// error, since a part of it would look complete.
+func readWhole(x *connector.Exchange) ([]byte, error) {
+	if x.Length > answerBytes {
+		return nil, errTooLong
+	}
+	body, err := io.ReadAll(io.LimitReader(x, answerBytes+1))
+	if err == nil && len(body) > answerBytes {
+		err = errTooLong
+	}
+	return body, errors.Trace(err)
+}
+
 // canRepeat reports whether a repeat would find an upstream and the budget for
 // it, so that an answer at hand isn't given up for nothing.
 func (u *run) canRepeat() bool {
