fix: answers that are being read share one bound of memory

Several answers or streams without end at once fill a node of 112 MB, although each keeps its own bound; the node is killed, and the accepted requests of all its callers are lost.

Cause: the bounds are 16 MB an answer and 1 MB an event, for each request alone, and io.ReadAll holds up to twice an answer while it grows.

Evidence: TestAnswersWithoutEndFitIntoTheNodeTogether measures the heap after a collection.

Fix: beyond 32 KB of its own, each answer takes its bytes from a room of 24 MB a node (one atomic add for 32 KB) and gives them back at its end; an answer that finds none is broken with that reason. Bodies are read into pieces, so that nothing is held twice, and a stream's buffer shrinks again after a large event. TestLargeAnswersPassWhole: 5 MB and events of 600 KB, six times.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -1,10 +1,15 @@
 package relayer_test
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"net"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
@@ -55,3 +60,82 @@
 		})
 	}
 }
+
+// flood serves n requests at once, each of which gets most bytes of what has no
+// end, and returns how many bytes the node holds when all have arrived or their
+// attempts were given up.
+func flood(t *testing.T, path, head, piece string, n, most int) int {
+	t.Helper()
+	hold := make(chan struct{})
+	var arrived sync.WaitGroup
+	arrived.Add(n)
+	script := func(conn net.Conn, r testlib.Received) bool {
+		wholeHead(conn, r, head)
+		for sent := 0; sent < most; sent += len(piece) {
+			if _, err := conn.Write([]byte(piece)); err != nil {
+				break
+			}
+		}
+		arrived.Done()
+		<-hold
+		return false
+	}
+	b := newBench(t, script, script, script)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var ended sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	for range n {
+		ended.Go(func() { b.serve(ctx, path) })
+	}
+	arrived.Wait()
+	held := math.MaxInt
+	for range 5 { // some bytes are still in the sockets, and some memory isn't swept
+		time.Sleep(30 * time.Millisecond)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		held = min(held, int(after.HeapAlloc)-int(before.HeapAlloc))
+	}
+	cancel()
+	ended.Wait()
+	close(hold)
+	return held
+}
+
+// Guards against a node of 112 MB that is killed because several answers
+// without end come at once, each of them within its own bound.
+func TestAnswersWithoutEndFitIntoTheNodeTogether(t *testing.T) {
+	const most = 40 << 20 // what answers may hold at once, and as much again for the rest
+	if held := flood(t, "/unsafe/", "Transfer-Encoding: chunked", chunk, 16, 8<<20); held > most {
+		t.Errorf("16 answers hold %d bytes", held)
+	}
+	event := fmt.Sprintf("%x\r\ndata: %s\r\n", len("data: ")+16<<10, strings.Repeat("x", 16<<10))
+	if held := flood(t, "/once/", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked", event, 24*3, 900<<10); held > most {
+		t.Errorf("72 streams hold %d bytes", held)
+	}
+}
+
+// Guards against bounds that cut sound answers, or room that isn't given back.
+func TestLargeAnswersPassWhole(t *testing.T) {
+	long := strings.Repeat("x", 5<<20)
+	events := strings.Repeat("id: 1\ndata: "+strings.Repeat("x", 600<<10)+"\n\n", 4)
+	b := newBench(t, func(conn net.Conn, r testlib.Received) bool {
+		if r.URL.Path == "/once/" {
+			wholeHead(conn, r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked")
+			fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(events), events)
+			return true
+		}
+		wholeHead(conn, r, fmt.Sprintf("Content-Length: %d", len(long)))
+		fmt.Fprint(conn, long)
+		return true
+	})
+	for range 6 {
+		if r := b.serve(t.Context(), "/unsafe/"); r.status != 200 || r.body.String() != long {
+			t.Errorf("status %d, kind %s, %d bytes", r.status, r.kind, r.body.Len())
+		}
+		if r := b.serve(t.Context(), "/once/"); r.body.String() != events || r.aborted {
+			t.Errorf("aborted %t after %d bytes", r.aborted, r.body.Len())
+		}
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -48,6 +48,7 @@
 type Relayer struct {
 	set Settings
 	Parts
+	room room
 
 	mu      sync.Mutex
 	placer  *placer.Placer
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -295,7 +295,9 @@
 // whole passes on an answer in one piece.
 func (u *run) whole(x *connector.Exchange) bool {
 	x.Between(max(leastRemaining, u.deadline.Sub(u.r.Clock.Now())))
-	body, err := readWhole(x)
+	held := share{room: &u.r.room}
+	defer held.free()
+	pieces, size, err := readWhole(x, &held)
 	if err != nil {
 		return u.broken(errors.Annotate(err, "read the answer"))
 	}
@@ -317,23 +319,47 @@
 		u.fail(failure.StreamLost)
 		return false
 	}
-	u.w.Begin(x.Status, x.Header, int64(len(body)))
-	err = u.w.Write(body)
+	u.w.Begin(x.Status, x.Header, size)
+	for _, p := range pieces {
+		if err = u.w.Write(p); err != nil {
+			break
+		}
+	}
 	u.answered(x.Status, err)
 	return false
 }
 
-// readWhole reads a body to its end. A body of more than answerBytes is an
-// error, since a part of it would look complete.
-func readWhole(x *connector.Exchange) ([]byte, error) {
+// readWhole reads a body to its end, into pieces so that nothing is held twice.
+// A body of more than answerBytes is an error, since a part of it would look
+// complete.
+func readWhole(x *connector.Exchange, held *share) (pieces [][]byte, size int64, err error) {
 	if x.Length > answerBytes {
-		return nil, errTooLong
+		return nil, 0, errTooLong
+	}
+	first := int64(readBytes)
+	if x.Length >= 0 {
+		first = min(ownBytes, x.Length+1) // the end shows in the byte after the last
 	}
-	body, err := io.ReadAll(io.LimitReader(x, answerBytes+1))
-	if err == nil && len(body) > answerBytes {
-		err = errTooLong
+	p := make([]byte, 0, first)
+	for {
+		n, err := x.Read(p[len(p):cap(p)])
+		p = p[:len(p)+n]
+		size += int64(n)
+		switch {
+		case err == io.EOF:
+			return append(pieces, p), size, nil
+		case err != nil:
+			return nil, 0, errors.Trace(err)
+		case size > answerBytes:
+			return nil, 0, errTooLong
+		case len(p) == cap(p):
+			if err := held.take(ownBytes); err != nil {
+				return nil, 0, err
+			}
+			pieces = append(pieces, p)
+			p = make([]byte, 0, ownBytes)
+		}
 	}
-	return body, errors.Trace(err)
 }
 
 // canRepeat reports whether a repeat would find an upstream and the budget for
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -28,12 +28,19 @@
 // engine can go on after the last one.
 func (u *run) stream(x *connector.Exchange) bool {
 	x.Between(u.between())
+	held := share{room: &u.r.room}
+	defer held.free()
 	buf := make([]byte, 0, readBytes)
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= eventBytes {
 				return u.brokenStream(errors.NotValidf("event of over %d bytes", eventBytes))
 			}
+			if cap(buf) >= ownBytes {
+				if err := held.take(cap(buf)); err != nil {
+					return u.brokenStream(err)
+				}
+			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		n, err := x.Read(buf[len(buf):cap(buf)])
@@ -43,6 +50,10 @@
 				return u.callerLost(werr)
 			}
 			buf = buf[:copy(buf, buf[end:])]
+			if cap(buf) > ownBytes && len(buf) < readBytes {
+				buf = append(make([]byte, 0, readBytes), buf...)
+				held.free()
+			}
 		}
 		switch {
 		case err == io.EOF && len(buf) > 0:
