fix: the rest of a refusal isn't waited for beyond 16 KB or 100 ms

Callers whose request was refused by one upstream, and had not run, got no answer before their time was over, although another upstream was sound.

Cause: the body of a refusal was read to its end to keep the connection, with the time limit of the answer's start as only bound. For unsafe requests that is the caller's whole time.

Evidence: TestRefusalWithoutEndIsNotReadOut, for bodies without end, silent and trickling.

Fix: Exchange.Drain bounds bytes and time; a connection that isn't drained is closed and the request goes to the next upstream. refusalUnread, at debug level as before, says why. TestDrainedConnectionIsUsedAgain: short refusals keep their connection.

--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -328,3 +328,23 @@
 		})
 	}
 }
+
+// Guards against new connections after short answers that nobody needed.
+func TestDrainedConnectionIsUsedAgain(t *testing.T) {
+	u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool { return answer(conn, r.Header.Get("Id"), "no room") })
+	conns := connector.New(systemclock.New())
+	for range 3 {
+		x, _, err := conns.Open(t.Context(), call(u, "1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := x.Drain(); err != nil {
+			t.Error(err)
+		}
+		x.Close()
+		time.Sleep(120 * time.Millisecond) // the bound of draining has passed
+	}
+	if n := u.Connections(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -39,6 +39,10 @@
 	strayAnswers = 3
 	// strayBytes bounds the size of such an answer.
 	strayBytes = 1 << 20
+	// drainBytes and drainTimeout bound what is read and waited for to keep the
+	// connection of an answer that nobody needs: a new one takes some ms.
+	drainBytes   = 16 << 10
+	drainTimeout = 100 * time.Millisecond
 	// writeTimeout bounds the sending of a request.
 	writeTimeout = 5 * time.Second
 )
@@ -170,6 +174,22 @@
 	return n, err
 }
 
+// Drain reads the rest of an answer that nobody needs, so that the connection
+// can be used again. Close ends that of an answer that is too long or slow.
+func (x *Exchange) Drain() error {
+	x.between = 0
+	if err := x.conn.SetReadDeadline(x.owner.clk.Now().Add(drainTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(x, drainBytes)); err != nil {
+		return errors.Trace(err)
+	}
+	if !x.ended {
+		return errors.NotValidf("rest of over %d bytes", drainBytes)
+	}
+	return errors.Trace(x.conn.SetReadDeadline(time.Time{}))
+}
+
 // Close ends the exchange. A connection whose answer was read to its end
 // serves the next one.
 func (x *Exchange) Close() {
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -139,3 +139,33 @@
 		}
 	}
 }
+
+// Guards against the body of a refusal that keeps the request from the next
+// upstream until the caller's time is over.
+func TestRefusalWithoutEndIsNotReadOut(t *testing.T) {
+	for name, rest := range map[string]func(net.Conn){
+		"without end": func(conn net.Conn) { testlib.Pour(conn, chunk, endless) },
+		"silent":      func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) },
+		"trickling": func(conn net.Conn) {
+			for {
+				if _, err := fmt.Fprint(conn, "1\r\nx\r\n"); err != nil {
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 6 { // whichever is chosen first
+				b := newBench(t, func(conn net.Conn, r testlib.Received) bool {
+					fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+					rest(conn)
+					return false
+				}, ok)
+				if r := b.serve(t.Context(), "/unsafe/"); r.status != 200 || r.body.String() != "ok" {
+					t.Fatalf("status %d, kind %s", r.status, r.kind)
+				}
+			}
+		})
+	}
+}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -256,8 +256,7 @@
 			p.Close(c.Incarnation(), now.Add(fullPause))
 		}
 	})
-	// The body must be read, or the connection can't be used again.
-	if _, err := io.Copy(io.Discard, x); err != nil {
+	if err := x.Drain(); err != nil {
 		u.log("refusalUnread").WithError(err).Debug("refusal without its end")
 	}
 	u.log("attemptRefused").WithFields(logrus.Fields{
