fix: only whole events prolong the wait for a stream that may go on elsewhere

Callers of a resumable stream waited until their time was over, and got a stream that was cut, while a sound engine could have gone on with it.

Cause: the limit of the pause was set anew before each read, so that bytes which never end an event kept the attempt alive.

Evidence: TestStreamWithoutAnEventGoesOnElsewhere. Before, with a byte each 5 ms after the first event: "aborted true after "id: 1\ndata: e1\n\n"" after 2.5 s, the whole time of the caller. After, the stream is whole.

Fix: Exchange.Within takes the place of Between: it bounds all that is read until it is called again, and the stream calls it after whole events only, which is also fewer calls than one a read.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -25,13 +25,12 @@
 	// Length is the length of the body, -1 if the answer doesn't tell.
 	Length int64
 
-	owner   *Connector
-	conn    *conn
-	body    io.ReadCloser
-	closes  bool
-	ended   bool
-	stop    func() bool
-	between time.Duration
+	owner  *Connector
+	conn   *conn
+	body   io.ReadCloser
+	closes bool
+	ended  bool
+	stop   func() bool
 }
 
 const (
@@ -157,16 +156,14 @@
 	return nil, errStray
 }
 
-// Between bounds the wait for each further piece of the body.
-func (x *Exchange) Between(d time.Duration) { x.between = d }
+// Within bounds the wait for all that is read from now on; the next call takes
+// its place. Bytes that arrive don't prolong it.
+func (x *Exchange) Within(d time.Duration) error {
+	return errors.Trace(x.conn.SetReadDeadline(x.owner.clk.Now().Add(d)))
+}
 
 // Read reads the body. io.EOF means that it is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
-	if x.between > 0 {
-		if err := x.conn.SetReadDeadline(x.owner.clk.Now().Add(x.between)); err != nil {
-			return 0, errors.Trace(err)
-		}
-	}
 	n, err := x.body.Read(p)
 	if err == io.EOF {
 		x.ended = true
@@ -177,9 +174,8 @@
 // Drain reads the rest of an answer that nobody needs, so that the connection
 // can be used again. Close ends that of an answer that is too long or slow.
 func (x *Exchange) Drain() error {
-	x.between = 0
-	if err := x.conn.SetReadDeadline(x.owner.clk.Now().Add(drainTimeout)); err != nil {
-		return errors.Trace(err)
+	if err := x.Within(drainTimeout); err != nil {
+		return err
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(x, drainBytes)); err != nil {
 		return errors.Trace(err)
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -8,9 +8,11 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
@@ -169,3 +171,32 @@
 		})
 	}
 }
+
+// Guards against a stream that is taken for alive because bytes come, although
+// no event ever ends: it must go on at another engine within the pause that is
+// allowed, not end with the caller's time.
+func TestStreamWithoutAnEventGoesOnElsewhere(t *testing.T) {
+	var calls atomic.Int32
+	script := func(conn net.Conn, r testlib.Received) bool {
+		if calls.Add(1) > 1 {
+			return streaming(0)(conn, r)
+		}
+		streamHead(conn, r)
+		event(conn, 1)
+		for {
+			if _, err := fmt.Fprint(conn, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	b := newBench(t, script, script)
+	r := &reply{}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: "key", Body: []byte("body"),
+		Wait: 2500 * time.Millisecond, Arrived: time.Now(),
+	}, r)
+	if r.body.String() != wholeStream || r.aborted {
+		t.Errorf("aborted %t after %q", r.aborted, r.body.String())
+	}
+}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -293,7 +293,9 @@
 
 // whole passes on an answer in one piece.
 func (u *run) whole(x *connector.Exchange) bool {
-	x.Between(max(leastRemaining, u.deadline.Sub(u.r.Clock.Now())))
+	if err := x.Within(max(leastRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
+		return u.broken(errors.Annotate(err, "read the answer"))
+	}
 	held := share{room: &u.r.room}
 	defer held.free()
 	pieces, size, err := readWhole(x, &held)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -27,7 +27,9 @@
 // stream passes the events on as they arrive, whole ones only, so that another
 // engine can go on after the last one.
 func (u *run) stream(x *connector.Exchange) bool {
-	x.Between(u.between())
+	if err := x.Within(u.between()); err != nil {
+		return u.brokenStream(err)
+	}
 	held := share{room: &u.r.room}
 	defer held.free()
 	buf := make([]byte, 0, readBytes)
@@ -45,7 +47,8 @@
 		}
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := lastEventEnd(buf); end > 0 {
+		end := lastEventEnd(buf)
+		if end > 0 {
 			if werr := u.pass(x, buf[:end]); werr != nil {
 				return u.callerLost(werr)
 			}
@@ -63,6 +66,10 @@
 			return false
 		case err != nil:
 			return u.brokenStream(err)
+		case end > 0: // only whole events show that the stream goes on
+			if err := x.Within(u.between()); err != nil {
+				return u.brokenStream(err)
+			}
 		}
 	}
 }
