--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburnnotch/auburnnotch/internal/bounded"
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -47,9 +48,6 @@
 	namingSlack = 500 * time.Millisecond
 )
 
-// errTooLong marks an answer that is longer than a node can hold.
-const errTooLong = errors.ConstError("the answer has more bytes than are taken")
-
 // run is one request on its way.
 type run struct {
 	r   *Relayer
@@ -335,7 +333,7 @@
 // complete.
 func readWhole(x *connector.Exchange, held *share) (pieces [][]byte, size int64, err error) {
 	if x.Length > answerBytes {
-		return nil, 0, errTooLong
+		return nil, 0, bounded.ErrTooLong
 	}
 	first := int64(readBytes)
 	if x.Length >= 0 {
@@ -352,7 +350,7 @@
 		case err != nil:
 			return nil, 0, errors.Trace(err)
 		case size > answerBytes:
-			return nil, 0, errTooLong
+			return nil, 0, bounded.ErrTooLong
 		case len(p) == cap(p):
 			if err := held.take(ownBytes); err != nil {
 				return nil, 0, err
