fix: load reports and heads at the product's own upstreams are bounded

A node that polls engines for their load, or asks one after a broken attempt, gathered a report without end in memory until its time limit; a head might take 10 MB.

Cause: the client library decodes and then drains a body without a bound, and net/http's default for heads is 10 MB.

Evidence: TestBytesWithoutEndAreGivenUp/report. Before: "context deadline exceeded" after the second that the test allows, "all bytes were read". TestLongHeadIsNoAnswer, a head of 1 MB: "outcome 1, <nil>". A head without end was given up before as well, at 10 MB.

Fix: reports are read through bounded.ReadAll (64 KB), heads are bounded at 32 KB by the transport, which closes the connection; the attempt is broken.

--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
 
+	"github.com/auburnnotch/auburnnotch/internal/bounded"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
@@ -65,6 +67,11 @@
 	idleTimeout     = 15 * time.Second
 	idlePerUpstream = 256
 	bufferBytes     = 4 << 10
+	// headBytes bounds the head of an answer, which has a few fields; net/http
+	// would take megabytes.
+	headBytes = 32 << 10
+	// reportBytes bounds a load report, which has some hundred bytes.
+	reportBytes = 64 << 10
 )
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -75,6 +82,7 @@
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+		MaxResponseHeaderBytes: headBytes,
 	}
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
@@ -197,14 +205,19 @@
 	if err != nil {
 		return l, errors.Trace(err)
 	}
-	resp, err := sling.New().Client(u.pooled).Do(req.WithContext(ctx), &l, nil)
+	resp, err := u.pooled.Do(req.WithContext(ctx))
 	if err != nil {
 		return l, errors.Trace(err)
 	}
+	defer resp.Body.Close()
+	body, err := bounded.ReadAll(resp.Body, reportBytes)
+	if err != nil {
+		return l, errors.Annotate(err, "load report")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return l, errors.Errorf("load report: status %d", resp.StatusCode)
 	}
-	return l, nil
+	return l, errors.Trace(json.Unmarshal(body, &l))
 }
 
 // Order sends an order; it reports whether the engine took it.
--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
@@ -109,3 +112,48 @@
 		}
 	}
 }
+
+// endless is what a test's upstream pours out at most: far more than any bound
+// and the buffers of two sockets.
+const endless = 48 << 20
+
+// Guards against a load report or a head that is read for as long as the engine
+// sends.
+func TestBytesWithoutEndAreGivenUp(t *testing.T) {
+	for name, start := range map[string]string{
+		"report": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"incarnation":"`,
+		"head":   "HTTP/1.1 200 OK\r\nField: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			up := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
+				_, _ = io.WriteString(conn, start)
+				taken <- testlib.Pour(conn, strings.Repeat("x", 1<<10), endless)
+				return false
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if l, err := upstreamer.New(systemclock.New()).Load(ctx, "http://"+up.Addr); err == nil || ctx.Err() != nil {
+				t.Errorf("report %+v, %v", l, err)
+			}
+			if n := <-taken; n >= endless {
+				t.Errorf("all %d bytes were read", n)
+			}
+		})
+	}
+}
+
+// Guards against a head that takes a large part of a node's memory.
+func TestLongHeadIsNoAnswer(t *testing.T) {
+	up := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nField: "+strings.Repeat("x", 1<<20)+"\r\n\r\nok")
+		return false
+	})
+	a, outcome, err := upstreamer.New(systemclock.New()).Open(t.Context(), spec("http://"+up.Addr, true))
+	if outcome != upstreamer.Broken || err == nil {
+		t.Errorf("outcome %d, %v", outcome, err)
+	}
+	if a != nil {
+		a.Close()
+	}
+}
