--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
@@ -219,3 +222,129 @@
 		t.Fatalf("the upstream read %d requests", len(got))
 	}
 }
+
+// endless is what a test's upstream pours out at most: far more than any bound
+// and the buffers of two sockets.
+const endless = 48 << 20
+
+// Guards against a node that gathers a head for as long as its upstream sends:
+// some hundred megabytes within a caller's time limit.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ start, piece string }{
+		"no line":         {piece: "x"},
+		"status line":     {start: "HTTP/1.1 200 ", piece: "OK"},
+		"one field":       {start: "HTTP/1.1 200 OK\r\nField: ", piece: "x"},
+		"many fields":     {start: "HTTP/1.1 200 OK\r\n", piece: "Field: x\r\n"},
+		"interim answers": {piece: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"after an earlier request's answer": {
+			start: "HTTP/1.1 200 OK\r\nId: before\r\nContent-Length: 2\r\n\r\nno", piece: "x",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
+				fmt.Fprint(conn, c.start)
+				taken <- testlib.Pour(conn, c.piece, endless)
+				return false
+			})
+			k := call(u, "1")
+			k.FirstByte = time.Second
+			_, outcome, err := do(connector.New(systemclock.New()), k)
+			if outcome != connector.Broken || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("outcome %d, error %v", outcome, err)
+			}
+			if n := <-taken; n >= endless {
+				t.Errorf("all %d bytes were read", n)
+			}
+		})
+	}
+}
+
+// Guards against a bound that counts bodies, or the heads of earlier exchanges.
+func TestLongBodiesAreNoHeads(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+		return answer(conn, "before", long[:100<<10]) && answer(conn, r.Header.Get("Id"), long)
+	})
+	conns := connector.New(systemclock.New())
+	for range 3 {
+		if body, _, err := do(conns, call(u, "1")); body != long || err != nil {
+			t.Fatalf("%d bytes, %v", len(body), err)
+		}
+	}
+	if n := u.Connections(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// Guards against an answer that is found inside of another request's body, once
+// that body is longer than what is passed over.
+func TestNoAnswerIsFoundInsideAnotherBody(t *testing.T) {
+	inner := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
+	body := strings.Repeat("x", 1<<20) + inner
+	for name, write := range map[string]func(net.Conn){
+		"length": func(conn net.Conn) { answer(conn, "before", body) },
+		"chunk": func(conn net.Conn) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: before\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool { write(conn); return true })
+			k := call(u, "1")
+			k.FirstByte = time.Second
+			got, outcome, err := do(connector.New(systemclock.New()), k)
+			if outcome != connector.Broken || err == nil {
+				t.Errorf("outcome %d, error %v, body %q", outcome, err, got)
+			}
+		})
+	}
+}
+
+// Guards against framing without end: a chunk's header, chunks of next to
+// nothing, or a trailer, which net/http bounds. Nothing of it may look complete.
+func TestFramingWithoutEndIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ start, piece string }{
+		"chunk header":    {piece: "1"},
+		"chunk extension": {start: "2;", piece: "x"},
+		"empty extension": {piece: "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		"trailer line":    {start: "2\r\nok\r\n0\r\n", piece: "x"},
+		"trailer fields":  {start: "2\r\nok\r\n0\r\n", piece: "Field: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%s", c.start)
+				taken <- testlib.Pour(conn, c.piece, endless)
+				return false
+			})
+			k := call(u, "1")
+			k.FirstByte = time.Second
+			if body, outcome, err := do(connector.New(systemclock.New()), k); outcome != connector.Opened || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("outcome %d, error %v after %d bytes", outcome, err, len(body))
+			}
+			if n := <-taken; n >= endless {
+				t.Errorf("all %d bytes were read", n)
+			}
+		})
+	}
+}
+
+// Guards against new connections after short answers that nobody needed.
+func TestDrainedConnectionIsUsedAgain(t *testing.T) {
+	u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool { return answer(conn, r.Header.Get("Id"), "no room") })
+	conns := connector.New(systemclock.New())
+	for range 3 {
+		x, _, err := conns.Open(t.Context(), call(u, "1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := x.Drain(); err != nil {
+			t.Error(err)
+		}
+		x.Close()
+		time.Sleep(120 * time.Millisecond) // the bound of draining has passed
+	}
+	if n := u.Connections(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -25,13 +25,12 @@
 	// Length is the length of the body, -1 if the answer doesn't tell.
 	Length int64
 
-	owner   *Connector
-	conn    *conn
-	body    io.ReadCloser
-	closes  bool
-	ended   bool
-	stop    func() bool
-	between time.Duration
+	owner  *Connector
+	conn   *conn
+	body   io.ReadCloser
+	closes bool
+	ended  bool
+	stop   func() bool
 }
 
 const (
@@ -39,6 +38,10 @@
 	strayAnswers = 3
 	// strayBytes bounds the size of such an answer.
 	strayBytes = 1 << 20
+	// drainBytes and drainTimeout bound what is read and waited for to keep the
+	// connection of an answer that nobody needs: a new one takes some ms.
+	drainBytes   = 16 << 10
+	drainTimeout = 100 * time.Millisecond
 	// writeTimeout bounds the sending of a request.
 	writeTimeout = 5 * time.Second
 )
@@ -129,7 +132,7 @@
 func readHead(cn *conn, call *Call) (*http.Response, error) {
 	req := &http.Request{Method: call.Method}
 	for range strayAnswers {
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := cn.readResponse(req)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -142,23 +145,25 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errStray
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
+		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		if n > strayBytes { // the next byte belongs to its body, not to a head
+			return nil, errStray
+		}
 	}
 	return nil, errStray
 }
 
-// Between bounds the wait for each further piece of the body.
-func (x *Exchange) Between(d time.Duration) { x.between = d }
+// Within bounds the wait for all that is read from now on; the next call takes
+// its place. Bytes that arrive don't prolong it.
+func (x *Exchange) Within(d time.Duration) error {
+	return errors.Trace(x.conn.SetReadDeadline(x.owner.clk.Now().Add(d)))
+}
 
 // Read reads the body. io.EOF means that it is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
-	if x.between > 0 {
-		if err := x.conn.SetReadDeadline(x.owner.clk.Now().Add(x.between)); err != nil {
-			return 0, errors.Trace(err)
-		}
-	}
 	n, err := x.body.Read(p)
 	if err == io.EOF {
 		x.ended = true
@@ -166,6 +171,21 @@
 	return n, err
 }
 
+// Drain reads the rest of an answer that nobody needs, so that the connection
+// can be used again. Close ends that of an answer that is too long or slow.
+func (x *Exchange) Drain() error {
+	if err := x.Within(drainTimeout); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(x, drainBytes)); err != nil {
+		return errors.Trace(err)
+	}
+	if !x.ended {
+		return errors.NotValidf("rest of over %d bytes", drainBytes)
+	}
+	return errors.Trace(x.conn.SetReadDeadline(time.Time{}))
+}
+
 // Close ends the exchange. A connection whose answer was read to its end
 // serves the next one.
 func (x *Exchange) Close() {
--- /dev/null
+++ b/internal/relayer/endless_test.go
@@ -0,0 +1,202 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/failure"
+)
+
+// endless is what a test's upstream pours out at most: far more than any bound
+// and the buffers of two sockets.
+const endless = 48 << 20
+
+func wholeHead(conn net.Conn, r testlib.Received, framing string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: x\r\n%s\r\n\r\n", r.Header.Get("Id"), framing)
+}
+
+// pouring begins an answer whose body has no end.
+func pouring(framing, piece string) testlib.Script {
+	return func(conn net.Conn, r testlib.Received) bool {
+		wholeHead(conn, r, framing)
+		testlib.Pour(conn, piece, endless)
+		return false
+	}
+}
+
+var chunk = fmt.Sprintf("%x\r\n%s\r\n", 16<<10, strings.Repeat("x", 16<<10))
+
+// Guards against the first megabytes of an answer without end that are passed
+// on as a whole answer.
+func TestAnswerWithoutEndDoesNotLookComplete(t *testing.T) {
+	for name, script := range map[string]testlib.Script{
+		"chunks":    pouring("Transfer-Encoding: chunked", chunk),
+		"no length": pouring("Connection: close", "x"),
+		"length":    pouring("Content-Length: 999999999", "x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, script)
+			r := b.serve(t.Context(), "/unsafe/")
+			if r.kind != failure.OutcomeUnknown || r.status != 0 {
+				t.Errorf("status %d with %d bytes, kind %s", r.status, r.body.Len(), r.kind)
+			}
+			if n := b.sent(); n != 1 {
+				t.Errorf("an unsafe request was sent %d times", n)
+			}
+			for range 6 { // whichever is chosen first
+				b = newBench(t, script, ok)
+				if r := b.serve(t.Context(), "/safe/"); r.status != 200 || r.body.String() != "ok" {
+					t.Errorf("status %d, kind %s, %d bytes", r.status, r.kind, r.body.Len())
+				}
+			}
+		})
+	}
+}
+
+// flood serves n requests at once, each of which gets most bytes of what has no
+// end, and returns how many bytes the node holds when all have arrived or their
+// attempts were given up.
+func flood(t *testing.T, path, head, piece string, n, most int) int {
+	t.Helper()
+	hold := make(chan struct{})
+	var arrived sync.WaitGroup
+	arrived.Add(n)
+	script := func(conn net.Conn, r testlib.Received) bool {
+		wholeHead(conn, r, head)
+		for sent := 0; sent < most; sent += len(piece) {
+			if _, err := conn.Write([]byte(piece)); err != nil {
+				break
+			}
+		}
+		arrived.Done()
+		<-hold
+		return false
+	}
+	b := newBench(t, script, script, script)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var ended sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	for range n {
+		ended.Go(func() { b.serve(ctx, path) })
+	}
+	arrived.Wait()
+	held := math.MaxInt
+	for range 5 { // some bytes are still in the sockets, and some memory isn't swept
+		time.Sleep(30 * time.Millisecond)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		held = min(held, int(after.HeapAlloc)-int(before.HeapAlloc))
+	}
+	cancel()
+	ended.Wait()
+	close(hold)
+	return held
+}
+
+// Guards against a node of 112 MB that is killed because several answers
+// without end come at once, each of them within its own bound.
+func TestAnswersWithoutEndFitIntoTheNodeTogether(t *testing.T) {
+	const most = 40 << 20 // what answers may hold at once, and as much again for the rest
+	if held := flood(t, "/unsafe/", "Transfer-Encoding: chunked", chunk, 16, 8<<20); held > most {
+		t.Errorf("16 answers hold %d bytes", held)
+	}
+	event := fmt.Sprintf("%x\r\ndata: %s\r\n", len("data: ")+16<<10, strings.Repeat("x", 16<<10))
+	if held := flood(t, "/once/", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked", event, 24*3, 900<<10); held > most {
+		t.Errorf("72 streams hold %d bytes", held)
+	}
+}
+
+// Guards against bounds that cut sound answers, or room that isn't given back.
+func TestLargeAnswersPassWhole(t *testing.T) {
+	long := strings.Repeat("x", 5<<20)
+	events := strings.Repeat("id: 1\ndata: "+strings.Repeat("x", 600<<10)+"\n\n", 4)
+	b := newBench(t, func(conn net.Conn, r testlib.Received) bool {
+		if r.URL.Path == "/once/" {
+			wholeHead(conn, r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked")
+			fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(events), events)
+			return true
+		}
+		wholeHead(conn, r, fmt.Sprintf("Content-Length: %d", len(long)))
+		fmt.Fprint(conn, long)
+		return true
+	})
+	for range 6 {
+		if r := b.serve(t.Context(), "/unsafe/"); r.status != 200 || r.body.String() != long {
+			t.Errorf("status %d, kind %s, %d bytes", r.status, r.kind, r.body.Len())
+		}
+		if r := b.serve(t.Context(), "/once/"); r.body.String() != events || r.aborted {
+			t.Errorf("aborted %t after %d bytes", r.aborted, r.body.Len())
+		}
+	}
+}
+
+// Guards against the body of a refusal that keeps the request from the next
+// upstream until the caller's time is over.
+func TestRefusalWithoutEndIsNotReadOut(t *testing.T) {
+	for name, rest := range map[string]func(net.Conn){
+		"without end": func(conn net.Conn) { testlib.Pour(conn, chunk, endless) },
+		"silent":      func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) },
+		"trickling": func(conn net.Conn) {
+			for {
+				if _, err := fmt.Fprint(conn, "1\r\nx\r\n"); err != nil {
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 6 { // whichever is chosen first
+				b := newBench(t, func(conn net.Conn, r testlib.Received) bool {
+					fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+					rest(conn)
+					return false
+				}, ok)
+				if r := b.serve(t.Context(), "/unsafe/"); r.status != 200 || r.body.String() != "ok" {
+					t.Fatalf("status %d, kind %s", r.status, r.kind)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that is taken for alive because bytes come, although
+// no event ever ends: it must go on at another engine within the pause that is
+// allowed, not end with the caller's time.
+func TestStreamWithoutAnEventGoesOnElsewhere(t *testing.T) {
+	var calls atomic.Int32
+	script := func(conn net.Conn, r testlib.Received) bool {
+		if calls.Add(1) > 1 {
+			return streaming(0)(conn, r)
+		}
+		streamHead(conn, r)
+		event(conn, 1)
+		for {
+			if _, err := fmt.Fprint(conn, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	b := newBench(t, script, script)
+	r := &reply{}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: "key", Body: []byte("body"),
+		Wait: 2500 * time.Millisecond, Arrived: time.Now(),
+	}, r)
+	if r.body.String() != wholeStream || r.aborted {
+		t.Errorf("aborted %t after %q", r.aborted, r.body.String())
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -51,6 +51,7 @@
 type Relayer struct {
 	set Settings
 	Parts
+	room room
 
 	// finisher is nil until the node is told to stop.
 	finisher atomic.Pointer[finisher.Finisher]
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburnnotch/auburnnotch/internal/bounded"
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -257,8 +258,7 @@
 			p.Close(c.Incarnation(), now.Add(fullPause))
 		}
 	})
-	// The body must be read, or the connection can't be used again.
-	if _, err := io.Copy(io.Discard, x); err != nil {
+	if err := x.Drain(); err != nil {
 		u.log("refusalUnread").WithError(err).Debug("refusal without its end")
 	}
 	u.log("attemptRefused").WithFields(logrus.Fields{
@@ -295,8 +295,12 @@
 
 // whole passes on an answer in one piece.
 func (u *run) whole(x *connector.Exchange) bool {
-	x.Between(max(leastRemaining, u.deadline.Sub(u.r.Clock.Now())))
-	body, err := io.ReadAll(io.LimitReader(x, answerBytes))
+	if err := x.Within(max(leastRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
+		return u.broken(errors.Annotate(err, "read the answer"))
+	}
+	held := share{room: &u.r.room}
+	defer held.free()
+	pieces, size, err := readWhole(x, &held)
 	if err != nil {
 		return u.broken(errors.Annotate(err, "read the answer"))
 	}
@@ -319,12 +323,49 @@
 		u.fail(failure.StreamLost)
 		return false
 	}
-	u.w.Begin(x.Status, x.Header, int64(len(body)))
-	err = u.w.Write(body)
+	u.w.Begin(x.Status, x.Header, size)
+	for _, p := range pieces {
+		if err = u.w.Write(p); err != nil {
+			break
+		}
+	}
 	u.answered(x.Status, err)
 	return false
 }
 
+// readWhole reads a body to its end, into pieces so that nothing is held twice.
+// A body of more than answerBytes is an error, since a part of it would look
+// complete.
+func readWhole(x *connector.Exchange, held *share) (pieces [][]byte, size int64, err error) {
+	if x.Length > answerBytes {
+		return nil, 0, bounded.ErrTooLong
+	}
+	first := int64(readBytes)
+	if x.Length >= 0 {
+		first = min(ownBytes, x.Length+1) // the end shows in the byte after the last
+	}
+	p := make([]byte, 0, first)
+	for {
+		n, err := x.Read(p[len(p):cap(p)])
+		p = p[:len(p)+n]
+		size += int64(n)
+		switch {
+		case err == io.EOF:
+			return append(pieces, p), size, nil
+		case err != nil:
+			return nil, 0, errors.Trace(err)
+		case size > answerBytes:
+			return nil, 0, bounded.ErrTooLong
+		case len(p) == cap(p):
+			if err := held.take(ownBytes); err != nil {
+				return nil, 0, err
+			}
+			pieces = append(pieces, p)
+			p = make([]byte, 0, ownBytes)
+		}
+	}
+}
+
 // canRepeat reports whether a repeat would find an upstream and the budget for
 // it, so that an answer at hand isn't given up for nothing.
 func (u *run) canRepeat() bool {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -27,22 +27,36 @@
 // stream passes the events on as they arrive, whole ones only, so that another
 // engine can go on after the last one.
 func (u *run) stream(x *connector.Exchange) bool {
-	x.Between(u.between())
+	if err := x.Within(u.between()); err != nil {
+		return u.brokenStream(err)
+	}
+	held := share{room: &u.r.room}
+	defer held.free()
 	buf := make([]byte, 0, readBytes)
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= eventBytes {
 				return u.brokenStream(errors.NotValidf("event of over %d bytes", eventBytes))
 			}
+			if cap(buf) >= ownBytes {
+				if err := held.take(cap(buf)); err != nil {
+					return u.brokenStream(err)
+				}
+			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := lastEventEnd(buf); end > 0 {
+		end := lastEventEnd(buf)
+		if end > 0 {
 			if werr := u.pass(x, buf[:end]); werr != nil {
 				return u.callerLost(werr)
 			}
 			buf = buf[:copy(buf, buf[end:])]
+			if cap(buf) > ownBytes && len(buf) < readBytes {
+				buf = append(make([]byte, 0, readBytes), buf...)
+				held.free()
+			}
 		}
 		switch {
 		case err == io.EOF && len(buf) > 0:
@@ -52,6 +66,10 @@
 			return false
 		case err != nil:
 			return u.brokenStream(err)
+		case end > 0: // only whole events show that the stream goes on
+			if err := x.Within(u.between()); err != nil {
+				return u.brokenStream(err)
+			}
 		}
 	}
 }
