fix: the times of a stop count from the signal

Services end one by one, the registrar first; with a store that doesn't answer it waits 1.2 s. Only then the ingress took the time from which it counts, so that callers' requests were begun up to 4.25 s after the signal and broken off at 8.55 s, while the platform kills at 8 s; until then the node was also ready and listed.

The node departs at the signal itself, before the first service ends.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,8 @@
 // Entry is one node.
 type Entry struct {
 	kernel *kernel.Kernel
+	// depart is called at the signal to stop, before services end one by one.
+	depart func()
 	meter  *meter.Meter
 	log    logrus.FieldLogger
 }
@@ -134,12 +136,14 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Entry{kernel: k, meter: metrics, log: log}, nil
+	return &Entry{kernel: k, depart: in.Depart, meter: metrics, log: log}, nil
 }
 
 // Run serves until ctx ends and every accepted request has its answer.
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.meter.Close()
 	e.log.WithField("event", "started").Info("the node starts")
+	stop := context.AfterFunc(ctx, e.depart)
+	defer stop()
 	return errors.Trace(e.kernel.Run(ctx))
 }
