fix: a stopping node doesn't take the office of orders

Found by the review: with the office vacant, a node that was stopping took it, may give no order for the gap of 3.8 s, and ends before; TestStoppingNodeDoesNotCampaign saw it taken twice. Roll-outs stand still meanwhile. The node now says at the signal that it stops. One that stops before its first order gives the office back, too, instead of leaving it to its lease. A holder keeps it until its end, as before: it can give orders for longer than the next one has to wait.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Entry{kernel: k, depart: in.Depart, meter: metrics, log: log}, nil
+	return &Entry{kernel: k, depart: func() { issue.Retire(); in.Depart() }, meter: metrics, log: log}, nil
 }
 
 // Run serves until ctx ends and every accepted request has its answer.
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -173,3 +173,20 @@
 		t.Errorf("a request sent %v after the signal ran; until the platform kills the node its caller had %q, %v", sentAfter, first[:n], err)
 	}
 }
+
+// Guards against orders that nobody gives: a node that stops took the office, in which
+// it must wait longer for its first order than it has left.
+func TestStoppingNodeDoesNotCampaign(t *testing.T) {
+	b := newBench(t, 8)
+	b.out.await(t, "event=officeTaken")
+	b.open(t)
+	b.signal()
+	b.out.await(t, "event=draining")
+	b.store.EndLeases()
+	b.out.await(t, "event=drained")
+	b.out.mu.Lock()
+	defer b.out.mu.Unlock()
+	if n := strings.Count(b.out.b.String(), "event=officeTaken"); n != 1 {
+		t.Errorf("the office was taken %d times, also by a node that stops", n)
+	}
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -86,6 +87,7 @@
 	looks   *observer.Observer
 	ups     Upstreams
 	traffic Traffic
+	retired atomic.Bool
 
 	mu       sync.Mutex
 	roller   *roller.Roller
@@ -114,12 +116,16 @@
 	g.Go(func() error { return o.hold(work) })
 	g.Go(func() error { return o.issue(work, g) })
 	err := g.Wait()
-	if fence := o.mayIssue(); fence != 0 {
+	if fence := o.held(); fence != 0 {
 		o.release(context.WithoutCancel(ctx), fence)
 	}
 	return err
 }
 
+// Retire keeps the node, which is about to stop, from taking the office. An office
+// that it holds stays its own until Run ends.
+func (o *Orderer) Retire() { o.retired.Store(true) }
+
 // release writes that nobody holds the office, so that the next holder needn't
 // wait for the lease.
 func (o *Orderer) release(ctx context.Context, fence uint64) {
@@ -144,6 +150,7 @@
 		}
 		f := o.looks.Fleet()
 		switch {
+		case o.retired.Load():
 		case !f.Read || f.Issuer != nil && f.Issuer.Node != "":
 			vacant = false
 		case !vacant:
@@ -216,10 +223,21 @@
 
 // mayIssue returns the fencing token, 0 if no order may be sent now.
 func (o *Orderer) mayIssue() uint64 {
+	fence := o.held()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.boot.Elapsed() < o.mayOrder {
+		return 0
+	}
+	return fence
+}
+
+// held returns the fencing token of an office whose lease surely still runs, 0 for
+// none.
+func (o *Orderer) held() uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.boot.Elapsed()
-	if o.fence == 0 || now < o.mayOrder || now-o.renewed > sendWithin {
+	if o.boot.Elapsed()-o.renewed > sendWithin {
 		return 0
 	}
 	return o.fence
