fix: a holder's lease counts from the call that asks for it

It counted from the call's answer, which may come 1.2 s later: orders left up to 2.7 s after the grant of a lease of 3 s and may take 0.8 s (TestHolderCountsItsLeaseFromTheCall, found by the review; the gap of 3 s between holders hid it).

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -175,11 +175,11 @@
 // lost campaign: the key goes with its lease. released is the record of a
 // holder that has given the office back, nil if there is none.
 func (o *Orderer) campaign(ctx context.Context, released *traffic.Issuer) {
+	sent := o.boot.Elapsed() // the lease runs from the arrival of the call
 	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTime)
 	if err != nil {
 		return
 	}
-	sent := o.boot.Elapsed()
 	expect := platform.Expectation{Key: Key}
 	// The last holder's lease has run out, but for the time after its last
 	// renewal in which it sent orders.
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -14,6 +14,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roller"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -194,3 +195,57 @@
 		t.Errorf("the weights were named %v ago, want about %v", age, want)
 	}
 }
+
+// slowGrants answers the grant of a lease late; the lease runs from the arrival of
+// the call.
+type slowGrants struct {
+	*testlib.Store
+	clk     *testlib.Clock
+	mu      sync.Mutex
+	granted time.Time
+}
+
+func (s *slowGrants) GrantLease(ctx context.Context, l platform.Line, ttl time.Duration) (uint64, error) {
+	id, err := s.Store.GrantLease(ctx, l, ttl)
+	s.mu.Lock()
+	if s.granted.IsZero() {
+		s.granted = s.clk.Now()
+	}
+	s.mu.Unlock()
+	clock.Sleep(ctx, s.clk, 1100*time.Millisecond)
+	return id, err
+}
+
+// The lease of a new holder runs from the arrival of the call that asks for it, not
+// from its answer.
+func TestHolderCountsItsLeaseFromTheCall(t *testing.T) {
+	f := newFleet(t)
+	st := &slowGrants{Store: f.store, clk: f.clk}
+	log, _ := logtest.NewNullLogger()
+	looks := observer.New(f.clk, f.clk, log, st, observer.Layout{Operators: "none/", Decode: decode})
+	looks.SetListener(f.ups)
+	o := orderer.New(orderer.Settings{Node: "a", Gap: 800 * time.Millisecond}, f.clk, f.clk, log, st, looks, f.ups, f.ups)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = looks.Run(ctx) })
+	wg.Go(func() { _ = o.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	f.until("the office", func() bool { it, ok := f.store.Item(orderer.Key); return ok && len(it.Value) > 0 })
+	f.store.Fail(platform.Unavailable)
+	taken := f.clk.Now()
+	for f.clk.Now().Sub(taken) < 5*time.Second {
+		f.clk.Step(20 * time.Millisecond)
+		time.Sleep(300 * time.Microsecond)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	const (
+		lease = 3 * time.Second
+		way   = 800 * time.Millisecond // of an order
+	)
+	for _, g := range f.ups.list() {
+		if d := g.at.Sub(st.granted); d+way > lease {
+			t.Errorf("an order was sent %v after the grant of a lease of %v", d, lease)
+		}
+	}
+}
