--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -19,7 +19,7 @@
 	First time.Duration
 	// Rest is the time from there to the last event.
 	Rest time.Duration
-	// Output is the largest number of tokens that was asked for; 0 for none.
+	// Output is the largest number of tokens that was asked for; 0 for not known.
 	Output int
 }
 
@@ -50,21 +50,29 @@
 }
 
 // Expect returns how long a request of a route that asks for output tokens is
-// expected to take at most, and 0 if no answer of the route is remembered. It goes
-// by the longest wait for a first event and the slowest pace after it: requests that
-// take longest are those that haven't been answered yet.
+// expected to take at most, and 0 if no answer of the route tells. It goes by the
+// longest wait for a first event and the slowest pace after it: requests that take
+// longest are those that haven't been answered yet. Where the number of tokens isn't
+// known, whole answers are compared.
 func (p *Pacer) Expect(now time.Time, name string, output int) time.Duration {
 	r, ok := p.routes[name]
 	if !ok {
 		return 0
 	}
-	var first, pace time.Duration
+	var whole, first, pace time.Duration
 	for _, a := range r.answers {
-		if now.Sub(a.At) <= memory {
+		if now.Sub(a.At) > memory {
+			continue
+		}
+		whole = max(whole, a.First+a.Rest)
+		if a.Output > 0 {
 			first = max(first, a.First)
-			pace = max(pace, a.Rest/time.Duration(max(1, a.Output)))
+			pace = max(pace, a.Rest/time.Duration(a.Output))
 		}
 	}
+	if output == 0 {
+		return whole
+	}
 	return first + pace*time.Duration(output)
 }
 
--- a/pkg/pacer/pacer_test.go
+++ b/pkg/pacer/pacer_test.go
@@ -56,3 +56,24 @@
 		p.Add(fmt.Sprint("r", i/1000), pacer.Answer{At: at, First: time.Millisecond})
 	}
 }
+
+// Guards against LOST: streams without a number of tokens were expected to take no
+// longer than to their first event.
+func TestExpectationOfStreamsWithoutTokens(t *testing.T) {
+	p := pacer.New()
+	p.Add("r", pacer.Answer{At: start, First: 50 * time.Millisecond, Rest: 6 * time.Second})
+	if got, want := p.Expect(start, "r", 0), 6050*time.Millisecond; got != want {
+		t.Errorf("%v expected, want %v", got, want)
+	}
+}
+
+// Guards against a stopping node that refuses all streams of a route since one caller
+// didn't tell the number of tokens.
+func TestAnswerWithoutTokensLeavesThePaceAlone(t *testing.T) {
+	p := pacer.New()
+	p.Add("r", pacer.Answer{At: start, First: 50 * time.Millisecond, Rest: time.Second, Output: 100})
+	p.Add("r", pacer.Answer{At: start, First: 50 * time.Millisecond, Rest: time.Second})
+	if got := p.Expect(start, "r", 100); got > 2*time.Second {
+		t.Errorf("%v expected after two streams of 1.05 s", got)
+	}
+}
