fix: the end of a server waits for connections that are being accepted

A connection that Accept had returned, but that wasn't entered yet, was served after Finish had counted none, and the process ended under it. Finish waits for the end of the accept loops first.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -28,7 +28,7 @@
 	closing atomic.Bool
 
 	mu        sync.Mutex
-	listeners []net.Listener
+	listeners []*listener
 	conns     map[string]*conn // by the caller's address
 }
 
@@ -39,8 +39,9 @@
 func (c *Closer) Wrap(l net.Listener) net.Listener {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listeners = append(c.listeners, l)
-	return &listener{Listener: l, closer: c}
+	w := &listener{Listener: l, closer: c, ended: make(chan struct{})}
+	c.listeners = append(c.listeners, w)
+	return w
 }
 
 // Closing reports whether the server ends: each answer is then the last one on
@@ -48,14 +49,22 @@
 func (c *Closer) Closing() bool { return c.closing.Load() }
 
 // Finish stops listening, waits until every connection is idle or ctx ends, and
-// returns how many are left.
+// returns how many are left. Something must accept from each listener until then, as
+// http.Server does.
 func (c *Closer) Finish(ctx context.Context) int {
 	c.closing.Store(true)
 	c.mu.Lock()
-	for _, l := range c.listeners {
+	listeners := c.listeners
+	c.mu.Unlock()
+	for _, l := range listeners {
 		_ = l.Close() // whoever comes now is told so by the port
 	}
-	c.mu.Unlock()
+	for _, l := range listeners {
+		select {
+		case <-l.ended:
+		case <-ctx.Done():
+		}
+	}
 	left := c.CloseIdle()
 	for left > 0 && clock.Sleep(ctx, c.clk, sweepEvery) {
 		left = c.CloseIdle()
@@ -96,11 +105,16 @@
 type listener struct {
 	net.Listener
 	closer *Closer
+	once   sync.Once
+	ended  chan struct{} // closed once nothing more is accepted
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		if l.closer.Closing() {
+			l.once.Do(func() { close(l.ended) })
+		}
 		return nil, err // net/http tells its kinds of errors apart
 	}
 	k := &conn{Conn: nc, closer: l.closer, key: nc.RemoteAddr().String()}
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/closer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
@@ -116,3 +118,67 @@
 		})
 	}
 }
+
+// late gives out a connection that was accepted just before the listener's end.
+type late struct {
+	net.Listener
+	closed chan struct{}
+	once   sync.Once
+	given  atomic.Bool
+}
+
+func (l *late) Accept() (net.Conn, error) {
+	if l.given.Swap(true) {
+		<-l.closed
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	<-l.closed // the goroutine has to wait for a processor
+	time.Sleep(5 * time.Millisecond)
+	return c, err
+}
+
+func (l *late) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Guards against LOST: a connection that was accepted while the server stopped listening
+// was served, and the process ended under it.
+func TestFinishWaitsForWhatWasAccepted(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := closer.New(systemclock.New())
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := &http.Server{ConnState: k.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		_, _ = io.WriteString(w, "answer")
+	})}
+	go func() { _ = s.Serve(k.Wrap(&late{Listener: inner, closed: make(chan struct{})})) }()
+	defer s.Close()
+	conn, err := net.Dial("tcp4", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond) // Accept has it
+	finished := make(chan int, 1)
+	go func() { finished <- k.Finish(t.Context()) }()
+	select {
+	case <-begun:
+	case <-time.After(2 * time.Second):
+		t.Skip("the request was turned away, which is fine")
+	}
+	select {
+	case left := <-finished:
+		t.Errorf("Finish says that %d are left while a request runs", left)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+}
