test: the soak finds answers that a stopping node cuts

Its judge excused every request that ended in the last sixth of the grace, whenever it was sent, and never counted a run that the node itself broke off. And its streams lasted some 150 ms, so that no run was long at a stop.

The store's disruption alone excuses only streams. For this the stand-in upstream tells who ended a run, and the history has when, and what a crash of an upstream ended. Every third caller keeps an answer of the directory three times as long as told. The planner's draws are as before.

--- a/internal/soak/judge/history.go
+++ b/internal/soak/judge/history.go
@@ -22,7 +22,8 @@
 	Workspace       string // that holds the key
 	Key             string
 	SentAt, EndedAt time.Time
-	Wait            time.Duration
+	// Limit is the caller's time limit or the route's timeout, whichever is less.
+	Limit time.Duration
 	// Status is 0 if no answer began.
 	Status int
 	// Whole says that the answer came to its proper end; Lost that the connection
@@ -62,6 +63,9 @@
 	Status                int
 	Whole                 bool
 	Ended                 bool
+	EndedAt               time.Time
+	// Broke says that the upstream ended it, not the node.
+	Broke bool
 }
 
 // Order is an order to an engine.
@@ -78,6 +82,8 @@
 	From, To time.Time
 	// Stopping says that it is the node's own graceful stop and nothing else.
 	Stopping bool
+	// Store says that it is the store's and nothing else.
+	Store bool
 }
 
 // History is what callers, upstreams and operators have seen.
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -77,11 +77,11 @@
 }
 
 // calm reports whether nothing disturbed a node from a while before from until
-// to. Its own graceful stop counts as a disturbance if stops is set.
-func (t *trial) calm(node int, from, to time.Time, stops bool) bool {
+// to. Its own graceful stop counts as a disturbance.
+func (t *trial) calm(node int, from, to time.Time) bool {
 	from = from.Add(-t.b.Contact)
 	for _, d := range t.h.Disturbances {
-		if (d.Node == node || d.Node < 0) && (stops || !d.Stopping) && d.From.Before(to) && d.To.After(from) {
+		if (d.Node == node || d.Node < 0) && d.From.Before(to) && d.To.After(from) {
 			return false
 		}
 	}
@@ -103,7 +103,7 @@
 	}
 	t.answer(r, runs)
 	t.cut(r, runs)
-	if (r.Status == 401 || r.Status == 404) && t.calm(r.Node, r.SentAt, r.EndedAt, true) && t.allowed(r) {
+	if (r.Status == 401 || r.Status == 404) && t.calm(r.Node, r.SentAt, r.EndedAt) && t.allowed(r) {
 		t.add("denied", r.ID, "answered with %d, though %s and its key are in force", r.Status, r.Target)
 	}
 }
@@ -159,23 +159,53 @@
 	return false
 }
 
+const (
+	// held is how long after the signal a caller may send to a node, and long
+	// work that it sent so early may be cut.
+	held = 3 * time.Second
+	// afterGrace is how long after the grace an end still counts as the stop's.
+	afterGrace = time.Second
+	// sight is the time in which a caller sees the end of its connection.
+	sight = 50 * time.Millisecond
+)
+
+// unexcused reports whether only planned work disturbed a request's node. The
+// store's disruption excuses no safe or unsafe request.
+func (t *trial) unexcused(r *Request) bool {
+	from := r.SentAt.Add(-t.b.Contact)
+	for _, d := range t.h.Disturbances {
+		planned := d.Stopping || d.Store && r.Kind != traffic.Streaming
+		if (d.Node == r.Node || d.Node < 0) && !planned && d.From.Before(r.EndedAt) && d.To.After(from) {
+			return false
+		}
+	}
+	return true
+}
+
 // cut checks that a graceful stop has cost nobody an answer.
 func (t *trial) cut(r *Request, runs []Run) {
-	if r.Whole || !r.Lost {
+	took := r.EndedAt.Sub(r.SentAt)
+	if r.Whole || !r.Lost || took+sight >= r.Limit {
 		return
 	}
 	for _, s := range t.h.Stops {
-		if s.Node != r.Node || s.Life != r.Life || r.EndedAt.Before(s.From) || !t.calm(r.Node, r.SentAt, r.EndedAt, false) {
+		if s.Node != r.Node || s.Life != r.Life || r.EndedAt.Before(s.From) || r.EndedAt.After(s.From.Add(t.b.Grace+afterGrace)) ||
+			!t.unexcused(r) {
+			continue
+		}
+		if len(runs) == 0 {
+			if took > t.b.Slack {
+				t.add("lost", r.ID, "the stopping node closed the connection %v after %s was sent, without an answer", took, r.Target)
+			}
 			continue
 		}
-		late := r.EndedAt.After(s.From.Add(t.b.Grace * 5 / 6)) // long work may be cut at the end of the grace
-		sound := len(runs) > 0 && runs[len(runs)-1].Whole && runs[len(runs)-1].Ended
-		switch {
-		case sound && !late:
-			t.add("lost", r.ID, "%s ran to its end, and the stopping node closed the connection without the whole answer", r.Target)
-		case len(runs) == 0 && r.Status == 0 && r.EndedAt.Sub(r.SentAt) > t.b.Slack && !late:
-			t.add("lost", r.ID, "the stopping node closed the connection %v after %s was sent, without an answer", r.EndedAt.Sub(r.SentAt), r.Target)
+		last := runs[len(runs)-1]
+		long := !last.Ended || last.EndedAt.After(s.From.Add(t.b.Grace*5/6)) // at work in the last sixth of the grace
+		if last.Broke || long && !r.SentAt.After(s.From.Add(held)) {
+			continue
 		}
+		t.add("lost", r.ID, "the stopping node closed the connection without the whole answer %v after its signal; %s was sent at %v, its run whole: %t",
+			r.EndedAt.Sub(s.From), r.Target, r.SentAt.Sub(s.From), last.Whole)
 	}
 }
 
@@ -192,10 +222,10 @@
 	if taken, ok := t.h.Taken[r.Key]; ok && r.SentAt.After(taken.Add(t.b.Revoke)) {
 		t.add("revoked", r.ID, "ran at %s with a key that was taken back %v before it was sent", run.Upstream, r.SentAt.Sub(taken))
 	}
-	if left, ok := t.h.Left[run.Upstream]; ok && run.At.After(left.Add(t.b.Drain)) && t.calm(r.Node, run.At, run.At, true) {
+	if left, ok := t.h.Left[run.Upstream]; ok && run.At.After(left.Add(t.b.Drain)) && t.calm(r.Node, run.At, run.At) {
 		t.add("drain", r.ID, "reached %s %v after it was declared leaving", run.Upstream, run.At.Sub(left))
 	}
-	if strings.HasPrefix(r.Target, t.h.Moving) && !t.serves(run.Service, r.SentAt.Add(-t.b.Config), run.At) && t.calm(r.Node, r.SentAt, run.At, true) {
+	if strings.HasPrefix(r.Target, t.h.Moving) && !t.serves(run.Service, r.SentAt.Add(-t.b.Config), run.At) && t.calm(r.Node, r.SentAt, run.At) {
 		t.add("config", r.ID, "ran at the service %s, to which no configuration of its time sends it", run.Service)
 	}
 }
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -36,6 +36,7 @@
 		{ID: "m", Kind: traffic.Safe, MaxAttempts: 2, Target: "/moving/m", Method: "GET", Want: "answer", Body: "answer"},
 	} {
 		r.SentAt, r.EndedAt, r.Life, r.Workspace, r.Key, r.Status, r.Whole, r.Genuine, r.AnswersID = at(30), at(30.1), 1, "w", "k", 200, true, true, r.ID
+		r.Limit = 12 * time.Second
 		h.Requests = append(h.Requests, r)
 		service := "a"
 		if r.ID == "m" {
@@ -43,7 +44,7 @@
 		}
 		h.Runs = append(h.Runs, judge.Run{
 			ID: r.ID, Upstream: "up-" + service, Service: service, At: at(30.05), Tenant: "w", Method: r.Method, Target: r.Target,
-			Status: 200, Whole: true, Ended: true,
+			Status: 200, Whole: true, Ended: true, EndedAt: at(30.1),
 		})
 	}
 	return h
@@ -186,3 +187,59 @@
 		})
 	}
 }
+
+// A stopping node is excused from long work that was sent to it early, from what
+// an upstream ended and from what has reached its limit, and from nothing else:
+// answers that it had begun late and cut itself were once taken for excused.
+func TestWhatAStopMayCut(t *testing.T) {
+	const signal = 20.0
+	for _, c := range []struct {
+		name           string
+		sent, run, end float64 // after the signal; the run's end and the connection's
+		change         func(r *judge.Request, run *judge.Run)
+		noRun, lost    bool
+		store, plain   bool // the store is away; the request is no stream
+	}{
+		{name: "sent late, cut by the node at the end of the grace", sent: 3.349, run: 7.308, end: 7.309, lost: true},
+		{name: "sent late, cut before the last sixth", sent: 3.2, run: 5, end: 5, lost: true},
+		{name: "sent late, the run went on unnoticed", sent: 3.2, end: 7.3, lost: true, change: func(_ *judge.Request, run *judge.Run) { run.Ended = false }},
+		{name: "sent late, ran to its end", sent: 3.2, run: 7, end: 7.3, lost: true, change: func(_ *judge.Request, run *judge.Run) { run.Whole = true }},
+		{name: "sent late, no run, in the last sixth", sent: 6.9, end: 7.3, noRun: true, lost: true},
+		{name: "sent late, crosses the closing connection", sent: 7.2, end: 7.3, noRun: true},
+		{name: "sent late, the upstream broke off", sent: 3.2, run: 5, end: 5, change: func(_ *judge.Request, run *judge.Run) { run.Broke = true }},
+		{name: "sent late, its limit reached", sent: 3.2, run: 7.2, end: 7.2, change: func(r *judge.Request, _ *judge.Run) { r.Limit = 4 * time.Second }},
+		{name: "sent late, ends long after the grace", sent: 3.2, run: 9.1, end: 9.1},
+		{name: "sent late, a stream while the store is away", sent: 3.2, run: 7.3, end: 7.3, store: true},
+		{name: "sent late, no stream while the store is away", sent: 3.2, run: 7.3, end: 7.3, store: true, plain: true, lost: true},
+		{name: "sent early, cut by the node before the last sixth", sent: 1, run: 6.6, end: 6.6, lost: true},
+		{name: "sent early, its run ended before the last sixth", sent: 1, run: 6.6, end: 7.3, lost: true, change: func(_ *judge.Request, run *judge.Run) { run.Whole = true }},
+		{name: "sent early, at work in the last sixth", sent: 3, run: 7.3, end: 7.3},
+		{name: "sent before the signal, at work in the last sixth", sent: -1, run: 7.3, end: 7.3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := sound()
+			h.Stops = []judge.Stop{{Life: 1, From: at(signal), To: at(signal + 10)}}
+			h.Disturbances = []judge.Disturbance{{From: at(signal), To: at(signal + 10), Stopping: true}}
+			if c.store {
+				h.Disturbances = append(h.Disturbances, judge.Disturbance{Node: -1, From: at(signal), To: at(signal + 2), Store: true})
+			}
+			r, run := &h.Requests[1], &h.Runs[1]
+			if c.plain {
+				r.Kind, r.Want = traffic.Unsafe, events
+			}
+			r.SentAt, r.EndedAt, r.Whole, r.Lost, r.Body = at(signal+c.sent), at(signal+c.end), false, true, events[:len(events)/2]
+			run.At, run.EndedAt, run.Status, run.Whole = at(signal+c.sent+0.01), at(signal+c.run), 0, false
+			if c.change != nil {
+				c.change(r, run)
+			}
+			if c.noRun {
+				r.Status, r.Genuine, r.Body = 0, false, ""
+				h.Runs = append(h.Runs[:1], h.Runs[2:]...)
+			}
+			v := judge.New(bounds).Check(h)
+			if c.lost != (len(v) == 1 && v[0].Rule == "lost") || !c.lost && len(v) != 0 {
+				t.Errorf("found %v, want it lost: %t", v, c.lost)
+			}
+		})
+	}
+}
--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -20,8 +20,15 @@
 )
 
 const (
-	// wait is how long a caller waits for an answer.
-	wait = 3 * time.Second
+	// wait is how long a caller waits for an answer, longWait and up to
+	// longWaitMore more for a long stream.
+	wait         = 3 * time.Second
+	longWait     = 10 * time.Second
+	longWaitMore = 5 * time.Second
+	// stretch is how many times as long as told some callers keep an answer of the
+	// directory, each stretchOf-th of them.
+	stretch   = 3
+	stretchOf = 3
 	// dial bounds the opening of a connection.
 	dial = 500 * time.Millisecond
 	// think is the longest time between two requests of a caller.
@@ -33,7 +40,7 @@
 )
 
 // caller is one of the fleet's callers. It keeps a connection until the process
-// at its other end is gone.
+// at its other end is gone, as callers do that get no new answer of the directory.
 type caller struct {
 	s         *Soaker
 	index     int
@@ -54,7 +61,7 @@
 		if c.conn == nil && !c.connect() {
 			continue
 		}
-		c.ask()
+		c.ask(ctx)
 	}
 	c.drop()
 }
@@ -74,6 +81,9 @@
 		addresses, keep, err := client.Resolve(fmt.Sprint(from.ip, ":", portDirectory), dataCentre, dial)
 		if err == nil && len(addresses) > 0 { // otherwise the last answer stays in use
 			c.addresses, c.keep, c.resolved = addresses, keep, now
+			if c.index%stretchOf == 0 {
+				c.keep *= stretch
+			}
 		}
 	}
 	var good []string
@@ -100,9 +110,15 @@
 	return true
 }
 
-func (c *caller) ask() {
+func (c *caller) ask(ctx context.Context) {
 	all := routes(false)
-	r := all[c.rnd.IntN(len(all))]
+	last := len(all) - 1
+	r, wait := all[c.rnd.IntN(last)], wait
+	patient := c.index >= c.s.set.Callers
+	if patient {
+		r, wait = all[last], longWait+time.Duration(c.rnd.Int64N(int64(longWaitMore)))
+		defer context.AfterFunc(ctx, c.conn.Close)() // no soak waits for the last of them
+	}
 	k := c.rnd.IntN(Keys)
 	c.asked++
 	id := fmt.Sprintf("%d-%d-%d", c.s.set.Seed, c.index, c.asked)
@@ -121,7 +137,7 @@
 	}
 	x := judge.Request{
 		ID: id, Kind: r.Kind, Resumable: r.Resumable, MaxAttempts: r.MaxAttempts, Node: c.node.index, Life: c.life,
-		Method: q.Method, Target: q.Target, BodyHash: xxhash.Sum64(q.Body), Workspace: workspace(k), Key: q.Key, Wait: wait, Want: want,
+		Method: q.Method, Target: q.Target, BodyHash: xxhash.Sum64(q.Body), Workspace: workspace(k), Key: q.Key, Limit: min(wait, r.Timeout), Want: want,
 	}
 	err := c.conn.Send(q)
 	x.SentAt = c.s.clk.Now()
@@ -132,7 +148,7 @@
 	x.EndedAt = c.s.clk.Now()
 	x.Status, x.Whole, x.Genuine, x.AnswersID, x.Body = a.Status, a.Whole, a.Genuine, a.RequestID, string(a.Body)
 	var timeout net.Error
-	x.Lost = err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	x.Lost = err != nil && !(patient && ctx.Err() != nil) && !(errors.As(err, &timeout) && timeout.Timeout())
 	if err != nil {
 		c.failed[c.node.callers()] = x.EndedAt
 	}
--- a/internal/soak/soaker/scene.go
+++ b/internal/soak/soaker/scene.go
@@ -28,6 +28,7 @@
 	otherService = "ledger-next"
 	engines      = "engines"
 	prefixMoving = "/moving/"
+	prefixLong   = "/long/"
 	// Keys is the number of workspaces, with a key each.
 	Keys = 6
 )
@@ -42,6 +43,10 @@
 	beatEvery = time.Second
 	lapse     = 3 * time.Second
 	timeout   = 4 * time.Second
+	// longTimeout, longObjective and longPause are those of the long streams.
+	longTimeout   = 12 * time.Second
+	longObjective = 2 * time.Second
+	longPause     = time.Second
 )
 
 // route describes a kind of request of the soak.
@@ -66,12 +71,15 @@
 	stream.Resumable, stream.Sticky = true, true
 	once := with("/once/", traffic.Streaming, 1, to(engines))
 	once.Sticky = true
+	long := with(prefixLong, traffic.Streaming, 2, to(engines))
+	long.Resumable, long.Sticky, long.Timeout, long.Objective, long.PauseObjective = true, true, longTimeout, longObjective, longPause
 	return []route{
 		{with("/safe/", traffic.Safe, 2, to(plainService)), http.MethodGet},
 		{with("/unsafe/", traffic.Unsafe, 1, to(plainService)), http.MethodPost},
 		{with(prefixMoving, traffic.Safe, 2, to(moving)), http.MethodGet},
 		{stream, http.MethodPost},
 		{once, http.MethodPost},
+		{long, http.MethodPost}, // the last
 	}
 }
 
@@ -181,7 +189,7 @@
 		ID: id, Born: s.clk.Now().UnixMilli(), Service: sl.service, Address: sl.proxy.Addr(), DataCentre: dataCentre, Slots: o.Slots,
 	}
 	if sl.service == engines {
-		o = upstream.Options{ID: id, Slots: engineSlots, Work: eventWork, Model: model, Version: version, Load: loadTime}
+		o = upstream.Options{ID: id, Slots: engineSlots, Work: eventWork, Long: prefixLong, Model: model, Version: version, Load: loadTime}
 		up.Slots = o.Slots
 	}
 	seed := s.set.Seed ^ uint64(sl.index)<<32
@@ -244,12 +252,13 @@
 	})
 }
 
-func (r recorder) Ended(id, up string, status int, whole bool) {
+func (r recorder) Ended(id, up string, status int, end upstream.End) {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	if i, ok := r.s.runs[runKey{id, up}]; ok {
 		run := &r.s.history.Runs[i]
-		run.Status, run.Whole, run.Ended = status, whole, true
+		run.Status, run.Whole, run.Ended, run.EndedAt = status, end == upstream.Whole, true, r.s.clk.Now()
+		run.Broke = run.Broke || end == upstream.Broke
 	}
 }
 
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -115,7 +115,7 @@
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	callers, _ := errgroup.WithContext(traffic)
-	for i := range s.set.Callers {
+	for i := range 2 * s.set.Callers { // the second half asks for long streams
 		rnd := rand.New(rand.NewPCG(s.set.Seed, uint64(i)))
 		callers.Go(func() error { s.call(traffic, i, rnd); return nil })
 	}
--- a/internal/soak/soaker/strike.go
+++ b/internal/soak/soaker/strike.go
@@ -54,7 +54,7 @@
 		if f.Leases {
 			s.store.EndLeases()
 		}
-		s.disturb(judge.Disturbance{Node: -1, From: now, To: now})
+		s.disturb(judge.Disturbance{Node: -1, From: now, To: now, Store: true})
 	case planner.Link:
 		s.follow(func() { s.link(ctx, f) })
 	case planner.UpstreamCrash:
@@ -134,7 +134,7 @@
 	from := s.clk.Now()
 	life := int(n.life.Load())
 	s.signal(n, syscall.SIGTERM)
-	open := s.opened(n.index, true)
+	open := s.opened(judge.Disturbance{Node: n.index, Stopping: true})
 	select {
 	case <-ctx.Done():
 		return
@@ -153,15 +153,13 @@
 	s.closed(open)
 }
 
-// opened notes a disturbance of a node, or of all for -1, whose end isn't known
-// yet, closed its end.
-func (s *Soaker) opened(node int, stopping bool) int {
-	now := s.clk.Now()
+// opened notes a disturbance whose end isn't known yet, closed its end.
+func (s *Soaker) opened(d judge.Disturbance) int {
+	d.From = s.clk.Now()
+	d.To = d.From.Add(time.Hour)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Disturbances = append(s.history.Disturbances, judge.Disturbance{
-		Node: node, From: now, To: now.Add(time.Hour), Stopping: stopping,
-	})
+	s.history.Disturbances = append(s.history.Disturbances, d)
 	return len(s.history.Disturbances) - 1
 }
 
@@ -199,7 +197,7 @@
 		return
 	}
 	defer n.busy.Store(false)
-	open := s.opened(n.index, false)
+	open := s.opened(judge.Disturbance{Node: n.index})
 	s.signal(n, syscall.SIGKILL)
 	<-n.process.Ended()
 	s.restart(ctx, n, rest)
@@ -207,7 +205,7 @@
 }
 
 func (s *Soaker) freeze(ctx context.Context, n *node, d time.Duration) {
-	open := s.opened(n.index, false)
+	open := s.opened(judge.Disturbance{Node: n.index})
 	s.signal(n, syscall.SIGSTOP)
 	clock.Sleep(ctx, s.clk, d)
 	s.signal(n, syscall.SIGCONT)
@@ -219,7 +217,7 @@
 	if scope != planner.All {
 		name = s.nodes[scope].name
 	}
-	open := s.opened(int(scope), false)
+	open := s.opened(judge.Disturbance{Node: int(scope), Store: true})
 	s.store.SetFaults(name, f)
 	s.follow(func() {
 		clock.Sleep(ctx, s.clk, d)
@@ -233,7 +231,7 @@
 	if f.Store {
 		proxy, node = s.nodes[f.Index].store, f.Index
 	}
-	open := s.opened(node, false)
+	open := s.opened(judge.Disturbance{Node: node, Store: f.Store})
 	proxy.SetTrouble(f.Trouble)
 	clock.Sleep(ctx, s.clk, f.For)
 	proxy.SetTrouble("")
@@ -246,6 +244,9 @@
 	s.mu.Lock()
 	busy := l.gone || l.up.Draining
 	l.gone = true
+	if !busy {
+		s.breakRuns(l.up.ID)
+	}
 	s.mu.Unlock()
 	if busy {
 		return
@@ -256,6 +257,17 @@
 	sl.proxy.SetTrouble("")
 }
 
+// breakRuns notes that an upstream itself ends what it runs, or what it may not
+// have handed over yet. s.mu is held.
+func (s *Soaker) breakRuns(id string) {
+	now := s.clk.Now()
+	for i := range s.history.Runs {
+		if r := &s.history.Runs[i]; r.Upstream == id && (!r.Ended || now.Sub(r.EndedAt) < Bounds().Slack) {
+			r.Broke = true
+		}
+	}
+}
+
 // leave drains an upstream; another one of the same service takes its address.
 func (s *Soaker) leave(ctx context.Context, sl *slot) {
 	l := sl.life.Load()
