fix: one crash seen by two nodes strikes a request once

What callers saw: a request that was sent to two nodes and ran at one engine beside a poisoned request was ended with quarantined (upstreamFailed in a stream that had begun) after a single crash.

Cause: the first node to lose its run reports the request with one crash. The second node hears that before its own connection breaks, then counts the same crash on top: two, which is quarantine. The trace of TestPoisonTakesTwoEnginesAtMost (8 processes at once, GOMAXPROCS=2) shows the order: entry-1 reports {innocent 1} of engine-1, entry-2 hears it, entry-2's attempt at engine-1 breaks, entry-2 reports {innocent 2}.

The fix: a report names the upstream that fell. A run that began before its request was a suspect and was still in flight at that upstream fell to the reported crash, since it can't have outlived it; that is not counted again. A run that began as a suspect always counts, and so does the crash of another upstream. A run that begins at an upstream that is back before the report arrives isn't told apart; it is one of those that "had begun" in the bound which docs/PROOFS.md gives for requests sent at the same moment.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,7 +26,7 @@
 )
 
 type flight struct {
-	runs map[uint64]quarantiner.Fingerprint
+	runs map[uint64]quarantiner.Run
 }
 
 // Scheduler is a kernel service.
@@ -179,10 +179,10 @@
 	s.quarantiner.Started(p.fingerprint)
 	f, ok := s.flights[c.ID]
 	if !ok {
-		f = &flight{runs: map[uint64]quarantiner.Fingerprint{}}
+		f = &flight{runs: map[uint64]quarantiner.Run{}}
 		s.flights[c.ID] = f
 	}
-	f.runs[run.id] = p.fingerprint
+	f.runs[run.id] = quarantiner.Run{Fingerprint: p.fingerprint, Suspect: p.query.Apart >= 0}
 	return Picked{Run: run}
 }
 
@@ -216,17 +216,17 @@
 	if _, ok := f.runs[run.id]; !ok {
 		return nil
 	}
-	flight := make([]quarantiner.Fingerprint, 0, len(f.runs))
 	seen := map[quarantiner.Fingerprint]bool{}
-	for _, fp := range f.runs {
-		if !seen[fp] {
-			seen[fp] = true
-			flight = append(flight, fp)
-		}
+	for _, r := range f.runs {
+		seen[r.Fingerprint] = seen[r.Fingerprint] || r.Suspect
+	}
+	flight := make([]quarantiner.Run, 0, len(seen))
+	for fp, suspect := range seen {
+		flight = append(flight, quarantiner.Run{Fingerprint: fp, Suspect: suspect})
 	}
 	clear(f.runs)
 	s.router.Crashed(now, run.Choice.ID)
-	return s.quarantiner.Crashed(now, flight)
+	return s.quarantiner.Crashed(now, run.Choice.ID, flight)
 }
 
 func (s *Scheduler) view(now time.Time) View {
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -4,6 +4,7 @@
 package quarantiner
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -21,6 +22,15 @@
 	Fingerprint Fingerprint `msgpack:"f"`
 	Crashes     int         `msgpack:"c"`
 	Until       time.Time   `msgpack:"u"`
+	// Upstream is the one whose crash is reported.
+	Upstream string `msgpack:"e,omitempty"`
+}
+
+// Run is a request that was in flight at an upstream.
+type Run struct {
+	Fingerprint Fingerprint
+	// Suspect says that the request was one already when the run began.
+	Suspect bool
 }
 
 // Verdict says how a request may run.
@@ -42,6 +52,7 @@
 	crashes int
 	until   time.Time
 	running int
+	fell    []string // upstreams whose crashes are counted
 }
 
 // Quarantiner is the memory of suspects. It is not safe for concurrent use.
@@ -99,25 +110,36 @@
 	}
 }
 
-// Crashed says that an upstream died at now while it ran all of flight, and
-// returns what peers should know.
-func (q *Quarantiner) Crashed(now time.Time, flight []Fingerprint) []Report {
+// Crashed says that upstream died at now while it ran all of flight, and
+// returns what peers should know. A run that began before its request was a
+// suspect can't have outlived a crash that a peer has reported of the same
+// upstream: it fell to that crash, which counts once.
+func (q *Quarantiner) Crashed(now time.Time, upstream string, flight []Run) []Report {
 	reports := make([]Report, 0, len(flight))
-	for _, f := range flight {
-		s, ok := q.suspects[f]
+	for _, r := range flight {
+		s, ok := q.suspects[r.Fingerprint]
 		if !ok || !now.Before(s.until) {
 			s = &suspect{}
-			q.suspects[f] = s
+			q.suspects[r.Fingerprint] = s
+		}
+		if r.Suspect || !slices.Contains(s.fell, upstream) {
+			s.crashes++
 		}
-		s.crashes++
+		s.add(upstream)
 		s.until = now.Add(memory)
 		s.running = max(0, s.running-1)
-		reports = append(reports, Report{Fingerprint: f, Crashes: s.crashes, Until: s.until})
+		reports = append(reports, Report{Fingerprint: r.Fingerprint, Crashes: s.crashes, Until: s.until, Upstream: upstream})
 	}
 	q.trim(now)
 	return reports
 }
 
+func (s *suspect) add(upstream string) {
+	if upstream != "" && !slices.Contains(s.fell, upstream) {
+		s.fell = append(s.fell, upstream)
+	}
+}
+
 // Rank returns how many other suspects come before f in the order that all
 // nodes agree on; suspects of different ranks run on different upstreams.
 func (q *Quarantiner) Rank(now time.Time, f Fingerprint) int {
@@ -147,6 +169,7 @@
 		q.suspects[r.Fingerprint] = s
 	}
 	s.crashes = max(s.crashes, r.Crashes)
+	s.add(r.Upstream)
 	if r.Until.After(s.until) {
 		s.until = r.Until
 	}
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -1,6 +1,7 @@
 package quarantiner_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -14,8 +15,9 @@
 
 // storm sends one poisoned request and many innocent ones through several
 // nodes that share engines, and returns how many engines fell and how many
-// innocent requests were refused. Without apart, suspects share engines.
-func storm(seed uint64, apart bool) (fell, refused int) {
+// innocent requests were refused. Without apart, suspects share engines. With
+// twins, each innocent request is also sent to the next node.
+func storm(seed uint64, apart, twins bool) (fell, refused int) {
 	const (
 		nodes   = 3
 		engines = 4
@@ -27,20 +29,28 @@
 	}
 	type job struct {
 		node int
-		f    quarantiner.Fingerprint
+		quarantiner.Run
 	}
-	waiting := []job{{rnd.IntN(nodes), poison}}
+	send := func(node int, f quarantiner.Fingerprint) job {
+		return job{node, quarantiner.Run{Fingerprint: f}}
+	}
+	waiting := []job{send(rnd.IntN(nodes), poison)}
 	for i := range 12 {
-		waiting = append(waiting, job{rnd.IntN(nodes), quarantiner.Fingerprint(100 + i*70)})
+		j := send(rnd.IntN(nodes), quarantiner.Fingerprint(100+i*70))
+		waiting = append(waiting, j)
+		if twins {
+			waiting = append(waiting, send((j.node+1)%nodes, j.Fingerprint))
+		}
 	}
 	for range 10 {
 		flights := [engines][]job{}
 		var next []job
 		for _, j := range waiting {
 			e := rnd.IntN(engines)
-			switch q[j.node].Judge(now, j.f) {
+			verdict := q[j.node].Judge(now, j.Fingerprint)
+			switch verdict {
 			case quarantiner.Quarantined:
-				if j.f != poison {
+				if j.Fingerprint != poison {
 					refused++
 				}
 				continue
@@ -48,26 +58,27 @@
 				next = append(next, j)
 				continue
 			case quarantiner.Apart:
-				if rank := q[j.node].Rank(now, j.f); apart && rank >= engines {
+				if rank := q[j.node].Rank(now, j.Fingerprint); apart && rank >= engines {
 					next = append(next, j)
 					continue
 				} else if apart {
 					e = rank
 				}
 			}
-			q[j.node].Started(j.f)
+			j.Suspect = verdict == quarantiner.Apart
+			q[j.node].Started(j.Fingerprint)
 			flights[e] = append(flights[e], j)
 		}
-		for _, flight := range flights {
+		for e, flight := range flights {
 			crashed := false
 			for _, j := range flight {
-				crashed = crashed || j.f == poison
+				crashed = crashed || j.Fingerprint == poison
 			}
 			if !crashed {
 				for _, j := range flight {
-					if q[j.node].Ended(j.f) {
+					if q[j.node].Ended(j.Fingerprint) {
 						for i := range q {
-							q[i].Heard(quarantiner.Report{Fingerprint: j.f})
+							q[i].Heard(quarantiner.Report{Fingerprint: j.Fingerprint})
 						}
 					}
 				}
@@ -75,13 +86,13 @@
 			}
 			fell++
 			for i := range q {
-				var own []quarantiner.Fingerprint
+				var own []quarantiner.Run
 				for _, j := range flight {
 					if j.node == i {
-						own = append(own, j.f)
+						own = append(own, j.Run)
 					}
 				}
-				for _, r := range q[i].Crashed(now, own) {
+				for _, r := range q[i].Crashed(now, fmt.Sprint("e", e), own) {
 					for o := range q {
 						if o != i {
 							q[o].Heard(r)
@@ -93,7 +104,7 @@
 		}
 		waiting = next
 		if fell < 4 { // the caller of the poisoned request tries elsewhere
-			waiting = append(waiting, job{rnd.IntN(nodes), poison})
+			waiting = append(waiting, send(rnd.IntN(nodes), poison))
 		}
 	}
 	return fell, refused + max(0, len(waiting)-1)
@@ -101,16 +112,66 @@
 
 func TestOneRequestTakesTwoEnginesAtMost(t *testing.T) {
 	for seed := range uint64(500) {
-		fell, refused := storm(seed, true)
-		if fell > 2 {
-			t.Errorf("seed %d: %d engines fell", seed, fell)
+		for _, twins := range []bool{false, true} {
+			fell, refused := storm(seed, true, twins)
+			if fell > 2 {
+				t.Errorf("seed %d, twins %t: %d engines fell", seed, twins, fell)
+			}
+			if refused > 0 {
+				t.Errorf("seed %d, twins %t: %d innocent requests were not answered", seed, twins, refused)
+			}
 		}
-		if refused > 0 {
-			t.Errorf("seed %d: %d innocent requests were not answered", seed, refused)
+	}
+}
+
+// TestCrashSeenByTwoNodesCountsOnce guards against an innocent request in
+// quarantine because the node that lost its second run heard of the crash from
+// the node that lost the first before it saw the crash itself.
+func TestCrashSeenByTwoNodesCountsOnce(t *testing.T) {
+	one, two := quarantiner.New(10), quarantiner.New(10)
+	flight := []quarantiner.Run{{Fingerprint: 1}}
+	for _, r := range one.Crashed(now, "e1", flight) {
+		two.Heard(r)
+	}
+	for _, r := range two.Crashed(now, "e1", flight) {
+		one.Heard(r)
+	}
+	for i, q := range []*quarantiner.Quarantiner{one, two} {
+		if v := q.Judge(now, 1); v != quarantiner.Apart {
+			t.Errorf("node %d: verdict %d, want apart", i, v)
 		}
 	}
 }
 
+func TestSecondCrashCounts(t *testing.T) {
+	for name, second := range map[string]struct {
+		upstream string
+		run      quarantiner.Run
+		after    time.Duration
+		want     quarantiner.Verdict
+	}{
+		"of another upstream":                  {"e2", quarantiner.Run{Fingerprint: 1}, time.Second, quarantiner.Quarantined},
+		"of the same upstream, run as suspect": {"e1", quarantiner.Run{Fingerprint: 1, Suspect: true}, time.Second, quarantiner.Quarantined},
+		"after the first was forgotten":        {"e1", quarantiner.Run{Fingerprint: 1}, time.Hour, quarantiner.Apart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := quarantiner.New(10), quarantiner.New(10)
+			for _, r := range one.Crashed(now, "e1", []quarantiner.Run{{Fingerprint: 1}}) {
+				two.Heard(r)
+			}
+			later := now.Add(second.after)
+			for _, r := range two.Crashed(later, second.upstream, []quarantiner.Run{second.run}) {
+				one.Heard(r)
+			}
+			for i, q := range []*quarantiner.Quarantiner{one, two} {
+				if v := q.Judge(later, 1); v != second.want {
+					t.Errorf("node %d: verdict %d, want %d", i, v, second.want)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkApart gives the innocent requests refused in 500 storms, with
 // suspects run apart and without.
 func BenchmarkApart(b *testing.B) {
@@ -119,7 +180,7 @@
 			for range b.N {
 				total := 0
 				for seed := range uint64(500) {
-					_, refused := storm(seed, apart)
+					_, refused := storm(seed, apart, false)
 					total += refused
 				}
 				b.ReportMetric(float64(total), "innocent-refused")
@@ -130,8 +191,8 @@
 
 func TestForgetsAfterItsTime(t *testing.T) {
 	q := quarantiner.New(2)
-	q.Crashed(now, []quarantiner.Fingerprint{1})
-	q.Crashed(now, []quarantiner.Fingerprint{1})
+	q.Crashed(now, "e1", []quarantiner.Run{{Fingerprint: 1}})
+	q.Crashed(now, "e2", []quarantiner.Run{{Fingerprint: 1}})
 	if v := q.Judge(now, 1); v != quarantiner.Quarantined {
 		t.Errorf("verdict %d, want quarantined", v)
 	}
