fix: a report doesn't bring back crashes that were forgotten

What callers saw: a request that had been in quarantine more than ten minutes ago was quarantined again after one new crash elsewhere, if the node that refused it had seen no other crash meanwhile.

Cause: Judge takes a suspect whose time is over as free, but the entry stays until the next crash trims it.

The fix: a report made when the entry's time was over starts a new entry, as Crashed does. Without it TestForgottenCrashesStayForgotten gets verdict quarantined after one crash.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -164,7 +164,7 @@
 		return
 	}
 	s, ok := q.suspects[r.Fingerprint]
-	if !ok {
+	if !ok || !r.Until.Add(-memory).Before(s.until) { // what was known had been forgotten by then
 		s = &suspect{}
 		q.suspects[r.Fingerprint] = s
 	}
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -172,6 +172,26 @@
 	}
 }
 
+// TestForgottenCrashesStayForgotten guards against a report that brings back
+// what was known of a request before its time was over.
+func TestForgottenCrashesStayForgotten(t *testing.T) {
+	one, two := quarantiner.New(10), quarantiner.New(10)
+	flight := []quarantiner.Run{{Fingerprint: 1}}
+	two.Crashed(now, "e1", flight)
+	two.Crashed(now, "e2", flight)
+	later := now.Add(time.Hour)
+	for _, r := range one.Crashed(later, "e3", flight) {
+		two.Heard(r)
+	}
+	if v := two.Judge(later, 1); v != quarantiner.Apart {
+		t.Errorf("after one crash: verdict %d, want apart", v)
+	}
+	two.Crashed(later, "e1", flight)
+	if v := two.Judge(later, 1); v != quarantiner.Quarantined {
+		t.Errorf("after two crashes: verdict %d, want quarantined", v)
+	}
+}
+
 // BenchmarkApart gives the innocent requests refused in 500 storms, with
 // suspects run apart and without.
 func BenchmarkApart(b *testing.B) {
