fix: suspects keep off engines where the node runs another one

What callers saw: a stream that ran far from the poisoned request ended with upstreamFailed, a few times in a hundred runs of TestPoisonTakesTwoEnginesAtMost on a busy machine.

Cause: the innocent request runs at two nodes. Entry-2's run falls with the poisoned request at engine-4, and entry-2 reports it. Entry-1 runs the same request at engine-2, where it began before it was a suspect. Ranks say where suspects are to start, not where they run already, so that entry-1 sends the poisoned request again to engine-2; the innocent one falls a second time and is quarantined. It had attempts left: it ended because of the quarantine, not because it ran out of them.

The fix: a suspect gets no engine where its node runs another suspect or a quarantined request. If its rank names such an engine, it gets the last of the pool without one, since ranks count from the first and reach that last; if there is none it waits, as a suspect whose rank exceeds the pool does, until its deadline at most. The bound of two engines doesn't depend on the choice.

Not covered: a node doesn't know of a run that began elsewhere before its request was a suspect.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -165,6 +165,7 @@
 		return Picked{Wait: true}
 	case quarantiner.Apart:
 		p.query.Apart = s.quarantiner.Rank(now, p.fingerprint)
+		p.query.Occupied = s.occupied(now, p.fingerprint)
 	}
 	if p.retry && !s.retrier.Allow() {
 		return Picked{Kind: failure.Overloaded}
@@ -186,6 +187,21 @@
 	return Picked{Run: run}
 }
 
+// occupied returns the upstreams where this node runs suspects other than f;
+// their runs may have begun before they were suspects.
+func (s *Scheduler) occupied(now time.Time, f quarantiner.Fingerprint) []string {
+	var ids []string
+	for id, fl := range s.flights {
+		for _, r := range fl.runs {
+			if r.Fingerprint != f && s.quarantiner.Judge(now, r.Fingerprint) != quarantiner.Free {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
 func (s *Scheduler) ended(now time.Time, e ended) {
 	c := e.run.Choice
 	s.router.Ended(now, c, e.run.began)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/pkg/breaker"
@@ -32,6 +33,9 @@
 	// Apart is the rank of a suspect, which must run where no other runs; -1
 	// for a request that isn't suspect.
 	Apart int
+	// Occupied lists engines where other suspects run; a suspect gets none of
+	// them.
+	Occupied []string
 }
 
 // Choice is the answer to a Query. It is passed back as the request proceeds.
@@ -325,19 +329,27 @@
 	return misses*q.RecomputeWeight*r.price + wait + r.rnd.Float64()*1e-3
 }
 
-// pickApart gives the suspect of rank n an engine of its own.
+// pickApart gives the suspect of rank n an engine of its own. If another
+// suspect runs there already, it gets the last engine without one, which the
+// ranks reach last.
 func (r *Router) pickApart(now time.Time, p *pool, q *Query) (Choice, bool) {
-	n := q.Apart
+	n, last := 0, int32(-1)
 	for _, slot := range p.slots {
 		if !r.eligible(now, slot, q) {
 			continue
 		}
-		if n == 0 {
-			return r.choice(slot, q, 0), true
+		if !slices.Contains(q.Occupied, r.engines[slot].ID) {
+			if n == q.Apart {
+				return r.choice(slot, q, 0), true
+			}
+			last = slot
 		}
-		n--
+		n++
+	}
+	if last < 0 || n <= q.Apart {
+		return Choice{}, false
 	}
-	return Choice{}, false
+	return r.choice(last, q, 0), true
 }
 
 // Room is what a pool can take.
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+func TestSuspectsKeepOffEnginesOfOthers(t *testing.T) {
+	for name, c := range map[string]struct {
+		rank     int
+		occupied []string
+		want     string
+	}{
+		"its own engine":             {0, []string{"e1"}, "e0"},
+		"its own is occupied":        {0, []string{"e0"}, "e3"},
+		"the last is too":            {1, []string{"e1", "e3"}, "e2"},
+		"all are occupied":           {0, []string{"e0", "e1", "e2", "e3"}, ""},
+		"more suspects than engines": {4, []string{"e0"}, ""},
+	} {
+		q := router.Query{Pool: "p", Chain: prompt(1), Apart: c.rank, Occupied: c.occupied}
+		if got, _ := newRouter(4).Pick(now, &q); got.ID != c.want {
+			t.Errorf("%s: %q, want %q", name, got.ID, c.want)
+		}
+	}
+}
+
 func TestLateReportsAreBroughtUpToDate(t *testing.T) {
 	r := newRouter(2)
 	c := pick(t, r, router.Query{Chain: prompt(1, 2, 3), Apart: -1})
