fix: a suspect that waits takes nothing from the retry budget

What callers saw: after a crash with many requests in flight, requests that waited for an engine of their own failed as overloaded (upstreamFailed once they had run), and so did other retries of the node.

Cause: a waiting suspect asks again every 250 ms, and each time took a retry from the node's budget of 64 before the router found no engine for it.

The fix: the budget is asked once an engine is found. A retry without an engine sends nothing, so that the bound on what upstreams get is the same.

Evidence: TestWaitingTakesNothingFromTheRetryBudget failed before at look 64 with overloaded.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -167,13 +167,13 @@
 		p.query.Apart = s.quarantiner.Rank(now, p.fingerprint)
 		p.query.Occupied = s.occupied(now, p.fingerprint)
 	}
-	if p.retry && !s.retrier.Allow() {
-		return Picked{Kind: failure.Overloaded}
-	}
 	c, ok := s.router.Pick(now, &p.query)
 	if !ok {
 		return Picked{Kind: failure.NoUpstream, Wait: p.query.Apart >= 0}
 	}
+	if p.retry && !s.retrier.Allow() {
+		return Picked{Kind: failure.Overloaded}
+	}
 	s.runs++
 	run := Run{Choice: c, id: s.runs, fingerprint: p.fingerprint}
 	s.router.Sent(now, c, p.chain)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -108,3 +108,24 @@
 		t.Errorf("after its end: %+v, want an engine", p)
 	}
 }
+
+// TestWaitingTakesNothingFromTheRetryBudget guards against suspects that use up
+// the budget of all by asking again while they wait, and then fail as
+// overloaded.
+func TestWaitingTakesNothingFromTheRetryBudget(t *testing.T) {
+	n := newNode(t, 2)
+	run := n.runAt(2, "e1")
+	fell := n.runAt(1, "e2")
+	n.heard(2, "e2")
+	n.Crashed(fell)
+	const looks = 100 // more than the budget holds
+	for i := range looks {
+		if p := n.pick(1, true, "e2"); !p.Wait {
+			t.Fatalf("look %d: %+v, want a wait", i, p)
+		}
+	}
+	n.Ended(run, scheduler.Result{})
+	if p := n.pick(1, true, "e2"); !p.Found() {
+		t.Errorf("after the wait: %+v, want an engine", p)
+	}
+}
