feat: the log names crashes and requests in quarantine

A stream that ended because of the quarantine was logged as streamFailed with upstreamFailed, like one that ran out of attempts; only trace lines showed which it was. crashReported names the upstream and how many requests became suspects, requestQuarantined the request. Fingerprints are left out, since they are plain hashes of the callers' bodies.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -124,6 +124,9 @@
 
 func (r *runner) reportCrash() {
 	if reports := r.f.sched.Crashed(*r.run); len(reports) > 0 {
+		r.log.WithFields(logrus.Fields{
+			"event": "crashReported", "upstream": r.send.Target.Upstream, "suspects": len(reports),
+		}).Warn("requests in flight at an upstream that crashed are suspects")
 		r.f.members.Tell(context.WithoutCancel(r.ctx), everyone, &peerlink.Message{Suspects: reports})
 	}
 	clock.Sleep(r.ctx, r.f.clk, suspectPause)
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -202,6 +202,7 @@
 		p := r.pick(q, a.Retry)
 		switch {
 		case p.Quarantine:
+			r.log.WithField("event", "requestQuarantined").Warn("request crashed too many upstreams")
 			r.step(dispatcher.Poisoned{})
 		case p.Wait && r.f.clk.Now().Before(r.job.deadline) && r.ctx.Err() == nil:
 			clock.Sleep(r.ctx, r.f.clk, suspectPause)
