--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,7 +26,7 @@
 )
 
 type flight struct {
-	runs map[uint64]quarantiner.Fingerprint
+	runs map[uint64]quarantiner.Run
 }
 
 // Scheduler is a kernel service.
@@ -165,27 +165,43 @@
 		return Picked{Wait: true}
 	case quarantiner.Apart:
 		p.query.Apart = s.quarantiner.Rank(now, p.fingerprint)
-	}
-	if p.retry && !s.retrier.Allow() {
-		return Picked{Kind: failure.Overloaded}
+		p.query.Occupied = s.occupied(now, p.fingerprint)
 	}
 	c, ok := s.router.Pick(now, &p.query)
 	if !ok {
 		return Picked{Kind: failure.NoUpstream, Wait: p.query.Apart >= 0}
 	}
+	if p.retry && !s.retrier.Allow() {
+		return Picked{Kind: failure.Overloaded}
+	}
 	s.runs++
 	run := Run{Choice: c, id: s.runs, fingerprint: p.fingerprint}
 	s.router.Sent(now, c, p.chain)
 	s.quarantiner.Started(p.fingerprint)
 	f, ok := s.flights[c.ID]
 	if !ok {
-		f = &flight{runs: map[uint64]quarantiner.Fingerprint{}}
+		f = &flight{runs: map[uint64]quarantiner.Run{}}
 		s.flights[c.ID] = f
 	}
-	f.runs[run.id] = p.fingerprint
+	f.runs[run.id] = quarantiner.Run{Fingerprint: p.fingerprint, Suspect: p.query.Apart >= 0}
 	return Picked{Run: run}
 }
 
+// occupied returns the upstreams where this node runs suspects other than f;
+// their runs may have begun before they were suspects.
+func (s *Scheduler) occupied(now time.Time, f quarantiner.Fingerprint) []string {
+	var ids []string
+	for id, fl := range s.flights {
+		for _, r := range fl.runs {
+			if r.Fingerprint != f && s.quarantiner.Judge(now, r.Fingerprint) != quarantiner.Free {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
 func (s *Scheduler) ended(now time.Time, e ended) {
 	c := e.run.Choice
 	s.router.Ended(now, c, e.run.began)
@@ -216,17 +232,17 @@
 	if _, ok := f.runs[run.id]; !ok {
 		return nil
 	}
-	flight := make([]quarantiner.Fingerprint, 0, len(f.runs))
 	seen := map[quarantiner.Fingerprint]bool{}
-	for _, fp := range f.runs {
-		if !seen[fp] {
-			seen[fp] = true
-			flight = append(flight, fp)
-		}
+	for _, r := range f.runs {
+		seen[r.Fingerprint] = seen[r.Fingerprint] || r.Suspect
+	}
+	flight := make([]quarantiner.Run, 0, len(seen))
+	for fp, suspect := range seen {
+		flight = append(flight, quarantiner.Run{Fingerprint: fp, Suspect: suspect})
 	}
 	clear(f.runs)
 	s.router.Crashed(now, run.Choice.ID)
-	return s.quarantiner.Crashed(now, flight)
+	return s.quarantiner.Crashed(now, run.Choice.ID, flight)
 }
 
 func (s *Scheduler) view(now time.Time) View {
