--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -14,7 +15,10 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+	"github.com/auburnnotch/auburnnotch/platform/standin/client"
 	"github.com/auburnnotch/auburnnotch/platform/standin/metastore"
+	"github.com/auburnnotch/auburnnotch/platform/standin/operator"
 )
 
 // lines is what a node has logged.
@@ -147,34 +151,47 @@
 // 3.35 s after the signal was begun, and its node killed.
 func TestStopWithoutTheStoreBeginsNothingLate(t *testing.T) {
 	t.Parallel()
-	b := newBench(t, 8)
+	const (
+		grace     = 8 * time.Second
+		limit     = 15 * time.Second
+		sentAfter = 3350 * time.Millisecond
+	)
+	b := newBench(t, grace.Seconds())
 	release := make(chan struct{})
 	defer close(release)
 	engine := testlib.NewUpstream(t, func(net.Conn, testlib.Received) bool { <-release; return false })
-	b.store.Put("op/config", []byte(`{"version":1,"limits":{"max-body-bytes":1000},"tenants":[],
-		"services":[{"name":"s"}],
-		"routes":[{"name":"r","host":"h","prefix":"/r/","kind":"unsafe","service":"s","max-attempts":1,
-		"timeout-ms":15000,"target-latency-ms":1000,"public":true}]}`))
-	b.store.Put("servers/u", []byte(`{"service":"s","address":"`+engine.Addr+`","zone":"a","state":"ready","version":"1",
-		"slots":4,"sequence":1,"cold-remaining-ms":0,"born":1}`))
+	ops := operator.New(b.store)
+	err := ops.Configure(&traffic.Catalog{
+		Version: 1, Limits: traffic.Limits{BodyBytes: 1000}, Services: []traffic.Service{{Name: "s"}},
+		Routes: []traffic.Route{{
+			Name: "r", Host: "h", Prefix: "/r/", Kind: traffic.Unsafe, MaxAttempts: 1, Timeout: limit, Objective: time.Second,
+			Public: true, Targets: []traffic.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = ops.Register(&traffic.Upstream{ID: "u", Born: 1, Service: "s", Address: engine.Addr, DataCentre: "a", Slots: 4}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
 	b.out.await(t, "event=upstreamSeen")
 	time.Sleep(time.Second) // the configuration is read
 	b.store.SetFaults("n", metastore.Faults{Delay: 3 * time.Second})
 	signal := time.Now()
 	b.signal()
-	const sentAfter = 3350 * time.Millisecond
 	time.Sleep(sentAfter)
-	conn, err := net.Dial("tcp4", b.callers)
+	c, err := client.Dial(b.callers, time.Second)
 	if err != nil {
 		return // the node doesn't listen any more, which is no loss
 	}
-	defer conn.Close()
-	_, _ = conn.Write([]byte("POST /r/x HTTP/1.1\r\nHost: h\r\nX-Auburnnotch-Request-Id: q\r\nX-Auburnnotch-Deadline-Ms: 15000\r\nContent-Length: 0\r\n\r\n"))
-	_ = conn.SetReadDeadline(signal.Add(8 * time.Second))
-	first := make([]byte, 64)
-	n, err := conn.Read(first)
+	defer c.Close()
+	if err := c.Send(&client.Request{ID: "q", Method: http.MethodPost, Host: "h", Target: "/r/x", Wait: limit}); err != nil {
+		t.Log(err) // closed on the way, which is no loss
+	}
+	a, err := c.Receive(signal.Add(grace))
 	if len(engine.Received()) > 0 {
-		t.Errorf("a request sent %v after the signal ran; until the platform kills the node its caller had %q, %v", sentAfter, first[:n], err)
+		t.Errorf("a request sent %v after the signal ran; until the platform kills the node its caller had status %d, %v", sentAfter, a.Status, err)
 	}
 }
 
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -125,7 +125,9 @@
 	if signal, ok := u.r.timetable().Signal(); ok {
 		f["afterSignalMs"] = u.req.Arrived.Sub(signal).Milliseconds()
 		f["cutOff"] = u.cutOff()
-		f["expectedMs"] = u.expected.Milliseconds()
+		if u.expected > 0 {
+			f["expectedMs"] = u.expected.Milliseconds()
+		}
 	}
 	return u.r.Log.WithFields(f)
 }
