fix: a link of the soak passes nothing on after bytes that it has lost

Trace: the nodes took the end for proper (event=answered, runs=1), each from the upstream whose link was cut one way at that moment (planner.Link backward, 10 and 9); another answer of the same link was a malformed head, "18". The proxy lost bytes in the middle of a connection and passed on later ones when its trouble was over, so that chunks were missing within a sound framing. TCP delivers in order or not at all: not the product's fault, and a fault that no network has. A direction that has lost bytes now stays silent. TestNothingFollowsLostBytes failed before ("later\n" arrived); streams of 0.2 s had hidden it.

--- a/internal/soak/proxier/proxier.go
+++ b/internal/soak/proxier/proxier.go
@@ -140,16 +140,18 @@
 	return p.trouble
 }
 
-// copy passes bytes on in one direction until an end closes.
+// copy passes bytes on in one direction until an end closes. Nothing follows bytes that
+// were lost, since a connection delivers its bytes in order or not at all.
 func (p *Proxier) copy(l *link, dst, src net.Conn, direction planner.LinkTrouble) {
 	buf := make([]byte, bufferBytes)
+	lost := false
 	for {
 		n, err := src.Read(buf)
 		trouble := p.state(l)
 		if trouble == planner.Delayed {
 			<-p.clk.After(delay)
 		}
-		lost := trouble == planner.Silenced || trouble == direction
+		lost = lost || trouble == planner.Silenced || trouble == direction
 		if n > 0 && !lost {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				reset(src)
--- a/internal/soak/proxier/proxier_test.go
+++ b/internal/soak/proxier/proxier_test.go
@@ -94,3 +94,45 @@
 		})
 	}
 }
+
+// Guards against links that lose bytes in the middle of a connection and pass on later
+// ones, as no network does: what a node was given then looked like a whole answer.
+func TestNothingFollowsLostBytes(t *testing.T) {
+	for _, trouble := range []planner.LinkTrouble{planner.Forward, planner.Backward} {
+		t.Run(string(trouble), func(t *testing.T) {
+			p, err := proxier.New(systemclock.New(), "127.0.0.1:0", echoes(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = p.Run(ctx) })
+			defer wg.Wait()
+			defer cancel()
+			conn, err := net.Dial("tcp4", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			send := func(line string) {
+				if _, err := io.WriteString(conn, line); err != nil {
+					t.Fatal(err)
+				}
+			}
+			send("first\n")
+			if line, err := in.ReadString('\n'); line != "first\n" {
+				t.Fatalf("got %q, %v", line, err)
+			}
+			p.SetTrouble(trouble)
+			send("lost\n")
+			time.Sleep(100 * time.Millisecond)
+			p.SetTrouble("")
+			send("later\n")
+			_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			if line, err := in.ReadString('\n'); err == nil {
+				t.Errorf("%q arrived after lost bytes", line)
+			}
+		})
+	}
+}
