--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -1,5 +1,5 @@
-// Package bounded reads bodies that must not fill the memory, and never takes
-// a part of one for the whole.
+// Package bounded keeps answers from filling the memory, and never takes a part of
+// a body for the whole.
 package bounded
 
 import (
@@ -8,6 +8,10 @@
 	"github.com/juju/errors"
 )
 
+// HeadBytes bounds what is read for the head of an answer: twice what servers
+// usually allow, and little for a node with hundreds of requests.
+const HeadBytes = 32 << 10
+
 // ErrTooLong marks a body that is longer than its bound.
 const ErrTooLong = errors.ConstError("the body has more bytes than are taken")
 
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -9,17 +9,14 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
-)
 
-const (
-	// bufferBytes holds the usual answer of a plain service or some events.
-	bufferBytes = 4 << 10
-	// headBytes bounds what is read for the head of an answer: twice what
-	// servers usually allow, and little for a node with hundreds of requests.
-	headBytes = 32 << 10
+	"github.com/auburnnotch/auburnnotch/internal/bounded"
 )
 
-// errHeadTooLong marks bytes that don't end as a head within headBytes.
+// bufferBytes holds the usual answer of a plain service or some events.
+const bufferBytes = 4 << 10
+
+// errHeadTooLong marks bytes that don't end as a head within bounded.HeadBytes.
 const errHeadTooLong = errors.ConstError("the answer's head has no end in time")
 
 // source is what a connection's buffer is filled from.
@@ -62,7 +59,7 @@
 
 // readResponse reads the head of an answer.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
-	c.in.left = headBytes
+	c.in.left = bounded.HeadBytes
 	defer func() { c.in.left = -1 }()
 	return http.ReadResponse(c.br, req)
 }
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -223,10 +223,6 @@
 	}
 }
 
-// endless is what a test's upstream pours out at most: far more than any bound
-// and the buffers of two sockets.
-const endless = 48 << 20
-
 // Guards against a node that gathers a head for as long as its upstream sends:
 // some hundred megabytes within a caller's time limit.
 func TestHeadWithoutEndIsGivenUp(t *testing.T) {
@@ -244,7 +240,7 @@
 			taken := make(chan int, 1)
 			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
 				fmt.Fprint(conn, c.start)
-				taken <- testlib.Pour(conn, c.piece, endless)
+				taken <- testlib.Pour(conn, c.piece, testlib.Endless)
 				return false
 			})
 			k := call(u, "1")
@@ -253,7 +249,7 @@
 			if outcome != connector.Broken || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("outcome %d, error %v", outcome, err)
 			}
-			if n := <-taken; n >= endless {
+			if n := <-taken; n >= testlib.Endless {
 				t.Errorf("all %d bytes were read", n)
 			}
 		})
@@ -314,7 +310,7 @@
 			taken := make(chan int, 1)
 			u := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%s", c.start)
-				taken <- testlib.Pour(conn, c.piece, endless)
+				taken <- testlib.Pour(conn, c.piece, testlib.Endless)
 				return false
 			})
 			k := call(u, "1")
@@ -322,7 +318,7 @@
 			if body, outcome, err := do(connector.New(systemclock.New()), k); outcome != connector.Opened || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("outcome %d, error %v after %d bytes", outcome, err, len(body))
 			}
-			if n := <-taken; n >= endless {
+			if n := <-taken; n >= testlib.Endless {
 				t.Errorf("all %d bytes were read", n)
 			}
 		})
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -116,7 +116,10 @@
 	g.Go(func() error { return o.hold(work) })
 	g.Go(func() error { return o.issue(work, g) })
 	err := g.Wait()
-	if fence := o.held(); fence != 0 {
+	o.mu.Lock()
+	fence := o.held()
+	o.mu.Unlock()
+	if fence != 0 {
 		o.release(context.WithoutCancel(ctx), fence)
 	}
 	return err
@@ -223,20 +226,17 @@
 
 // mayIssue returns the fencing token, 0 if no order may be sent now.
 func (o *Orderer) mayIssue() uint64 {
-	fence := o.held()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.boot.Elapsed() < o.mayOrder {
 		return 0
 	}
-	return fence
+	return o.held()
 }
 
 // held returns the fencing token of an office whose lease surely still runs, 0 for
-// none.
+// none. o.mu must be held.
 func (o *Orderer) held() uint64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	if o.boot.Elapsed()-o.renewed > sendWithin {
 		return 0
 	}
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -17,10 +17,6 @@
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
-// endless is what a test's upstream pours out at most: far more than any bound
-// and the buffers of two sockets.
-const endless = 48 << 20
-
 func wholeHead(conn net.Conn, r testlib.Received, framing string) {
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: x\r\n%s\r\n\r\n", r.Header.Get("Id"), framing)
 }
@@ -29,7 +25,7 @@
 func pouring(framing, piece string) testlib.Script {
 	return func(conn net.Conn, r testlib.Received) bool {
 		wholeHead(conn, r, framing)
-		testlib.Pour(conn, piece, endless)
+		testlib.Pour(conn, piece, testlib.Endless)
 		return false
 	}
 }
@@ -146,7 +142,7 @@
 // upstream until the caller's time is over.
 func TestRefusalWithoutEndIsNotReadOut(t *testing.T) {
 	for name, rest := range map[string]func(net.Conn){
-		"without end": func(conn net.Conn) { testlib.Pour(conn, chunk, endless) },
+		"without end": func(conn net.Conn) { testlib.Pour(conn, chunk, testlib.Endless) },
 		"silent":      func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) },
 		"trickling": func(conn net.Conn) {
 			for {
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -311,7 +311,7 @@
 			return
 		}
 		p.Succeeded(c)
-		u.pace(u.r.Clock.Now())
+		u.pace()
 	})
 	if failed && !u.began && u.mayRepeat(0) && u.sends < maxSends && u.canRepeat() {
 		u.exclude = append(u.exclude, u.choice.Incarnation())
--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -34,12 +34,12 @@
 	return f.Begins(now, u.deadline, u.expected)
 }
 
-// pace remembers how long the whole answer took, of which the first event came at
-// first. The relayer's lock must be held.
-func (u *run) pace(first time.Time) {
+// pace remembers how long the whole answer took. The relayer's lock must be held.
+func (u *run) pace() {
 	now := u.r.Clock.Now()
-	if first.IsZero() { // a stream without events
-		first = now
+	first := now
+	if u.began {
+		first = u.begunAt
 	}
 	u.r.pacer.Add(u.route.Name, pacer.Answer{
 		At: now, First: first.Sub(u.req.Arrived), Rest: now.Sub(first), Output: u.output(),
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -109,7 +109,7 @@
 func (u *run) finish(x *connector.Exchange) {
 	u.release(func(p *placer.Placer, c placer.Choice) {
 		p.Succeeded(c)
-		u.pace(u.begunAt)
+		u.pace()
 	})
 	if !u.began {
 		u.w.Begin(x.Status, x.Header, -1)
--- a/internal/soak/proxier/proxier_test.go
+++ b/internal/soak/proxier/proxier_test.go
@@ -34,6 +34,20 @@
 	return l.Addr().String()
 }
 
+// passing returns a running Proxier to a server that echoes.
+func passing(t *testing.T) *proxier.Proxier {
+	t.Helper()
+	p, err := proxier.New(systemclock.New(), "127.0.0.1:0", echoes(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = p.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return p
+}
+
 func TestTroublesOfLinks(t *testing.T) {
 	for _, c := range []struct {
 		trouble planner.LinkTrouble
@@ -49,15 +63,7 @@
 		{planner.Unreached, false, false},
 	} {
 		t.Run(string(c.trouble), func(t *testing.T) {
-			p, err := proxier.New(systemclock.New(), "127.0.0.1:0", echoes(t))
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			var wg sync.WaitGroup
-			wg.Go(func() { _ = p.Run(ctx) })
-			defer wg.Wait()
-			defer cancel()
+			p := passing(t)
 			answers := func(conn net.Conn) bool {
 				if _, err := io.WriteString(conn, "x\n"); err != nil {
 					return false
@@ -100,15 +106,7 @@
 func TestNothingFollowsLostBytes(t *testing.T) {
 	for _, trouble := range []planner.LinkTrouble{planner.Forward, planner.Backward} {
 		t.Run(string(trouble), func(t *testing.T) {
-			p, err := proxier.New(systemclock.New(), "127.0.0.1:0", echoes(t))
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			var wg sync.WaitGroup
-			wg.Go(func() { _ = p.Run(ctx) })
-			defer wg.Wait()
-			defer cancel()
+			p := passing(t)
 			conn, err := net.Dial("tcp4", p.Addr())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/testlib/upstream.go
+++ b/internal/testlib/upstream.go
@@ -111,6 +111,10 @@
 	}
 }
 
+// Endless is what a test's upstream pours out at most: far more than any bound and
+// the buffers of two sockets.
+const Endless = 48 << 20
+
 // Pour writes piece again and again, up to most bytes, and returns how many
 // were taken before the peer closed the connection. It doesn't return before
 // that.
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -67,9 +67,6 @@
 	idleTimeout     = 15 * time.Second
 	idlePerUpstream = 256
 	bufferBytes     = 4 << 10
-	// headBytes bounds the head of an answer, which has a few fields; net/http
-	// would take megabytes.
-	headBytes = 32 << 10
 	// reportBytes bounds a load report, which has some hundred bytes.
 	reportBytes = 64 << 10
 )
@@ -82,7 +79,7 @@
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-		MaxResponseHeaderBytes: headBytes,
+		MaxResponseHeaderBytes: bounded.HeadBytes,
 	}
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -113,10 +113,6 @@
 	}
 }
 
-// endless is what a test's upstream pours out at most: far more than any bound
-// and the buffers of two sockets.
-const endless = 48 << 20
-
 // Guards against a load report or a head that is read for as long as the engine
 // sends.
 func TestBytesWithoutEndAreGivenUp(t *testing.T) {
@@ -128,7 +124,7 @@
 			taken := make(chan int, 1)
 			up := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
 				_, _ = io.WriteString(conn, start)
-				taken <- testlib.Pour(conn, strings.Repeat("x", 1<<10), endless)
+				taken <- testlib.Pour(conn, strings.Repeat("x", 1<<10), testlib.Endless)
 				return false
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -136,7 +132,7 @@
 			if l, err := upstreamer.New(systemclock.New()).Load(ctx, "http://"+up.Addr); err == nil || ctx.Err() != nil {
 				t.Errorf("report %+v, %v", l, err)
 			}
-			if n := <-taken; n >= endless {
+			if n := <-taken; n >= testlib.Endless {
 				t.Errorf("all %d bytes were read", n)
 			}
 		})
