--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,7 +64,7 @@
 // must have been validated. Log lines go to out.
 func New(s config.EntrySettings, out io.Writer) (*Entry, error) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryLimitShare * s.MemoryMB * (1 << 20)))
 	clk := systemclock.New()
 	boot, err := boottime.New()
 	if err != nil {
@@ -86,7 +86,7 @@
 		MilliCores: int(s.ProcessorShare * milliPerCore), BootID: seed, StartedAt: started,
 	}
 	obs := observer.New(clk, boot, log, st, translate.Layout())
-	maxProofAge := time.Duration(proofAgeShare * float64(s.RevokeMS) * float64(time.Millisecond))
+	maxProofAge := config.Milliseconds(proofAgeShare * s.RevokeMS)
 	conns := connector.New(clk)
 	ups := orders.New(conns)
 	state := &localState{self: s.Name, clk: clk, boot: boot, obs: obs, leaving: map[string]leavingPeer{}, storeReaders: map[string]time.Time{}}
@@ -99,7 +99,7 @@
 	}, isAggregator)
 	adv := adviser.New(clk, log, s.Name, state.roster)
 	relay := relayer.New(relayer.Settings{
-		DataCentre: s.DataCentre, MaxProofAge: maxProofAge, VersionCutoff: time.Duration(s.WeightsMS) * time.Millisecond,
+		DataCentre: s.DataCentre, MaxProofAge: maxProofAge, VersionCutoff: config.Milliseconds(s.WeightsMS),
 		RetryBudget: budgeter.Limits{
 			Ratio: s.RetryRatio, Window: config.Seconds(s.RetryWindowSeconds), Allowance: s.RetryAllowance,
 		},
@@ -117,7 +117,7 @@
 	adv.Attach(bcast, state)
 	obs.SetStoreReader(isAggregator)
 	ord := orderer.New(orderer.Settings{
-		Node: s.Name, HandoverGap: time.Duration(s.OrderGapMS) * time.Millisecond,
+		Node: s.Name, HandoverGap: config.Milliseconds(s.OrderGapMS),
 	}, clk, boot, log, st, obs, ups, state)
 	dir := newDirectory(self, obs, state, s.EntrySeconds)
 	in, err := ingress.New(ingress.Addresses{
--- a/internal/soak/soaker/node.go
+++ b/internal/soak/soaker/node.go
@@ -57,8 +57,8 @@
 	settings := config.EntrySettings{
 		Name: n.name, DataCentre: dataCentre, CallerListen: listenAddr(portCallers), ReadyListen: listenAddr(portReady),
 		DirectoryListen: listenAddr(portDirectory), PeerListen: listenAddr(portPeers), Store: n.storeProxy.Addr(), MemoryMB: 128,
-		RevokeMS: int(revokeBound.Milliseconds()), GraceSeconds: gracePeriod.Seconds(), OrderGapMS: int(handoverGap.Milliseconds()),
-		WeightsMS: int(versionCutoff.Milliseconds()), EntrySeconds: entryTTL.Seconds(), RetryAllowance: 50,
+		RevokeMS: float64(revokeBound.Milliseconds()), GraceSeconds: gracePeriod.Seconds(), OrderGapMS: float64(handoverGap.Milliseconds()),
+		WeightsMS: float64(versionCutoff.Milliseconds()), EntrySeconds: entryTTL.Seconds(), RetryAllowance: 50,
 	}
 	b, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -12,7 +12,7 @@
 	// Window is the length of the sliding window.
 	Window time.Duration
 	// Allowance is the number of retries per window in addition to Ratio.
-	Allowance int
+	Allowance float64
 }
 
 const (
@@ -60,7 +60,7 @@
 		requests += b.requests[j]
 		retries += b.retries[j]
 	}
-	budget := usableShare * (b.limits.Ratio*float64(requests) + float64(b.limits.Allowance)/float64(max(1, nodes)))
+	budget := usableShare * (b.limits.Ratio*float64(requests) + b.limits.Allowance/float64(max(1, nodes)))
 	return float64(retries+1) <= budget
 }
 
--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -16,7 +16,7 @@
 // requests plus the allowance, however many retries the nodes request.
 func TestFleetStaysWithinItsBudgetInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := budgeter.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: rapid.IntRange(20, 220).Draw(t, "allowance")}
+		limits := budgeter.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: rapid.Float64Range(20, 220).Draw(t, "allowance")}
 		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		fleet := make([]*budgeter.Budgeter, nodes)
@@ -38,7 +38,7 @@
 		}
 		for at := start; at.Before(now); at = at.Add(250 * time.Millisecond) {
 			got := countWithin(retries, at, limits.Window)
-			bound := limits.Ratio*float64(countWithin(requests, at, limits.Window)) + float64(limits.Allowance)
+			bound := limits.Ratio*float64(countWithin(requests, at, limits.Window)) + limits.Allowance
 			if float64(got) > bound {
 				t.Fatalf("%d retries in the window from %v, bound %.1f", got, at.Sub(start), bound)
 			}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -67,12 +67,12 @@
 	services := d.checkServices(c, prev)
 	d.checkUpstreams(c, vms, pools, services)
 	d.checkWorkspaces(c, models)
-	c.requireNonNegative("pieceBytes", d.PieceBytes)
-	c.requireNonNegative("weightStore.slots", d.WeightStore.Slots)
+	requireNonNegative(c, "pieceBytes", d.PieceBytes)
+	requireNonNegative(c, "weightStore.slots", d.WeightStore.Slots)
 	return c.problems
 }
 
-func (c *checker) requireNonNegative(field string, n int) {
+func requireNonNegative[T int | float64](c *checker, field string, n T) {
 	if n < 0 {
 		c.add("use 0 for the default, or a positive number", field, "is negative")
 	}
@@ -199,7 +199,7 @@
 			field := fmt.Sprintf("services[%d].routes[%d].", i, j)
 			c.requireUnique(paths, field+"path", r.Path)
 			c.checkClass(field+"class", r.Class)
-			c.requireNonNegative(field+"keepDays", r.KeepDays)
+			requireNonNegative(c, field+"keepDays", r.KeepDays)
 			if before := previousKeepDays[s.Name+r.Path]; before > 0 && (r.KeepDays > before || r.KeepDays == 0) {
 				c.add("keep it at that or lower", field+"keepDays", "can't be raised from %d: older claims are forgotten", before)
 			}
@@ -217,7 +217,7 @@
 		field := fmt.Sprintf("upstreams[%d].", i)
 		c.requireUnique(seen, field+"name", u.Name)
 		c.requireDeclared(vms, field+"vm", u.VM, "vms")
-		c.requireNonNegative(field+"slots", u.Slots)
+		requireNonNegative(c, field+"slots", u.Slots)
 		c.checkURL(field+"url", u.URL)
 		switch {
 		case (u.Pool == "") == (u.Service == ""):
@@ -242,8 +242,8 @@
 	for i, w := range d.Workspaces {
 		field := fmt.Sprintf("workspaces[%d].", i)
 		c.requireUnique(seen, field+"name", w.Name)
-		c.requireNonNegative(field+"weight", w.Weight)
-		c.requireNonNegative(field+"tokensPerSecond", w.TokensPerSecond)
+		requireNonNegative(c, field+"weight", w.Weight)
+		requireNonNegative(c, field+"tokensPerSecond", w.TokensPerSecond)
 		for j, m := range w.Models {
 			c.requireDeclared(models, fmt.Sprintf("%smodels[%d]", field, j), m, "models")
 		}
--- a/pkg/config/entrysettings.go
+++ b/pkg/config/entrysettings.go
@@ -2,7 +2,7 @@
 
 // EntrySettings configures an entry node on the users' platform. The settings are
 // read at startup. The platform generates the file from its own fields with a
-// template.
+// template, and may scale any number, so that all of them may be fractions.
 type EntrySettings struct {
 	// Name is the node's unique name.
 	Name       string `json:"name"`
@@ -22,26 +22,26 @@
 	// Store is the IP address and port of the platform's store.
 	Store string `json:"store"`
 	// MemoryMB is the memory limit of the process.
-	MemoryMB int `json:"memoryMB"`
+	MemoryMB float64 `json:"memoryMB"`
 	// ProcessorShare is the CPU limit of the process in cores (default 1).
 	ProcessorShare float64 `json:"processorShare,omitempty"`
 	// RevokeMS is the time in milliseconds after which a revoked key must no
 	// longer be accepted (default 5000).
-	RevokeMS int `json:"revokeMS,omitempty"`
+	RevokeMS float64 `json:"revokeMS,omitempty"`
 	// RetryRatio, RetryWindowSeconds and RetryAllowance define the retry budget
 	// of the fleet for each service (default 0.2, 10 and 0).
 	RetryRatio         float64 `json:"retryRatio,omitempty"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds,omitempty"`
-	RetryAllowance     int     `json:"retryAllowance,omitempty"`
+	RetryAllowance     float64 `json:"retryAllowance,omitempty"`
 	// GraceSeconds is the grace period from SIGTERM to the end of the process
 	// (default 8).
 	GraceSeconds float64 `json:"graceSeconds,omitempty"`
 	// OrderGapMS is the minimum time in milliseconds between the last order of
 	// one leader and the first order of the next (default 3000).
-	OrderGapMS int `json:"orderGapMS,omitempty"`
+	OrderGapMS float64 `json:"orderGapMS,omitempty"`
 	// WeightsMS is the time in milliseconds after the announcement of new weights
 	// during which requests may still start on older ones (default 12000).
-	WeightsMS int `json:"weightsMS,omitempty"`
+	WeightsMS float64 `json:"weightsMS,omitempty"`
 	// EntrySeconds is how long callers may cache the list of nodes to use
 	// (default 5).
 	EntrySeconds float64 `json:"entrySeconds,omitempty"`
@@ -51,12 +51,12 @@
 
 // The defaults of EntrySettings.
 const (
-	defaultRevokeMS           = 5000
+	defaultRevokeMS           = 5000.0
 	defaultRetryRatio         = 0.2
 	defaultRetryWindowSeconds = 10.0
 	defaultGraceSeconds       = 8.0
-	defaultOrderGapMS         = 3000
-	defaultWeightsMS          = 12000
+	defaultOrderGapMS         = 3000.0
+	defaultWeightsMS          = 12000.0
 	defaultEntryCacheSeconds  = 5.0
 )
 
@@ -94,11 +94,23 @@
 	}
 	c.checkAddress("store", s.Store)
 	if s.MemoryMB <= 0 {
-		c.add("set the memory limit of the process in MB", "memoryMB", "is %d", s.MemoryMB)
+		c.add("set the memory limit of the process in MB", "memoryMB", "is %v", s.MemoryMB)
+	}
+	for _, f := range []struct {
+		field string
+		value float64
+	}{
+		{"processorShare", s.ProcessorShare},
+		{"revokeMS", s.RevokeMS},
+		{"retryRatio", s.RetryRatio},
+		{"retryWindowSeconds", s.RetryWindowSeconds},
+		{"retryAllowance", s.RetryAllowance},
+		{"graceSeconds", s.GraceSeconds},
+		{"orderGapMS", s.OrderGapMS},
+		{"weightsMS", s.WeightsMS},
+		{"entrySeconds", s.EntrySeconds},
+	} {
+		requireNonNegative(c, f.field, f.value)
 	}
-	c.requireNonNegative("revokeMS", s.RevokeMS)
-	c.requireNonNegative("retryAllowance", s.RetryAllowance)
-	c.requireNonNegative("orderGapMS", s.OrderGapMS)
-	c.requireNonNegative("weightsMS", s.WeightsMS)
 	return c.problems
 }
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -62,3 +62,6 @@
 
 // Seconds converts a number of seconds to a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Milliseconds converts a number of milliseconds to a duration.
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
