perf(observer): followers request the changes of the store from its readers

Cause: each change of the registry made every node read the whole store, and every node held a watch.

Readers announce what operators write at once; other nodes hold no watch while digests arrive. Nodes report a protocol in their registration, and only those that know the requests are asked. Candidates for leader wait 200 ms a rank, and the longest time while they aren't registered, since their rank isn't known then.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -107,6 +107,10 @@
 	// carries its advice.
 	Question
 	Answer
+	// ChangesRequest asks a store reader for changes of the store; ChangesResponse
+	// carries them.
+	ChangesRequest
+	ChangesResponse
 )
 
 // Handler handles the body of a datagram. It must not retain the body.
@@ -244,6 +248,9 @@
 	return out
 }
 
+// Announce sends the local state to all nodes at once.
+func (b *Broadcaster) Announce() { b.triggerBroadcast() }
+
 func (b *Broadcaster) triggerBroadcast() {
 	select {
 	case b.sendNow <- struct{}{}:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/boottime"
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
 	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/internal/feeder"
 	"github.com/auburnnotch/auburnnotch/internal/linewriter"
 	"github.com/auburnnotch/auburnnotch/internal/logger"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
@@ -83,7 +84,7 @@
 	st := store.New(s.Store, metrics.Scope())
 	self := traffic.Node{
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Entry: s.CallerListen, Peer: s.PeerListen,
-		MilliCores: int(s.ProcessorShare * milliPerCore), BootID: seed, StartedAt: started,
+		MilliCores: int(s.ProcessorShare * milliPerCore), BootID: seed, StartedAt: started, Protocol: traffic.CurrentProtocol,
 	}
 	obs := observer.New(clk, boot, log, st, translate.Layout())
 	maxProofAge := config.Milliseconds(proofAgeShare * s.RevokeMS)
@@ -116,6 +117,8 @@
 	state.broadcaster = bcast
 	adv.Attach(bcast, state)
 	obs.SetStoreReader(isAggregator)
+	obs.SetChangeSource(feeder.New(log, s.Name, state.roster, bcast, obs).Request)
+	obs.SetAnnouncer(bcast.Announce)
 	ord := orderer.New(orderer.Settings{
 		Node: s.Name, HandoverGap: config.Milliseconds(s.OrderGapMS),
 	}, clk, boot, log, st, obs, ups, state)
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -84,7 +84,7 @@
 		s.mu.Lock()
 		s.storeReaders[m.From] = now
 		s.mu.Unlock()
-		s.obs.ReceiveDigest(observer.Digest{Revision: m.Revision, Hash: m.Hash, ConfigVersion: m.LatestConfig})
+		s.obs.ReceiveDigest(m.From, observer.Digest{Revision: m.Revision, Hash: m.Hash, ConfigVersion: m.LatestConfig})
 		s.cache.ReceiveState(m.CacheStoreDown)
 	}
 	for _, w := range m.Announcements {
--- a/internal/observer/digest.go
+++ b/internal/observer/digest.go
@@ -33,26 +33,8 @@
 	return d, !o.lastRead.IsZero() && o.clk.Now().Sub(o.lastRead) < maxDigestAge
 }
 
-// ReceiveDigest handles the digest of a store reader. If the digest shows newer
-// contents than the local snapshot, the store is read at once.
-func (o *Observer) ReceiveDigest(d Digest) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if d.Revision < o.revision {
-		return
-	}
-	o.digestReceived, o.digestRevision = o.clk.Now(), d.Revision
-	behind := o.catalog == nil || d.ConfigVersion > o.catalog.Version
-	if behind || d.Hash != o.hash && d.Revision > o.revision {
-		select {
-		case o.trigger <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// hash covers the state that nodes must agree on. Model versions are excluded,
-// since they are exchanged as announcements.
+// hash covers the state that nodes must agree on. The models that upstreams report
+// are excluded, since nodes learn of upgrades from messages.
 func (s *Snapshot) hash() uint64 {
 	h := xxhash.New()
 	for i := range s.Upstreams {
@@ -62,6 +44,12 @@
 	for i := range s.Nodes {
 		fmt.Fprintf(h, "%s %s %d\n", s.Nodes[i].Name, s.Nodes[i].Entry, s.Nodes[i].BootID)
 	}
+	for i := range s.Weights {
+		fmt.Fprintf(h, "%s %d\n", s.Weights[i].Model, s.Weights[i].Version)
+	}
+	for i := range s.Announcements {
+		fmt.Fprintf(h, "%s %d\n", s.Announcements[i].Model, s.Announcements[i].Revision)
+	}
 	if s.Leader != nil {
 		fmt.Fprintf(h, "%s %d", s.Leader.Node, s.Leader.Revision)
 	}
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -16,13 +16,19 @@
 // removeMissing removes a key that a read didn't return. An upstream that isn't
 // draining stays for recoveryGrace after an outage, since the store may have
 // dropped its registration during the outage.
-func (o *Observer) removeMissing(key string, k knownItem, now time.Time) {
+func (o *Observer) removeMissing(key string, k knownItem, revision uint64, now time.Time) {
 	u, ok := k.record.(*traffic.Upstream)
 	if ok && !u.Draining && !o.recovered.IsZero() && now.Sub(o.recovered) < recoveryGrace {
 		return
 	}
+	o.remove(key, k, revision)
+}
+
+// remove removes a key, which the store no longer had at revision.
+func (o *Observer) remove(key string, k knownItem, revision uint64) {
 	delete(o.items, key)
-	if ok {
+	o.feed.recordRemoval(key, revision)
+	if u, ok := k.record.(*traffic.Upstream); ok {
 		o.log.WithFields(logrus.Fields{"event": "upstreamGone", "upstream": u.Incarnation()}).Info("upstream is no longer registered")
 	}
 }
@@ -31,7 +37,7 @@
 // of the store.
 func (o *Observer) applyItem(it platform.Item, initial bool) {
 	old, ok := o.items[it.Key]
-	if ok && old.revision >= it.Revision {
+	if ok && old.revision >= it.Revision || o.feed.removals[it.Key] >= it.Revision {
 		return
 	}
 	f, err := o.layout.Decode(it)
@@ -49,7 +55,7 @@
 			f = before
 		}
 	}
-	o.items[it.Key] = knownItem{revision: it.Revision, record: f}
+	o.items[it.Key] = knownItem{revision: it.Revision, record: f, item: it}
 	switch f := f.(type) {
 	case *traffic.Catalog:
 		o.setCatalog(f)
@@ -100,6 +106,7 @@
 	sort.Slice(s.Upstreams, func(i, j int) bool { return s.Upstreams[i].ID < s.Upstreams[j].ID })
 	sort.Slice(s.Nodes, func(i, j int) bool { return s.Nodes[i].Name < s.Nodes[j].Name })
 	sort.Slice(s.Weights, func(i, j int) bool { return s.Weights[i].Model < s.Weights[j].Model })
+	sort.Slice(s.Announcements, func(i, j int) bool { return s.Announcements[i].Model < s.Announcements[j].Model })
 	s.Roster = roster.New(s.Nodes)
 	o.snapshot.Store(s)
 	o.hash = s.hash()
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -38,23 +38,20 @@
 	// assumedAnnouncementAge is the assumed age of the announcement of weights
 	// that a node finds in the store when it starts.
 	assumedAnnouncementAge = 5 * time.Second
-	// relaxedPollInterval is the time between two reads on a node that receives
-	// digests from a store reader.
-	relaxedPollInterval = 10 * time.Second
 	// maxDigestAge is the age of a snapshot up to which a store reader sends
 	// its digest. It allows for one failed read.
 	maxDigestAge = 1300 * time.Millisecond
-	// digestTTL is how long a digest received from a store reader is valid.
-	digestTTL = 700 * time.Millisecond
-	// minTriggerDelay is the minimum time between two reads that are triggered
-	// by digests. In a large fleet, where each change makes many nodes read,
-	// the minimum grows by triggerDelayPerNode for each node, up to
-	// maxTriggerDelay.
-	minTriggerDelay     = 300 * time.Millisecond
-	triggerDelayPerNode = 10 * time.Millisecond
-	maxTriggerDelay     = 900 * time.Millisecond
-	waitStep            = 100 * time.Millisecond
-	maxPages            = 64
+	// digestTTL is how long a digest received from a store reader is valid. It
+	// spans several messages in a small fleet, and two in a large one.
+	digestTTL = 1300 * time.Millisecond
+	// minRepairDelay is the minimum time between two reads of a node that can't
+	// get the changes that it missed from a store reader.
+	minRepairDelay = 300 * time.Millisecond
+	// followerRetryDelay is the delay after a failed read on a node that isn't a
+	// store reader. The store readers notice the end of an outage for all nodes.
+	followerRetryDelay = 600 * time.Millisecond
+	waitStep           = 50 * time.Millisecond
+	maxPages           = 64
 	// maxVersions bounds the number of announced versions kept per model.
 	maxVersions = 8
 	// minAgeDifference is the smallest difference between the ages reported by
@@ -95,6 +92,7 @@
 type knownItem struct {
 	revision uint64
 	record   traffic.StoreRecord
+	item     platform.Item // as read, for peers
 }
 
 // Observer is a supervisor service that reads and watches the store.
@@ -118,21 +116,21 @@
 	lastRead  time.Time // zero before the first read
 	recovered time.Time // end of the last outage
 	// down is set while reads fail, since downSince.
-	down           bool
-	downSince      time.Time
-	hash           uint64    // of the last snapshot
-	digestReceived time.Time // when the last digest of a store reader arrived
-	// digestRevision is the store's revision in that digest.
-	digestRevision uint64
-	trigger        chan struct{}
-	isStoreReader  func() bool
+	down          bool
+	downSince     time.Time
+	hash          uint64 // of the last snapshot
+	feed          feed
+	trigger       chan struct{}
+	isStoreReader func() bool
+	changeSource  ChangeSource
+	announce      func()
 }
 
 // New returns an Observer with an empty snapshot.
 func New(clk clock.Clock, boot clock.BootClock, log logrus.FieldLogger, s platform.Store, l Layout) *Observer {
 	o := &Observer{
 		clk: clk, boot: boot, log: log, store: s, layout: l, items: map[string]knownItem{}, weights: map[string][]relayer.ModelVersion{},
-		trigger: make(chan struct{}, 1), isStoreReader: func() bool { return true },
+		feed: newFeed(), trigger: make(chan struct{}, 1), isStoreReader: func() bool { return true },
 	}
 	o.snapshot.Store(&Snapshot{Roster: roster.New(nil)})
 	return o
@@ -141,19 +139,6 @@
 // SetListener sets the listener for changes. It must be called before Run.
 func (o *Observer) SetListener(l Listener) { o.listener = l }
 
-// pollWait returns the current time between two reads.
-func (o *Observer) pollWait() time.Duration {
-	isStoreReader := o.isStoreReader()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.clk.Now()
-	settled := o.recovered.IsZero() || now.Sub(o.recovered) > 2*recoveryGrace
-	if isStoreReader || o.down || !settled || now.Sub(o.digestReceived) > digestTTL {
-		return pollInterval
-	}
-	return relaxedPollInterval
-}
-
 // View implements relayer.Fleet.
 func (o *Observer) View() *relayer.View { return o.view.Load() }
 
@@ -179,41 +164,99 @@
 }
 
 func (o *Observer) poll(ctx context.Context) error {
+	scope := scopeAll
 	for ctx.Err() == nil {
-		wait := pollInterval
-		if err := o.read(ctx); err != nil {
+		wait := time.Duration(0)
+		if err := o.readScope(ctx, scope); err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
 			o.recordReadFailure(err)
-			wait = pollRetryDelay
+			wait = followerRetryDelay
+			if o.isStoreReader() {
+				wait = pollRetryDelay
+			}
 		}
-		o.waitForNextRead(ctx, wait)
+		scope = o.waitForNextRead(ctx, wait)
 	}
 	return nil
 }
 
-// waitForNextRead waits until the next read is due or a digest triggers it. The
-// interval is evaluated repeatedly, since digests of store readers may stop
-// arriving during the wait.
-func (o *Observer) waitForNextRead(ctx context.Context, minWait time.Duration) {
-	began := o.clk.Now()
-	minDelay := min(maxTriggerDelay, max(minTriggerDelay, time.Duration(len(o.Snapshot().Nodes))*triggerDelayPerNode))
-	if !clock.Sleep(ctx, o.clk, min(minWait, minDelay)) {
-		return
+// readScope is what the next read covers.
+type readScope int
+
+const (
+	scopeNone readScope = iota
+	// scopeAll covers the whole store.
+	scopeAll
+	// scopeAllStale covers the whole store; the response may be some seconds old,
+	// which costs a tenth.
+	scopeAllStale
+	// scopeOperators covers what operators write.
+	scopeOperators
+)
+
+func (o *Observer) readScope(ctx context.Context, scope readScope) error {
+	switch scope {
+	case scopeAll:
+		return o.read(ctx, false)
+	case scopeAllStale:
+		return o.read(ctx, true)
+	case scopeOperators:
+		return o.readOperators(ctx)
+	case scopeNone:
 	}
+	return nil
+}
+
+// waitForNextRead waits until the next read is due, at least for minWait, and
+// returns its scope. It is evaluated repeatedly, since digests of store readers may
+// stop arriving during the wait.
+func (o *Observer) waitForNextRead(ctx context.Context, minWait time.Duration) readScope {
+	began := o.clk.Now()
 	for ctx.Err() == nil {
-		elapsed := o.clk.Now().Sub(began)
-		if elapsed >= minWait && elapsed >= o.pollWait() {
-			return
+		if elapsed := o.clk.Now().Sub(began); elapsed >= minWait {
+			if scope := o.dueRead(elapsed); scope != scopeNone {
+				return scope
+			}
 		}
 		select {
 		case <-ctx.Done():
 		case <-o.trigger:
-			return
 		case <-o.clk.After(waitStep):
 		}
 	}
+	return scopeNone
+}
+
+// dueRead returns the scope of the read that is due elapsed after the last one.
+func (o *Observer) dueRead(elapsed time.Duration) readScope {
+	isStoreReader := o.isStoreReader()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clk.Now()
+	settled := o.recovered.IsZero() || now.Sub(o.recovered) > 2*recoveryGrace
+	if isStoreReader || o.down || !settled || !o.feed.alive(now) {
+		switch {
+		case elapsed < pollInterval:
+			return scopeNone
+		case !isStoreReader && o.feed.fullReads == 1 && !o.down:
+			// A node that has just started only needs to learn who reads the store
+			// for it.
+			return scopeAllStale
+		}
+		return scopeAll
+	}
+	if o.catalog == nil || o.feed.readsOperators(now, o.catalog.Version) {
+		return scopeOperators
+	}
+	if !o.feed.needsRepair(now) || elapsed < minRepairDelay {
+		return scopeNone
+	}
+	if o.feed.triedStale {
+		return scopeAll
+	}
+	return scopeAllStale
 }
 
 // recordReadFailure marks the start of an outage and logs it once.
@@ -229,59 +272,101 @@
 	}
 }
 
-// read reads the whole store, which also proves the configuration fresh.
-func (o *Observer) read(ctx context.Context) error {
+// read reads the whole store. Unless stale is set, it also proves the configuration
+// fresh.
+func (o *Observer) read(ctx context.Context, stale bool) error {
+	sent := o.boot.Elapsed()
+	r, err := o.readRange(ctx, "", stale)
+	if err != nil {
+		return err
+	}
+	o.applyRead(r, sent, stale)
+	return nil
+}
+
+// readOperators reads what operators write, because the store reader hasn't sent a
+// configuration that its digest announced. The read isn't a stale one, which would
+// rarely have a configuration that is so recent.
+func (o *Observer) readOperators(ctx context.Context) error {
 	sent := o.boot.Elapsed()
-	var items []platform.Item
+	r, err := o.readRange(ctx, o.layout.OperatorPrefix, false)
+	if err != nil {
+		return err
+	}
+	o.applyChanges(r.items)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.feed.operatorsOmitted = false
+	if o.catalog == nil {
+		return nil
+	}
+	o.proof = o.proof.WithProof(o.catalog.Version, sent)
+	o.feed.wantedConfig = min(o.feed.wantedConfig, o.catalog.Version)
+	return nil
+}
+
+// rangeRead is the result of reading all pages of a range. The pages are no
+// snapshot: the store was read at revisions between first and last.
+type rangeRead struct {
+	items       []platform.Item
+	first, last uint64
+}
+
+func (o *Observer) readRange(ctx context.Context, prefix string, stale bool) (rangeRead, error) {
+	var r rangeRead
 	after := ""
-	var revision uint64
 	for range maxPages {
-		p, err := o.store.Range(ctx, platform.LineFleet, "", after, false)
+		p, err := o.store.Range(ctx, platform.LineFleet, prefix, after, stale)
 		if err != nil {
-			return errors.Trace(err)
+			return r, errors.Trace(err)
 		}
-		items = append(items, p.Items...)
-		if revision == 0 {
-			revision = p.Revision
+		r.items = append(r.items, p.Items...)
+		if r.first == 0 || p.Revision < r.first {
+			r.first = p.Revision
 		}
+		r.last = max(r.last, p.Revision)
 		if !p.More || len(p.Items) == 0 {
 			break
 		}
 		after = p.Items[len(p.Items)-1].Key
 	}
-	o.applyRead(items, revision, sent)
-	return nil
+	return r, nil
 }
 
-func (o *Observer) applyRead(items []platform.Item, revision uint64, sent time.Duration) {
+func (o *Observer) applyRead(r rangeRead, sent time.Duration, stale bool) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	now := o.clk.Now()
+	o.feed.triedStale = stale
+	if stale && r.first < o.revision {
+		return
+	}
 	if o.down {
 		away := now.Sub(o.downSince)
 		// If other nodes could read the store, no running upstream was dropped.
-		othersRead := now.Sub(o.digestReceived) < outageThreshold && o.digestRevision > o.revision
+		othersRead := now.Sub(o.feed.receivedAt) < outageThreshold && o.feed.latestRevision > o.revision
 		if away > outageThreshold && !othersRead {
 			o.recovered = now
 		}
 		o.log.WithField("event", "storeBack").WithField("awayMs", away.Milliseconds()).Info("platform store is available again")
 	}
-	first := o.lastRead.IsZero()
-	o.down, o.lastRead, o.revision = false, now, revision
-	seen := make(map[string]bool, len(items))
-	for _, it := range items {
+	initial := o.lastRead.IsZero()
+	o.down, o.lastRead, o.revision = false, now, max(o.revision, r.first)
+	o.feed.recordRead(now, r.first)
+	seen := make(map[string]bool, len(r.items))
+	for _, it := range r.items {
 		seen[it.Key] = true
-		o.applyItem(it, first)
+		o.applyItem(it, initial)
 	}
 	for key, k := range o.items {
-		if !seen[key] && k.revision <= revision {
-			o.removeMissing(key, k, now)
+		if !seen[key] && k.revision <= r.first {
+			o.removeMissing(key, k, r.last, now)
 		}
 	}
-	if o.catalog != nil {
+	if o.catalog != nil && !stale {
 		o.proof = o.proof.WithProof(o.catalog.Version, sent)
 	}
 	o.publish()
-	o.mu.Unlock()
 }
 
 // ReceiveProof applies a peer's freshness proof if the peer has the same
@@ -308,6 +393,10 @@
 		o.mu.Lock()
 		after = max(after, o.revision)
 		o.mu.Unlock()
+		if !o.needsWatch() {
+			clock.Sleep(ctx, o.clk, waitStep)
+			continue
+		}
 		if after == 0 {
 			clock.Sleep(ctx, o.clk, pollRetryDelay)
 			continue
@@ -317,6 +406,9 @@
 		case err == nil:
 			after = max(after, p.Revision)
 			o.applyChanges(p.Items)
+			if len(p.Items) > 0 && o.isStoreReader() && o.announce != nil {
+				o.announce()
+			}
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, platform.Compacted):
@@ -329,6 +421,18 @@
 	return nil
 }
 
+// needsWatch reports whether this node watches the store. A node that receives
+// digests learns from them that there is a new configuration.
+func (o *Observer) needsWatch() bool {
+	if o.isStoreReader() {
+		return true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clk.Now()
+	return !o.feed.alive(now) && !o.feed.mayStillStart(now)
+}
+
 func (o *Observer) applyChanges(items []platform.Item) {
 	if len(items) == 0 {
 		return
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -137,12 +137,12 @@
 	b := newFixture(t, false)
 	for range 80 {
 		d, _ := b.obs.Digest()
-		b.obs.ReceiveDigest(d)
+		b.obs.ReceiveDigest("reader", d)
 		b.step(100 * time.Millisecond)
 	}
 	b.store.Delete("up/b")
 	it, _ := b.store.Item("ops/config")
-	b.obs.ReceiveDigest(observer.Digest{Revision: it.Revision + 100, Hash: 1, ConfigVersion: 7})
+	b.obs.ReceiveDigest("reader", observer.Digest{Revision: it.Revision + 100, Hash: 1, ConfigVersion: 7})
 	if took := b.until("the removal", func() bool { return b.listener.ids() == "a@1" }); took > time.Second {
 		t.Errorf("upstream was removed %v after the digest, want at most 1 s", took)
 	}
@@ -168,7 +168,7 @@
 	b.store.SetError(platform.Unavailable)
 	for range 60 {
 		d, _ := b.obs.Digest()
-		b.obs.ReceiveDigest(observer.Digest{Revision: d.Revision + 50, Hash: 9, ConfigVersion: d.ConfigVersion})
+		b.obs.ReceiveDigest("reader", observer.Digest{Revision: d.Revision + 50, Hash: 9, ConfigVersion: d.ConfigVersion})
 		b.step(100 * time.Millisecond)
 	}
 	b.store.Delete("up/b")
@@ -262,7 +262,7 @@
 	b := newFixture(t, false)
 	sendUnchangedDigest := func() {
 		d, _ := b.obs.Digest()
-		b.obs.ReceiveDigest(d)
+		b.obs.ReceiveDigest("reader", d)
 	}
 	for range 40 {
 		sendUnchangedDigest()
@@ -271,7 +271,7 @@
 	before, _ := b.obs.Digest()
 	b.store.Set("ops/config", "9")
 	took := b.until("version 9", func() bool {
-		b.obs.ReceiveDigest(observer.Digest{Revision: before.Revision + 1, Hash: before.Hash, ConfigVersion: 9})
+		b.obs.ReceiveDigest("reader", observer.Digest{Revision: before.Revision + 1, Hash: before.Hash, ConfigVersion: 9})
 		return b.obs.View().Matcher.Catalog().Version == 9
 	})
 	if took > time.Second {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roller"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -37,10 +38,9 @@
 	// nodes from writing the leader record all at once repeatedly.
 	campaignInterval = 400 * time.Millisecond
 	// campaignDelayPerRank is the delay of a node's campaign per rank in the
-	// roster. Without it, some 90 nodes campaign at once and make 270 priced
-	// calls. With it, some 15 nodes campaign between two reads of the store.
-	campaignDelayPerRank = 50 * time.Millisecond
-	maxCampaignDelay     = 1500 * time.Millisecond
+	// roster, so that few nodes campaign until all have learned who has won.
+	campaignDelayPerRank = 200 * time.Millisecond
+	maxCampaignDelay     = 2 * time.Second
 	// announcementWriteInterval is the time between two writes of
 	// announcements, within which the store is read.
 	announcementWriteInterval = 2 * time.Second
@@ -161,7 +161,7 @@
 			vacant = false
 		case !vacant:
 			vacant = true
-			clock.Sleep(ctx, o.clk, min(maxCampaignDelay, time.Duration(snapshot.Roster.Rank(o.set.Node))*campaignDelayPerRank))
+			clock.Sleep(ctx, o.clk, campaignDelay(snapshot.Roster, o.set.Node))
 			continue
 		default:
 			o.campaign(ctx, snapshot.Leader)
@@ -171,6 +171,15 @@
 	return nil
 }
 
+// campaignDelay returns the delay of a node's campaign. The rank of a node that isn't
+// registered yet isn't known.
+func campaignDelay(r *roster.Roster, node string) time.Duration {
+	if _, registered := r.Find(node); !registered {
+		return maxCampaignDelay
+	}
+	return min(maxCampaignDelay, time.Duration(r.Rank(node))*campaignDelayPerRank)
+}
+
 func (o *Orderer) isLeader() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/testlib/store.go
+++ b/internal/testlib/store.go
@@ -19,6 +19,10 @@
 	lastLease  uint64
 	err        error
 	rangeCalls int
+	staleCalls int
+	watchCalls int
+	// stalePages are the pages that stale calls of Range return, nil for current ones.
+	stalePages *platform.Page
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -42,6 +46,23 @@
 	return s.rangeCalls
 }
 
+// PricedCalls returns the number of reads and watches as the platform charges them: a
+// stale read counts a tenth.
+func (s *Store) PricedCalls() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const staleShare = 0.1
+	return float64(s.rangeCalls-s.staleCalls+s.watchCalls) + staleShare*float64(s.staleCalls)
+}
+
+// FreezeStaleReads makes stale calls of Range return the current state from now on.
+func (s *Store) FreezeStaleReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.page("", "")
+	s.stalePages = &p
+}
+
 // Set writes a key without a lease, as an operator or an upstream does.
 func (s *Store) Set(key, value string) {
 	s.mu.Lock()
@@ -77,13 +98,24 @@
 }
 
 // Range implements platform.Store.
-func (s *Store) Range(_ context.Context, _ platform.Line, prefix, after string, _ bool) (platform.Page, error) {
+func (s *Store) Range(_ context.Context, _ platform.Line, prefix, after string, stale bool) (platform.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rangeCalls++
-	if s.err != nil {
+	if stale {
+		s.staleCalls++
+	}
+	switch {
+	case s.err != nil:
 		return platform.Page{}, s.err
+	case stale && s.stalePages != nil:
+		return *s.stalePages, nil
 	}
+	return s.page(prefix, after), nil
+}
+
+// page returns the keys with prefix that sort after the key after.
+func (s *Store) page(prefix, after string) platform.Page {
 	p := platform.Page{Revision: s.revision}
 	for key, it := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -91,12 +123,15 @@
 		}
 	}
 	sort.Slice(p.Items, func(i, j int) bool { return p.Items[i].Key < p.Items[j].Key })
-	return p, nil
+	return p
 }
 
 // Watch implements platform.Store. It reports no changes: it blocks until ctx
 // ends and then returns platform.Unavailable.
 func (s *Store) Watch(ctx context.Context, _ platform.Line, _ string, _ uint64, _ time.Duration) (platform.Page, error) {
+	s.mu.Lock()
+	s.watchCalls++
+	s.mu.Unlock()
 	<-ctx.Done()
 	return platform.Page{}, platform.Unavailable
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -57,6 +57,15 @@
 	return len(r.ranked)
 }
 
+// Find returns the node with a name, and whether it is registered.
+func (r *Roster) Find(name string) (traffic.Node, bool) {
+	i := r.Rank(name)
+	if i == len(r.ranked) {
+		return traffic.Node{}, false
+	}
+	return r.ranked[i], true
+}
+
 // IsAggregator reports whether a node is an aggregator.
 func (r *Roster) IsAggregator(name string) bool {
 	return slices.ContainsFunc(r.Aggregators(), func(n traffic.Node) bool { return n.Name == name })
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -73,8 +73,19 @@
 	BootID uint64 `msgpack:"b"`
 	// StartedAt is the wall-clock time at which the process started.
 	StartedAt time.Time `msgpack:"s"`
+	// Protocol tells which messages the node understands, 0 if its release doesn't
+	// report it.
+	Protocol int `msgpack:"v,omitempty"`
 }
 
+// The protocols of nodes. Each one includes the earlier ones.
+const (
+	// ProtocolChanges is the first protocol with requests for changes of the store.
+	ProtocolChanges = 1
+	// CurrentProtocol is the protocol of this release.
+	CurrentProtocol = ProtocolChanges
+)
+
 // Leader is the node that sends orders to engines.
 type Leader struct {
 	// Node is empty if the last leader has released the leadership.
