perf(broadcaster): totals to hundreds of nodes in turn, and stand-ins for store readers

Each of two aggregators sent its totals (loads of 240 engines and up to 1,500 placements) to 295 nodes at once, some 6 MB each half second, and the answers to questions, which are waited for 25 ms, queued behind them on a link of 25 MB/s. Digests came late for the same reason, so that each node read the store 6 times in 28 s.

- Messages go to a fifth of the nodes each 100 ms, totals from the first aggregator alone and without placements, which aggregators get from the nodes themselves.
- Events of a roll-out go to aggregators at once and to the rest each 200 ms; they were sent to all nodes one by one.
- A question that isn't answered is put to the next aggregator before a node decides by totals.
- All 295 nodes campaigned at once, 4 s after the start: the rank of a node that isn't registered yet was taken as the last.
The delay follows the rank as it changes now.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -88,12 +88,24 @@
 	transport.Handle(broadcaster.Answer, a.handleAnswer)
 }
 
-// Ask implements relayer.Adviser.
+// Ask implements relayer.Adviser. If the coordinator doesn't answer in time, the next
+// aggregator is asked, since it knows the loads of all nodes too.
 func (a *Adviser) Ask(ctx context.Context, number uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
-	coordinator := a.coordinator()
-	if coordinator == nil || coordinator.Name == a.self {
+	first := a.coordinator("")
+	if first == nil || first.Name == a.self {
 		return placer.Advice{}, placer.Unanswered
 	}
+	advice, verdict := a.askNode(ctx, first, number, q)
+	if verdict != placer.Unanswered || ctx.Err() != nil {
+		return advice, verdict
+	}
+	if next := a.coordinator(first.Name); next != nil && next.Name != a.self {
+		return a.askNode(ctx, next, number, q)
+	}
+	return placer.Advice{}, placer.Unanswered
+}
+
+func (a *Adviser) askNode(ctx context.Context, node *traffic.Node, number uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
 	answers := make(chan answer, 1)
 	a.mu.Lock()
 	a.waiting[number] = answers
@@ -103,25 +115,25 @@
 		delete(a.waiting, number)
 		a.mu.Unlock()
 	}()
-	if err := a.transport.Send(coordinator.Peer, broadcaster.Question, &question{Number: number, From: a.self, Query: *q}); err != nil {
-		a.recordMiss(coordinator.Name, err)
+	if err := a.transport.Send(node.Peer, broadcaster.Question, &question{Number: number, From: a.self, Query: *q}); err != nil {
+		a.recordMiss(node.Name, err)
 		return placer.Advice{}, placer.Unanswered
 	}
 	select {
 	case got := <-answers:
-		a.recordAnswer(coordinator.Name)
-		got.Advice.Coordinator = coordinator.Name
+		a.recordAnswer(node.Name)
+		got.Advice.Coordinator = node.Name
 		return got.Advice, got.Verdict
 	case <-a.clk.After(answerTimeout):
-		a.recordMiss(coordinator.Name, errors.Timeoutf("answer of the placement coordinator"))
+		a.recordMiss(node.Name, errors.Timeoutf("answer of the placement coordinator"))
 	case <-ctx.Done():
 	}
 	return placer.Advice{}, placer.Unanswered
 }
 
-// coordinator returns the first responsive aggregator that reads the store. If there
-// is none, it returns the first responsive aggregator, or nil.
-func (a *Adviser) coordinator() *traffic.Node {
+// coordinator returns the first responsive aggregator that reads the store, other than
+// except. If there is none, it returns the first responsive aggregator, or nil.
+func (a *Adviser) coordinator(except string) *traffic.Node {
 	aggregators := a.roster().Aggregators()
 	now := a.clk.Now()
 	a.mu.Lock()
@@ -129,7 +141,7 @@
 	var fallback *traffic.Node
 	for i := range aggregators {
 		aggregator := &aggregators[i]
-		if now.Before(a.missed[aggregator.Name].skipUntil) {
+		if aggregator.Name == except || now.Before(a.missed[aggregator.Name].skipUntil) {
 			continue
 		}
 		if a.local.ReadsStore(aggregator.Name) {
--- a/internal/broadcaster/aggregator.go
+++ b/internal/broadcaster/aggregator.go
@@ -17,28 +17,20 @@
 
 // aggregator sums the loads of all nodes. It is safe for concurrent use.
 type aggregator struct {
-	mu         sync.Mutex
-	nodes      map[string]peerLoads
-	placements []placer.Placement // since the last total
+	mu    sync.Mutex
+	nodes map[string]peerLoads
 }
 
-// maxPlacements bounds the placements in a message. A fleet of 340 nodes sends
-// about as many in a round; they take a datagram of 25 KB.
-const maxPlacements = 1500
-
 func newAggregator() *aggregator { return &aggregator{nodes: map[string]peerLoads{}} }
 
 func (a *aggregator) add(now time.Time, m *Message) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.nodes[m.From] = peerLoads{at: now, loads: m.Loads}
-	a.placements = append(a.placements, m.Placements...)
-	a.placements = a.placements[max(0, len(a.placements)-maxPlacements):]
 }
 
-// total returns the loads of all nodes, including this node's own, and all
-// placements since the last call, including this node's sent ones.
-func (a *aggregator) total(now time.Time, own []placer.Load, sent []placer.Placement) ([]placer.Load, []placer.Placement) {
+// total returns the loads of all nodes, including this node's own.
+func (a *aggregator) total(now time.Time, own []placer.Load) []placer.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sum := map[uint32]placer.Load{}
@@ -54,9 +46,7 @@
 	for _, l := range sum {
 		out = append(out, l)
 	}
-	all := append(a.placements, sent...)
-	a.placements = nil
-	return out, all
+	return out
 }
 
 func addLoads(sum map[uint32]placer.Load, loads []placer.Load) {
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -22,9 +22,12 @@
 	// broadcastInterval is the time between two messages to each peer. It is
 	// about the time that the prefill of a prompt takes.
 	broadcastInterval = 100 * time.Millisecond
-	// roundsPerTotal is the number of rounds between two totals of an
-	// aggregator.
+	// roundsPerTotal is the number of rounds between two messages to a node of a
+	// large fleet that isn't an aggregator.
 	roundsPerTotal = 5
+	// eventFlushInterval is the shortest time between two messages about events to
+	// all nodes of a large fleet. A rolling update causes some hundred events.
+	eventFlushInterval = 200 * time.Millisecond
 	// silenceThreshold is the silence after which callers are no longer
 	// directed to a node. It spans about ten messages, some of which may be
 	// lost.
@@ -36,7 +39,7 @@
 	// that a lost message doesn't matter.
 	eventRepeatTime = 2 * time.Second
 	// maxEvents bounds the suspensions and the upgrades in a message.
-	maxEvents = 24
+	maxEvents = 128
 )
 
 // Announcement is a version of a model's weights and the age of its
@@ -163,6 +166,14 @@
 	leaving      bool
 	unreachable  map[string]bool
 	sendNow      chan struct{}
+	// everyone is set if the next messages go to all nodes. eventsPending is set if
+	// there are events that not all nodes were sent, which is done at most every
+	// eventFlushInterval since flushedAt.
+	everyone, eventsPending bool
+	flushedAt               time.Time
+	// storeReaders holds when nodes that read the store for others last sent a
+	// message.
+	storeReaders map[string]time.Time
 }
 
 // New opens the socket of a node. fleet returns the registered nodes.
@@ -177,7 +188,7 @@
 	}
 	return &Broadcaster{
 		clk: clk, boot: boot, log: log, self: self, conn: conn, fleet: fleet, state: state, handlers: map[Kind]Handler{},
-		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1),
+		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
 	}, nil
 }
 
@@ -199,6 +210,7 @@
 	now := b.clk.Now()
 	b.mu.Lock()
 	b.suspensions = append(b.suspensions, announcedSuspension{upstream: upstream, until: until, announcedAt: now})
+	b.eventsPending = true
 	b.mu.Unlock()
 	b.triggerBroadcast()
 }
@@ -214,7 +226,7 @@
 			kept = append(kept, c)
 		}
 	}
-	b.suspensions = kept
+	b.suspensions, b.eventsPending = kept, true
 	b.mu.Unlock()
 	b.triggerBroadcast()
 }
@@ -222,7 +234,7 @@
 // AnnounceLeaving tells peers at once to direct no more callers to this node.
 func (b *Broadcaster) AnnounceLeaving() {
 	b.mu.Lock()
-	b.leaving = true
+	b.leaving, b.everyone = true, true
 	b.mu.Unlock()
 	b.triggerBroadcast()
 }
@@ -249,7 +261,12 @@
 }
 
 // Announce sends the local state to all nodes at once.
-func (b *Broadcaster) Announce() { b.triggerBroadcast() }
+func (b *Broadcaster) Announce() {
+	b.mu.Lock()
+	b.everyone = true
+	b.mu.Unlock()
+	b.triggerBroadcast()
+}
 
 func (b *Broadcaster) triggerBroadcast() {
 	select {
@@ -260,55 +277,115 @@
 
 func (b *Broadcaster) broadcastLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		urgent := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-b.sendNow:
-			urgent = true
 		case <-b.clk.After(broadcastInterval):
+			b.round++
 		}
-		b.broadcast(urgent)
+		b.broadcast()
 	}
 	return nil
 }
 
+// audience is the set of nodes that one round sends to.
+type audience struct {
+	fleet *roster.Roster
+	// everyone is set if all nodes must learn something at once.
+	everyone bool
+	// relays is set if this node's messages keep the other nodes informed.
+	relays bool
+	round  int
+}
+
+// includes reports whether the round sends to the node at position i, besides the
+// aggregators. The nodes take turns, since messages to hundreds of nodes at once
+// would hold up the answers to questions on the link.
+func (a audience) includes(i int) bool {
+	return a.everyone || a.fleet.FullMesh() || a.relays && i%roundsPerTotal == a.round%roundsPerTotal
+}
+
 // broadcast sends one message to each node that should receive one. In a small
 // fleet, each node sends to all others. In a large fleet, nodes send to the
-// aggregators, which send the totals to all nodes. Only urgent messages go to
-// all nodes directly.
-func (b *Broadcaster) broadcast(urgent bool) {
+// aggregators, and those that keep the others informed send to the rest.
+func (b *Broadcaster) broadcast() {
 	fleet := b.fleet()
-	nodes := fleet.Nodes()
 	m := b.message()
-	isAggregator := fleet.IsAggregator(b.self.Name)
-	fullMesh := fleet.FullMesh()
-	b.round++
-	sendTotal := !fullMesh && isAggregator && (urgent || b.round%roundsPerTotal == 0)
-	var totalMessage *Message
-	if sendTotal {
-		copied := *m
-		copied.Aggregated = true
-		copied.SilentNodes = b.SilentNodes()
-		copied.Loads, copied.Placements = b.aggregator.total(b.clk.Now(), m.Loads, m.Placements)
-		if fleet.Aggregators()[0].Name != b.self.Name {
-			copied.Placements = nil // one aggregator sends them
-		}
-		totalMessage = &copied
-	}
-	for i := range nodes {
-		n := &nodes[i]
+	to := audience{fleet: fleet, everyone: b.takeEveryone(), relays: fleet.IsAggregator(b.self.Name) || m.StoreReader, round: b.round}
+	readers := b.actingReaders()
+	var others *Message
+	for i, n := range fleet.Nodes() {
 		switch {
 		case n.Name == b.self.Name:
-		case fullMesh, urgent && !sendTotal, fleet.IsAggregator(n.Name) && !sendTotal:
-			b.sendMessage(n, m)
-		case sendTotal:
-			b.sendMessage(n, totalMessage)
-			if fleet.IsAggregator(n.Name) {
-				b.sendMessage(n, m)
+		case fleet.FullMesh(), fleet.IsAggregator(n.Name):
+			b.sendMessage(&n, m)
+		case to.includes(i), readers[n.Name]:
+			if others == nil {
+				others = b.messageToOthers(fleet, m)
 			}
+			b.sendMessage(&n, others)
+		}
+	}
+}
+
+// messageToOthers returns the message for the nodes of a large fleet that aren't
+// aggregators. One aggregator adds the totals of the loads.
+func (b *Broadcaster) messageToOthers(fleet *roster.Roster, m *Message) *Message {
+	others := *m
+	others.Loads, others.Placements, others.Tripped = nil, nil, nil
+	if !b.sendsTotals(fleet) {
+		return &others
+	}
+	others.Aggregated = true
+	others.SilentNodes = b.SilentNodes()
+	others.Loads = b.aggregator.total(b.clk.Now(), m.Loads)
+	return &others
+}
+
+// sendsTotals reports whether this node is the first aggregator that isn't silent.
+func (b *Broadcaster) sendsTotals(fleet *roster.Roster) bool {
+	for _, n := range fleet.Aggregators() {
+		if n.Name == b.self.Name {
+			return true
+		}
+		b.mu.Lock()
+		silent := b.clk.Now().Sub(b.lastReceived[n.Name]) > silenceThreshold
+		b.mu.Unlock()
+		if !silent {
+			return false
 		}
 	}
+	return false
+}
+
+// takeEveryone reports whether the next messages go to all nodes. Events wait for
+// each other for eventFlushInterval; they are sent to the aggregators at once.
+func (b *Broadcaster) takeEveryone() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clk.Now()
+	if !b.everyone && (!b.eventsPending || now.Sub(b.flushedAt) < eventFlushInterval) {
+		return false
+	}
+	b.everyone, b.eventsPending, b.flushedAt = false, false, now
+	return true
+}
+
+// actingReaders returns the nodes that read the store for others although they
+// aren't aggregators. They need this node's messages in order to echo them.
+func (b *Broadcaster) actingReaders() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]bool{}
+	for name, at := range b.storeReaders {
+		if b.clk.Now().Sub(at) < silenceThreshold {
+			out[name] = true
+		} else {
+			delete(b.storeReaders, name)
+		}
+	}
+	return out
 }
 
 func (b *Broadcaster) sendMessage(n *traffic.Node, m *Message) {
@@ -414,6 +491,9 @@
 	b.mu.Lock()
 	b.echoes[m.From] = echo{sentAt: m.SentAt, bootID: m.BootID}
 	b.lastReceived[m.From] = b.clk.Now()
+	if m.StoreReader {
+		b.storeReaders[m.From] = b.clk.Now()
+	}
 	b.mu.Unlock()
 	if fleet := b.fleet(); !m.Aggregated && !fleet.FullMesh() && fleet.IsAggregator(b.self.Name) {
 		b.aggregator.add(b.clk.Now(), &m)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,7 +90,7 @@
 	maxProofAge := config.Milliseconds(proofAgeShare * s.RevokeMS)
 	conns := connector.New(clk)
 	ups := orders.New(conns)
-	state := &localState{self: s.Name, clk: clk, boot: boot, obs: obs, leaving: map[string]leavingPeer{}, storeReaders: map[string]time.Time{}}
+	state := &localState{self: s.Name, startedAt: started, clk: clk, boot: boot, obs: obs, leaving: map[string]leavingPeer{}, storeReaders: map[string]time.Time{}}
 	isAggregator := func() bool { return state.roster().IsAggregator(s.Name) }
 	cache := prober.New(clk, log, ups, func() string {
 		if v := obs.View(); v != nil && v.Matcher.CacheStore() != nil {
@@ -116,7 +116,8 @@
 	}
 	state.broadcaster = bcast
 	adv.Attach(bcast, state)
-	obs.SetStoreReader(isAggregator)
+	obs.SetStoreReader(state.readsForOthers)
+	obs.SetPatience(state.patience)
 	obs.SetChangeSource(feeder.New(log, s.Name, state.roster, bcast, obs).Request)
 	obs.SetAnnouncer(bcast.Announce)
 	ord := orderer.New(orderer.Settings{
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -22,6 +22,7 @@
 // implements broadcaster.LocalState, orderer.Traffic and adviser.Coordinator.
 type localState struct {
 	self        string // name of this node
+	startedAt   time.Time
 	clk         clock.Clock
 	boot        boottime.Clock
 	obs         *observer.Observer
@@ -29,12 +30,15 @@
 	broadcaster *broadcaster.Broadcaster
 	cache       *prober.Prober
 
-	mu             sync.Mutex
-	leaving        map[string]leavingPeer
-	storeReaders   map[string]time.Time // when each store reader last sent a message
-	silent         []string             // silent nodes as reported by an aggregator
-	silentReceived time.Time            // when silent was received
-	sentLoads      []placer.Load        // loads in the last message
+	mu           sync.Mutex
+	leaving      map[string]leavingPeer
+	storeReaders map[string]time.Time // when each store reader last sent a message
+	// betterReaderAt is when a store reader that ranks before this node last sent a
+	// message.
+	betterReaderAt time.Time
+	silent         []string      // silent nodes as reported by an aggregator
+	silentReceived time.Time     // when silent was received
+	sentLoads      []placer.Load // loads in the last message
 }
 
 // fleetTotal is the source name of totals over all other nodes.
@@ -52,7 +56,7 @@
 	d, fresh := s.obs.Digest()
 	m.Revision, m.Hash, m.LatestConfig = d.Revision, d.Hash, d.ConfigVersion
 	fleet := s.roster()
-	m.StoreReader = fresh && fleet.IsAggregator(s.self)
+	m.StoreReader = fresh && s.readsForOthers()
 	m.CacheStoreDown = s.cache.Down()
 	if fleet.Rank(s.self) == 0 && len(fleet.Nodes()) > 0 {
 		s.relay.SetPlacingNodes(1)
@@ -76,6 +80,20 @@
 	}
 }
 
+// readsForOthers reports whether this node reads the store for other nodes.
+func (s *localState) readsForOthers() bool {
+	s.mu.Lock()
+	since := s.startedAt
+	if s.betterReaderAt.After(since) {
+		since = s.betterReaderAt
+	}
+	s.mu.Unlock()
+	return s.roster().ReadsStore(s.self, s.clk.Now().Sub(since))
+}
+
+// patience returns how long this node relies on the last digest of a store reader.
+func (s *localState) patience() time.Duration { return s.roster().Patience(s.self) }
+
 // Receive implements broadcaster.LocalState.
 func (s *localState) Receive(m *broadcaster.Message) {
 	now := s.clk.Now()
@@ -83,6 +101,9 @@
 	if m.StoreReader {
 		s.mu.Lock()
 		s.storeReaders[m.From] = now
+		if s.roster().Rank(m.From) < s.roster().Rank(s.self) {
+			s.betterReaderAt = now
+		}
 		s.mu.Unlock()
 		s.obs.ReceiveDigest(m.From, observer.Digest{Revision: m.Revision, Hash: m.Hash, ConfigVersion: m.LatestConfig})
 		s.cache.ReceiveState(m.CacheStoreDown)
--- a/internal/observer/feed.go
+++ b/internal/observer/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -18,7 +19,7 @@
 	repairDelay = 1200 * time.Millisecond
 	// configDelay is how long a node waits for a store reader to send a new
 	// configuration until it reads the store. Several requests fit into it.
-	configDelay = 400 * time.Millisecond
+	configDelay = 700 * time.Millisecond
 	// routineInterval is the time after which a node requests changes that the hash
 	// doesn't cover, such as the weights that an engine reports.
 	routineInterval = 5 * time.Second
@@ -27,6 +28,8 @@
 	maxChangesBytes = 12 << 10
 	// itemOverheadBytes is the size of an item besides its key and its value.
 	itemOverheadBytes = 24
+	// startTime is how long the store readers may take to notice a new node.
+	startTime = 1500 * time.Millisecond
 	// maxRemovals bounds the memory of removed keys.
 	maxRemovals = 4096
 )
@@ -76,9 +79,12 @@
 
 func newFeed() feed { return feed{removals: map[string]uint64{}} }
 
-// alive reports whether store readers keep this node informed.
-func (f *feed) alive(now time.Time) bool {
-	return !f.receivedAt.IsZero() && now.Sub(f.receivedAt) <= digestTTL
+// silence returns how long no store reader has sent a digest.
+func (f *feed) silence(now time.Time) time.Duration {
+	if f.receivedAt.IsZero() {
+		return math.MaxInt64
+	}
+	return now.Sub(f.receivedAt)
 }
 
 // readsOperators reports whether the node must read from the store what operators
@@ -95,7 +101,7 @@
 // mayStillStart reports whether the node has started so recently that store readers
 // may not know it yet.
 func (f *feed) mayStillStart(now time.Time) bool {
-	return f.firstReadAt.IsZero() || now.Sub(f.firstReadAt) <= digestTTL
+	return f.firstReadAt.IsZero() || now.Sub(f.firstReadAt) <= startTime
 }
 
 func (f *feed) recordRead(now time.Time, revision uint64) {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -39,19 +39,18 @@
 	// that a node finds in the store when it starts.
 	assumedAnnouncementAge = 5 * time.Second
 	// maxDigestAge is the age of a snapshot up to which a store reader sends
-	// its digest. It allows for one failed read.
-	maxDigestAge = 1300 * time.Millisecond
-	// digestTTL is how long a digest received from a store reader is valid. It
-	// spans several messages in a small fleet, and two in a large one.
-	digestTTL = 1300 * time.Millisecond
+	// its digest. It allows for a slow read.
+	maxDigestAge = 1100 * time.Millisecond
 	// minRepairDelay is the minimum time between two reads of a node that can't
 	// get the changes that it missed from a store reader.
 	minRepairDelay = 300 * time.Millisecond
 	// followerRetryDelay is the delay after a failed read on a node that isn't a
 	// store reader. The store readers notice the end of an outage for all nodes.
 	followerRetryDelay = 600 * time.Millisecond
-	waitStep           = 50 * time.Millisecond
-	maxPages           = 64
+	// defaultPatience is how long a node relies on the last digest.
+	defaultPatience = 400 * time.Millisecond
+	waitStep        = 50 * time.Millisecond
+	maxPages        = 64
 	// maxVersions bounds the number of announced versions kept per model.
 	maxVersions = 8
 	// minAgeDifference is the smallest difference between the ages reported by
@@ -122,6 +121,7 @@
 	feed          feed
 	trigger       chan struct{}
 	isStoreReader func() bool
+	patience      func() time.Duration
 	changeSource  ChangeSource
 	announce      func()
 }
@@ -131,6 +131,7 @@
 	o := &Observer{
 		clk: clk, boot: boot, log: log, store: s, layout: l, items: map[string]knownItem{}, weights: map[string][]relayer.ModelVersion{},
 		feed: newFeed(), trigger: make(chan struct{}, 1), isStoreReader: func() bool { return true },
+		patience: func() time.Duration { return defaultPatience },
 	}
 	o.snapshot.Store(&Snapshot{Roster: roster.New(nil)})
 	return o
@@ -231,12 +232,12 @@
 
 // dueRead returns the scope of the read that is due elapsed after the last one.
 func (o *Observer) dueRead(elapsed time.Duration) readScope {
-	isStoreReader := o.isStoreReader()
+	isStoreReader, patience := o.isStoreReader(), o.patience()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clk.Now()
 	settled := o.recovered.IsZero() || now.Sub(o.recovered) > 2*recoveryGrace
-	if isStoreReader || o.down || !settled || !o.feed.alive(now) {
+	if isStoreReader || o.down || !settled || o.feed.silence(now) > patience {
 		switch {
 		case elapsed < pollInterval:
 			return scopeNone
@@ -427,10 +428,11 @@
 	if o.isStoreReader() {
 		return true
 	}
+	patience := o.patience()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clk.Now()
-	return !o.feed.alive(now) && !o.feed.mayStillStart(now)
+	return o.feed.silence(now) > patience && !o.feed.mayStillStart(now)
 }
 
 func (o *Observer) applyChanges(items []platform.Item) {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -40,7 +40,13 @@
 	// campaignDelayPerRank is the delay of a node's campaign per rank in the
 	// roster, so that few nodes campaign until all have learned who has won.
 	campaignDelayPerRank = 200 * time.Millisecond
-	maxCampaignDelay     = 2 * time.Second
+	maxCampaignDelay     = 4 * time.Second
+	// campaignCheckInterval is the time between two checks whether a campaign is due.
+	// The rank of a node changes when it is registered.
+	campaignCheckInterval = 50 * time.Millisecond
+	// lostCampaignDelay is the delay after another node has won a campaign, within
+	// which all nodes learn of it.
+	lostCampaignDelay = 2 * time.Second
 	// announcementWriteInterval is the time between two writes of
 	// announcements, within which the store is read.
 	announcementWriteInterval = 2 * time.Second
@@ -147,7 +153,7 @@
 
 // lead renews the lease while this node is the leader, and campaigns otherwise.
 func (o *Orderer) lead(ctx context.Context) error {
-	vacant := false // no leader in the last snapshot
+	var vacantSince time.Time // when a snapshot first had no leader, zero if the last one has
 	for ctx.Err() == nil {
 		if o.isLeader() {
 			o.renew(ctx)
@@ -158,13 +164,17 @@
 		switch {
 		case o.campaignStopped.Load():
 		case !snapshot.Loaded || snapshot.Leader != nil && snapshot.Leader.Node != "":
-			vacant = false
-		case !vacant:
-			vacant = true
-			clock.Sleep(ctx, o.clk, campaignDelay(snapshot.Roster, o.set.Node))
+			vacantSince = time.Time{}
+		case vacantSince.IsZero():
+			vacantSince = o.clk.Now()
+			continue
+		case o.clk.Now().Sub(vacantSince) < campaignDelay(snapshot.Roster, o.set.Node):
+			clock.Sleep(ctx, o.clk, campaignCheckInterval)
 			continue
 		default:
-			o.campaign(ctx, snapshot.Leader)
+			if !o.campaign(ctx, snapshot.Leader) {
+				clock.Sleep(ctx, o.clk, lostCampaignDelay)
+			}
 		}
 		clock.Sleep(ctx, o.clk, campaignInterval)
 	}
@@ -189,12 +199,12 @@
 // campaign writes the leader record under a new lease. If the response is lost,
 // the campaign counts as failed, since the record expires with its lease.
 // released is the record that a former leader has cleared, nil if there is
-// none.
-func (o *Orderer) campaign(ctx context.Context, released *traffic.Leader) {
+// none. The result is false if another node has won.
+func (o *Orderer) campaign(ctx context.Context, released *traffic.Leader) bool {
 	sent := o.boot.Elapsed() // the lease runs from the arrival of the call, not from the response
 	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTTL)
 	if err != nil {
-		return
+		return true
 	}
 	expect := platform.Expectation{Key: LeaderKey}
 	// The last leader's lease has expired, so its last renewal is at least
@@ -208,11 +218,12 @@
 	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 		Expect: []platform.Expectation{expect}, Put: []platform.Put{{Key: LeaderKey, Value: []byte(o.set.Node), Lease: lease}},
 	})
+	if errors.Is(err, platform.Conflict) {
+		return false
+	}
 	if err != nil {
-		if !errors.Is(err, platform.Conflict) {
-			o.log.WithError(err).WithField("event", "campaignUnclear").Info("campaign failed; there may be no leader until a lease expires")
-		}
-		return
+		o.log.WithError(err).WithField("event", "campaignUnclear").Info("campaign failed; there may be no leader until a lease expires")
+		return true
 	}
 	o.mu.Lock()
 	o.lease, o.token, o.renewedAt = lease, rev, sent
@@ -220,6 +231,7 @@
 	o.roller.Reset()
 	o.mu.Unlock()
 	o.log.WithFields(logrus.Fields{"event": "officeTaken", "fence": rev}).Info("became the leader; this node sends the orders")
+	return true
 }
 
 func (o *Orderer) renew(ctx context.Context) {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -45,3 +46,36 @@
 		}
 	}
 }
+
+// The store refuses some machines and serves the others: while both aggregators are
+// among them, a few nodes read the store for hundreds.
+func TestFewNodesStandInForAggregators(t *testing.T) {
+	for _, n := range []int{9, 295} {
+		var nodes []traffic.Node
+		for i := range n {
+			nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), MilliCores: 1000 - i})
+		}
+		r := roster.New(nodes)
+		readers := func(silence time.Duration) (count int) {
+			for i := range nodes {
+				if r.ReadsStore(nodes[i].Name, silence) {
+					count++
+				}
+			}
+			return count
+		}
+		if got := readers(0); got != 2 {
+			t.Errorf("%d of %d nodes read the store for others, want the aggregators", got, n)
+		}
+		if got := readers(time.Minute); got < 3 || got > 8 {
+			t.Errorf("%d of %d nodes read the store while the aggregators are silent, want 3 to 8", got, n)
+		}
+		last := nodes[n-1].Name
+		if r.Patience(last) < r.Patience(nodes[2].Name) {
+			t.Errorf("the last of %d nodes reads the store before the one that stands in", n)
+		}
+		if r.ReadsStore("unknown", time.Minute) {
+			t.Error("a node that isn't registered reads the store for others")
+		}
+	}
+}
