perf(roller): a roll-out takes further engines away while the rest has room

Cause: engines that drain, or have loaded and not yet reported it, counted against the same limit as those that load, a sixth of the service. A load takes 1.2 s, the drain and the report 0.3 to 0.5 s more, so a roll-out over 240 engines kept 23 loads a second going where the weight store bears 40.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -313,7 +313,7 @@
 		ups[inc] = u
 		l := o.traffic.Status(inc)
 		engines = append(engines, roller.Engine{
-			Incarnation: inc, Service: u.Service, Models: u.Models, Running: l.Running, Pinned: l.Pinned, Reachable: l.Reachable,
+			Incarnation: inc, Service: u.Service, Models: u.Models, Running: l.Running, Pinned: l.Pinned, Utilization: l.Utilization, Reachable: l.Reachable,
 		})
 	}
 	o.mu.Lock()
--- a/pkg/roller/roller.go
+++ b/pkg/roller/roller.go
@@ -5,6 +5,7 @@
 package roller
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -18,6 +19,8 @@
 	// Running is the number of requests in flight at the engine. Pinned is how
 	// many of them can't move to another engine.
 	Running, Pinned int
+	// Utilization is the share of the engine's capacity that is in use, from 0 to 1.
+	Utilization float64
 	// Reachable is false for an engine that has recently failed to respond.
 	Reachable bool
 }
@@ -86,10 +89,16 @@
 func (Done) action()          {}
 
 const (
-	// parallelLoadDivisor limits concurrent loads to a sixth of the engines of a
+	// parallelLoadDivisor limits concurrent loads to a fifth of the engines of a
 	// service: the weight store slows down beyond that.
-	parallelLoadDivisor = 6
-	minParallelLoads    = 2
+	parallelLoadDivisor = 5
+	// maxAwayFactor limits the engines that get no work to a multiple of those that
+	// load: the others drain, or have loaded and not reported it yet.
+	maxAwayFactor = 2
+	// targetUtilization is the utilization of the remaining engines up to which
+	// further engines are taken away.
+	targetUtilization = 0.7
+	minParallelLoads  = 2
 	// firstReportDelay is the time from an accepted order to the first report
 	// request. A load takes 1.2 s, so earlier requests would be wasted.
 	firstReportDelay = 1200 * time.Millisecond
@@ -164,9 +173,11 @@
 	slotsTaken := map[string]int{}  // slots of the weight store in use, by service
 	unavailable := map[string]int{} // engines that get no work, by service
 	reachable := map[string]int{}
+	busy := map[string]float64{} // sum of the utilizations of reachable engines
 	for _, s := range r.engines {
 		if s.engine.Reachable {
 			reachable[s.engine.Service]++
+			busy[s.engine.Service] += s.engine.Utilization
 		}
 		out = r.advance(now, s, out)
 		if s.phase != idle {
@@ -184,7 +195,7 @@
 	}
 	for _, s := range r.outdatedEngines(now, newest) {
 		service := s.engine.Service
-		if unavailable[service] > maxParallelLoads(reachable[service]) { // one more than may load is drained in advance
+		if unavailable[service] >= maxAway(reachable[service], busy[service]) {
 			continue
 		}
 		unavailable[service]++
@@ -201,6 +212,15 @@
 // maxParallelLoads returns how many of a service's engines may load at once.
 func maxParallelLoads(engines int) int { return max(minParallelLoads, engines/parallelLoadDivisor) }
 
+// maxAway returns how many of a service's engines may be without work at once, given the
+// sum of their utilizations. It is one more than may load, so that the next one is
+// drained in advance, and more if the remaining engines have room for the requests.
+func maxAway(engines int, busy float64) int {
+	loads := maxParallelLoads(engines)
+	spare := engines - int(math.Ceil(busy/targetUtilization))
+	return max(loads+1, min(maxAwayFactor*loads, spare))
+}
+
 // drainedEngines returns the engines that are ready for their order, those that
 // have drained the longest first.
 func (r *Roller) drainedEngines(now time.Time) []*engineState {
--- a/pkg/roller/roller_test.go
+++ b/pkg/roller/roller_test.go
@@ -19,6 +19,7 @@
 	version, orderCount int
 	loadingVersion      int // version, 0 if none
 	loadedAt            time.Time
+	versionAt           time.Time // when the version was last changed
 	unreachable         bool
 	pinned              int
 }
@@ -36,6 +37,12 @@
 	lossRate   float64
 	peakLoads  int
 	orderCount int
+	// reportDelay is how old reports are. utilization is that of each engine, as long
+	// as all get work.
+	reportDelay time.Duration
+	utilization float64
+	away        map[string]bool
+	peakAway    int
 }
 
 type delayedOrder struct {
@@ -45,7 +52,7 @@
 
 func newSimulation(t *testing.T, seed uint64, n int) *simulation {
 	sim := &simulation{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 3)), now: start, roller: roller.New(), engines: map[string]*engine{}, newest: 1,
+		t: t, rnd: rand.New(rand.NewPCG(seed, 3)), now: start, roller: roller.New(), engines: map[string]*engine{}, newest: 1, away: map[string]bool{},
 	}
 	for i := range n {
 		sim.engines[fmt.Sprintf("e%02d", i)] = &engine{version: 1}
@@ -101,7 +108,7 @@
 	loading := 0
 	for _, e := range sim.engines {
 		if e.loadingVersion != 0 && !sim.now.Before(e.loadedAt) {
-			e.version, e.loadingVersion = e.loadingVersion, 0
+			e.version, e.loadingVersion, e.versionAt = e.loadingVersion, 0, sim.now
 		}
 		if e.loadingVersion != 0 {
 			loading++
@@ -111,22 +118,35 @@
 	var list []roller.Engine
 	for inc, e := range sim.engines {
 		list = append(list, roller.Engine{
-			Incarnation: inc, Service: "s", Models: map[string]int{model: e.version}, Pinned: e.pinned, Reachable: !e.unreachable,
+			Incarnation: inc, Service: "s", Models: map[string]int{model: 1}, Pinned: e.pinned, Reachable: !e.unreachable,
+			Utilization: sim.utilization,
 		})
 	}
 	for _, a := range sim.roller.Plan(sim.now, list, map[string]int{model: sim.newest}) {
 		switch a := a.(type) {
 		case roller.Order:
 			sim.send(a)
+		case roller.Drain:
+			sim.away[a.Incarnation] = true
+			sim.peakAway = max(sim.peakAway, len(sim.away))
+		case roller.Done:
+			delete(sim.away, a.Incarnation)
 		case roller.RequestReport:
-			e := sim.engines[a.Incarnation]
-			sim.roller.ReceiveReport(sim.now, a.Incarnation, roller.Report{
-				Models: map[string]int{model: e.version}, Orders: e.orderCount, Busy: e.loadingVersion != 0,
-			}, !e.unreachable)
+			sim.report(a.Incarnation)
 		}
 	}
 }
 
+// report sends a report as of some time ago.
+func (sim *simulation) report(incarnation string) {
+	e := sim.engines[incarnation]
+	version, busy := e.version, e.loadingVersion != 0
+	if busy = busy || sim.now.Sub(e.versionAt) < sim.reportDelay; busy {
+		version = min(version, sim.newest-1)
+	}
+	sim.roller.ReceiveReport(sim.now, incarnation, roller.Report{Models: map[string]int{model: version}, Orders: e.orderCount, Busy: busy}, !e.unreachable)
+}
+
 // run steps until every reachable engine has the newest version, and returns how
 // long that took.
 func (sim *simulation) run(limit time.Duration) time.Duration {
@@ -160,6 +180,35 @@
 	}
 }
 
+// A roll-out over hundreds of engines takes as long as the weight store needs, though
+// reports are old, if the other engines have room for the requests meanwhile. If they
+// haven't, no more engines than may load are taken away, and one that drains.
+func TestRolloutOfHundredsOfEnginesFillsTheWeightStore(t *testing.T) {
+	const n, parallel = 240, 48
+	for _, tc := range []struct {
+		utilization float64
+		most        time.Duration
+		away        int
+	}{
+		// 5 loads of 1.2 s one after the other, and a drain and a report of 0.3 s.
+		{0.2, 7500 * time.Millisecond, 2 * parallel},
+		{0.9, 11 * time.Second, parallel + 1},
+	} {
+		sim := newSimulation(t, 5, n)
+		sim.reportDelay, sim.utilization = 250*time.Millisecond, tc.utilization
+		sim.newest = 2
+		if took := sim.run(30 * time.Second); took > tc.most {
+			t.Errorf("with a utilization of %.1f the roll-out took %v, want at most %v", tc.utilization, took, tc.most)
+		}
+		if sim.peakLoads > parallel+1 { // a load may take a step longer than its slot
+			t.Errorf("%d concurrent loads, the weight store supports %d", sim.peakLoads, parallel)
+		}
+		if sim.peakAway > tc.away {
+			t.Errorf("with a utilization of %.1f %d engines were away at once, want at most %d", tc.utilization, sim.peakAway, tc.away)
+		}
+	}
+}
+
 // Guards against stuck or downgraded engines when responses are lost: an unanswered
 // order may have been accepted, or may be executed seconds later, after newer ones.
 func TestLostResponsesAndDelayedOrders(t *testing.T) {
