feat(packer): messages of other releases are read

Cause: datagrams are arrays by the order of their fields, and the library rejects an array whose length isn't that of the struct.

- internal/packer reads arrays of any length: missing fields stay at zero, unknown ones are skipped, in nested messages too.
Later releases add fields at the end.
- An unreadable datagram is counted by kind and logged once a peer incarnation, at level warning with the peer's protocol.

Weighed: maps with short names, which add 14 bytes to each of 240 loads in a total; a version in each message, which says nothing that the registration doesn't. No byte was added to a message.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -7,9 +7,9 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
@@ -180,7 +180,7 @@
 
 func (a *Adviser) handleQuestion(from string, body []byte) error {
 	var q question
-	if err := msgpack.Unmarshal(body, &q); err != nil {
+	if err := packer.New(body).Unpack(&q); err != nil {
 		return errors.Annotate(err, "question")
 	}
 	advice, verdict := a.local.Advise(q.From, q.Number, &q.Query)
@@ -189,7 +189,7 @@
 
 func (a *Adviser) handleAnswer(_ string, body []byte) error {
 	var got answer
-	if err := msgpack.Unmarshal(body, &got); err != nil {
+	if err := packer.New(body).Unpack(&got); err != nil {
 		return errors.Annotate(err, "answer")
 	}
 	a.mu.Lock()
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -1,17 +1,18 @@
 package broadcaster
 
 import (
-	"bytes"
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
@@ -64,7 +65,7 @@
 }
 
 // Message is one datagram. It is encoded as an array, so the order of the
-// fields is part of the format.
+// fields is part of the format. Later releases add fields at the end.
 type Message struct {
 	From   string
 	BootID uint64
@@ -153,6 +154,7 @@
 	conn  *net.UDPConn
 	fleet func() *roster.Roster
 	state LocalState
+	scope tally.Scope
 	// handlers has the handlers of the other kinds of datagrams.
 	handlers map[Kind]Handler
 
@@ -165,7 +167,10 @@
 	upgrades     []announcedUpgrade
 	leaving      bool
 	unreachable  map[string]bool
-	sendNow      chan struct{}
+	// unreadable has the senders of unreadable datagrams, by address, and the BootID of
+	// their incarnation, 0 if it isn't known.
+	unreadable map[string]uint64
+	sendNow    chan struct{}
 	// everyone is set if the next messages go to all nodes. eventsPending is set if
 	// there are events that not all nodes were sent, which is done at most every
 	// eventFlushInterval since flushedAt.
@@ -176,8 +181,9 @@
 	storeReaders map[string]time.Time
 }
 
-// New opens the socket of a node. fleet returns the registered nodes.
-func New(clk clock.Clock, boot clock.BootClock, log logrus.FieldLogger, self traffic.Node, fleet func() *roster.Roster, state LocalState) (*Broadcaster, error) {
+// New opens the socket of a node. fleet returns the registered nodes. Unreadable
+// datagrams are counted in scope.
+func New(clk clock.Clock, boot clock.BootClock, log logrus.FieldLogger, self traffic.Node, fleet func() *roster.Roster, state LocalState, scope tally.Scope) (*Broadcaster, error) {
 	addr, err := net.ResolveUDPAddr("udp4", self.Peer)
 	if err != nil {
 		return nil, errors.Annotate(err, "peerListen")
@@ -187,8 +193,8 @@
 		return nil, errors.Annotate(err, "listen for peer datagrams")
 	}
 	return &Broadcaster{
-		clk: clk, boot: boot, log: log, self: self, conn: conn, fleet: fleet, state: state, handlers: map[Kind]Handler{},
-		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
+		clk: clk, boot: boot, log: log, self: self, conn: conn, fleet: fleet, state: state, scope: scope, handlers: map[Kind]Handler{},
+		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, unreadable: map[string]uint64{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
 	}, nil
 }
 
@@ -405,9 +411,9 @@
 	if err != nil {
 		return errors.Annotatef(err, "resolve node address %q", address)
 	}
-	data, err := encode(kind, v)
+	data, err := packer.Pack(v)
 	if err == nil {
-		_, err = b.conn.WriteToUDP(data, addr)
+		_, err = b.conn.WriteToUDP(append([]byte{byte(kind)}, data...), addr)
 	}
 	return errors.Trace(err)
 }
@@ -469,11 +475,33 @@
 			continue
 		}
 		if err := b.dispatch(Kind(buf[0]), from.String(), buf[1:n]); err != nil {
-			b.log.WithError(err).WithField("event", "peerUnreadable").Debug("ignoring an unreadable datagram")
+			b.recordUnreadable(Kind(buf[0]), from.String(), err)
 		}
 	}
 }
 
+// recordUnreadable counts a datagram that can't be read, and logs the first one of each
+// sender: it probably runs another release.
+func (b *Broadcaster) recordUnreadable(kind Kind, from string, err error) {
+	b.scope.Tagged(map[string]string{"kind": strconv.Itoa(int(kind))}).Counter("unreadable_datagrams").Inc(1)
+	sender := traffic.Node{Name: from}
+	for _, n := range b.fleet().Nodes() {
+		if n.Peer == from {
+			sender = n
+		}
+	}
+	b.mu.Lock()
+	bootID, known := b.unreadable[from]
+	b.unreadable[from] = sender.BootID
+	b.mu.Unlock()
+	if known && bootID == sender.BootID {
+		return
+	}
+	b.log.WithError(err).WithFields(logrus.Fields{
+		"event": "peerUnreadable", "peer": sender.Name, "kind": kind, "protocol": sender.Protocol, "ownProtocol": b.self.Protocol,
+	}).Warn("ignoring the unreadable datagrams of a peer")
+}
+
 func (b *Broadcaster) dispatch(kind Kind, from string, body []byte) error {
 	if handler, ok := b.handlers[kind]; ok {
 		return handler(from, body)
@@ -482,7 +510,7 @@
 		return errors.NotSupportedf("datagram of kind %d", kind)
 	}
 	var m Message
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	if err := packer.New(body).Unpack(&m); err != nil {
 		return errors.Trace(err)
 	}
 	if m.From == b.self.Name {
@@ -504,17 +532,3 @@
 	b.state.Receive(&m)
 	return nil
 }
-
-// encode encodes structs as arrays; field names would triple the size of a
-// message.
-func encode(kind Kind, m any) ([]byte, error) {
-	var buf bytes.Buffer
-	buf.WriteByte(byte(kind))
-	e := msgpack.NewEncoder(&buf)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	if err := e.Encode(m); err != nil {
-		return nil, errors.Trace(err)
-	}
-	return buf.Bytes(), nil
-}
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
@@ -63,7 +66,7 @@
 	boot := testlib.NewClock(time.Unix(50, 0))
 	for i := range nodes {
 		l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
-		b, err := broadcaster.New(systemclock.New(), boot, log, nodes[i], func() *roster.Roster { return fleet }, l)
+		b, err := broadcaster.New(systemclock.New(), boot, log, nodes[i], func() *roster.Roster { return fleet }, l, tally.NoopScope)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -166,7 +169,7 @@
 	fleet := roster.New(nodes)
 	run := func(self traffic.Node, clk clock.Clock, booted time.Duration) (*recorder, func()) {
 		l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
-		b, err := broadcaster.New(clk, testlib.NewClock(time.Unix(0, int64(booted))), log, self, func() *roster.Roster { return fleet }, l)
+		b, err := broadcaster.New(clk, testlib.NewClock(time.Unix(0, int64(booted))), log, self, func() *roster.Roster { return fleet }, l, tally.NoopScope)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -201,3 +204,55 @@
 		t.Errorf("second incarnation, booted 5 s ago, received the echo %v", time.Duration(echo))
 	}
 }
+
+// A peer of another release sends unreadable datagrams ten times a second.
+func TestUnreadableDatagramsAreCountedAndLoggedOnce(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	scope := tally.NewTestScope("", nil)
+	sender, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	self := traffic.Node{Name: "n0", Peer: address(t), Protocol: 1}
+	fleet := roster.New([]traffic.Node{self, {Name: "n1", Peer: sender.LocalAddr().String(), Protocol: 9, BootID: 5}})
+	l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
+	b, err := broadcaster.New(systemclock.New(), testlib.NewClock(time.Unix(50, 0)), log, self, func() *roster.Roster { return fleet }, l, scope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = b.Run(ctx) })
+	defer func() { cancel(); wg.Wait() }()
+	to, err := net.ResolveUDPAddr("udp4", self.Peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, datagram := range []string{"\x00\xc1", "\x00\x93\xa1x", "\x7fxyz"} {
+		if _, err := sender.WriteTo([]byte(datagram), to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "three unreadable datagrams", func() bool {
+		n := int64(0)
+		for _, c := range scope.Snapshot().Counters() {
+			if c.Name() == "unreadable_datagrams" {
+				n += c.Value()
+			}
+		}
+		return n == 3
+	})
+	lines := 0
+	for _, e := range hook.AllEntries() {
+		if e.Data["event"] == "peerUnreadable" {
+			lines++
+			if e.Data["peer"] != "n1" || e.Data["protocol"] != 9 || e.Level != logrus.WarnLevel {
+				t.Errorf("log line %v at level %s", e.Data, e.Level)
+			}
+		}
+	}
+	if lines != 1 {
+		t.Errorf("%d log lines, want one", lines)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,7 +110,7 @@
 	})
 	obs.SetListener(relay)
 	state.relay, state.cache = relay, cache
-	bcast, err := broadcaster.New(clk, boot, log, self, state.roster, state)
+	bcast, err := broadcaster.New(clk, boot, log, self, state.roster, state, metrics.Scope())
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/feeder/feeder.go
+++ b/internal/feeder/feeder.go
@@ -7,11 +7,11 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
 	"github.com/auburnnotch/auburnnotch/internal/limitreader"
 	"github.com/auburnnotch/auburnnotch/internal/observer"
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -91,7 +91,7 @@
 
 func (f *Feeder) handleRequest(from string, body []byte) error {
 	var r request
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := packer.New(body).Unpack(&r); err != nil {
 		return errors.Annotate(err, "request for changes")
 	}
 	compressed, err := f.compressedChanges(r.Since)
@@ -129,15 +129,16 @@
 }
 
 func compress(c *observer.Changes) ([]byte, error) {
+	raw, err := packer.Pack(c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.BestSpeed)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	e := msgpack.NewEncoder(w)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	if err := e.Encode(c); err != nil {
+	if _, err := w.Write(raw); err != nil {
 		return nil, errors.Trace(err)
 	}
 	if err := w.Close(); err != nil {
@@ -153,12 +154,12 @@
 	if err != nil {
 		return c, errors.Trace(err)
 	}
-	return c, errors.Trace(msgpack.Unmarshal(raw, &c))
+	return c, packer.New(raw).Unpack(&c)
 }
 
 func (f *Feeder) handleResponse(_ string, body []byte) error {
 	var r response
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := packer.New(body).Unpack(&r); err != nil {
 		return errors.Annotate(err, "changes")
 	}
 	c, err := decompress(r.Compressed)
