perf(sharder): sessions are distributed over all cache stores

Cause: where a deployment has several cache stores (three on the grown sites, six on the large one), only the first was used: 2.0 million tokens for sessions of 7.9 million on the large site, so that parts were evicted there before they were asked for again.

Each prompt's store follows from the hash of its shared parts by rendezvous hashing, so that all nodes agree without messages. Store readers watch each store by itself; the placement coordinator leaves out one that is down (the advice says "no source", which nodes of the release before read as the cache store, as now). Peers are told when all are down. The lifetime of parts follows from the capacity of all stores.

Weighed: the store of the engine's data centre, which would keep six copies of the same parts; the store's key in the advice, which needs a new field.

Sites with one store: unchanged.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -87,7 +87,7 @@
 	// version) are its digest.
 	StoreReader  bool
 	LatestConfig uint64
-	// CacheStoreDown is true if a store reader gets no response from the cache
+	// CacheStoreDown is true if a store reader gets no response from any cache
 	// store.
 	CacheStoreDown bool
 	Revision, Hash uint64
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,11 +92,11 @@
 	ups := orders.New(conns)
 	state := &localState{self: s.Name, startedAt: started, clk: clk, boot: boot, obs: obs, leaving: map[string]leavingPeer{}, storeReaders: map[string]time.Time{}}
 	isAggregator := func() bool { return state.roster().IsAggregator(s.Name) }
-	cache := prober.New(clk, log, ups, func() string {
-		if v := obs.View(); v != nil && v.Matcher.CacheStore() != nil {
-			return v.Matcher.CacheStore().CacheAddress
+	cache := prober.New(clk, log, ups, func() []string {
+		if v := obs.View(); v != nil {
+			return v.Matcher.CacheStores().Addresses()
 		}
-		return ""
+		return nil
 	}, isAggregator)
 	adv := adviser.New(clk, log, s.Name, state.roster)
 	relay := relayer.New(relayer.Settings{
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -58,7 +58,7 @@
 	m.Revision, m.Hash, m.LatestConfig = d.Revision, d.Hash, d.ConfigVersion
 	fleet := s.roster()
 	m.StoreReader = fresh && s.readsForOthers()
-	m.CacheStoreDown = s.cache.Down()
+	m.CacheStoreDown = s.cache.AllDown()
 	if fleet.Rank(s.self) == 0 && len(fleet.Nodes()) > 0 {
 		s.relay.SetPlacingNodes(1)
 	} else {
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -67,8 +67,8 @@
 		if u.workspace != nil && u.workspace.Isolated {
 			q.CacheScope = u.workspace.Name
 		}
-		if c := u.view.Matcher.CacheStore(); c != nil && !u.r.CacheDown() {
-			q.CacheAddress, q.CacheTokens = c.CacheAddress, c.CacheTokens
+		if addr := u.view.Matcher.CacheStores().Pick(q.SharedPrefix()); addr != "" && !u.r.CacheDown(addr) {
+			q.CacheAddress, q.CacheTokens = addr, u.view.Matcher.CacheTokens()
 		}
 		now := u.r.Clock.Now()
 		for _, w := range u.view.Versions[q.Prompt.Model] {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,8 +43,9 @@
 	// Adviser returns placement advice for prompts; nil if this node places
 	// them on its own.
 	Adviser Adviser
-	// CacheDown reports whether the cache store is unreachable.
-	CacheDown func() bool
+	// CacheDown reports whether the cache store with the given address is
+	// unreachable.
+	CacheDown func(address string) bool
 	Meter     *meter.Meter
 	Rand      *rand.Rand
 }
@@ -130,8 +131,14 @@
 	}
 }
 
-// Advise returns placement advice for a peer's question about a prompt.
+// Advise returns placement advice for a peer's question about a prompt. This node may
+// know that the prompt's cache store is down when the peer doesn't.
 func (r *Relayer) Advise(peer string, question uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
+	if q.CacheAddress != "" && r.CacheDown(q.CacheAddress) {
+		withoutCache := *q
+		withoutCache.CacheAddress, withoutCache.CacheTokens = "", 0
+		q = &withoutCache
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.placer.Advise(r.Clock.Now(), peer, question, q)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -136,7 +136,7 @@
 		RetryBudget: budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100},
 	}, relayer.Dependencies{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
-		CacheDown: func() bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
+		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var ups []traffic.Upstream
 	for i, s := range scripts {
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 
+	"github.com/auburnnotch/auburnnotch/pkg/sharder"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -15,7 +16,8 @@
 	routesByHost    map[string][]*traffic.Route // longest prefix first
 	servicesByName  map[string]*traffic.Service
 	workspacesByKey map[string]*traffic.Workspace
-	cacheStore      *traffic.Service
+	cacheStores     *sharder.Sharder
+	cacheTokens     int
 }
 
 // New returns a Matcher for c.
@@ -33,12 +35,15 @@
 	for _, routes := range m.routesByHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	var addresses []string
 	for i := range c.Services {
 		m.servicesByName[c.Services[i].Name] = &c.Services[i]
-		if m.cacheStore == nil && c.Services[i].CacheAddress != "" {
-			m.cacheStore = &c.Services[i]
+		if addr := c.Services[i].CacheAddress; addr != "" {
+			addresses = append(addresses, addr)
+			m.cacheTokens += max(0, c.Services[i].CacheTokens)
 		}
 	}
+	m.cacheStores = sharder.New(addresses)
 	for i := range c.Workspaces {
 		for _, k := range c.Workspaces[i].Keys {
 			m.workspacesByKey[k] = &c.Workspaces[i]
@@ -67,9 +72,11 @@
 // Service returns the service called name, or nil if there is none.
 func (m *Matcher) Service(name string) *traffic.Service { return m.servicesByName[name] }
 
-// CacheStore returns the service of the cache store, or nil if there is none. It
-// is the first service with a cache address.
-func (m *Matcher) CacheStore() *traffic.Service { return m.cacheStore }
+// CacheStores returns the cache stores, which are the services with a cache address.
+func (m *Matcher) CacheStores() *sharder.Sharder { return m.cacheStores }
+
+// CacheTokens returns the capacity of all cache stores together, in tokens.
+func (m *Matcher) CacheTokens() int { return m.cacheTokens }
 
 // Workspace returns the workspace that key belongs to, or nil if there is none.
 func (m *Matcher) Workspace(key string) *traffic.Workspace { return m.workspacesByKey[key] }
--- a/pkg/matcher/matcher_test.go
+++ b/pkg/matcher/matcher_test.go
@@ -40,7 +40,7 @@
 	if m.Workspace("k3") != nil || m.Workspace("") != nil {
 		t.Error("a workspace was found for an unknown key")
 	}
-	if m.CacheStore() == nil || m.CacheStore().Name != "cache" || !m.RequiresKey() || m.Service("engines") == nil {
+	if m.CacheStores().Pick(1) == "" || m.CacheStores().Len() != 1 || !m.RequiresKey() || m.Service("engines") == nil {
 		t.Error("the cache store, the key requirement or a service is missing")
 	}
 }
--- a/pkg/placer/advice.go
+++ b/pkg/placer/advice.go
@@ -16,7 +16,7 @@
 	Running         int
 	QueueingDelayMS float64
 	// Source is the Key of the engine to fetch cached parts from, 0 for the cache
-	// store.
+	// store, noSourceKey for neither.
 	Source uint32
 	// Save is set if the cache store should save the prompt.
 	Save bool
@@ -45,6 +45,9 @@
 	Placed
 )
 
+// noSourceKey stands for no source in Advice: the cache store of the prompt is down.
+const noSourceKey = 1
+
 // Advise answers a peer's placement question. It assumes that the peer follows the
 // advice, and counts it as load of the peer until the peer's reports settle the
 // question. question numbers the peer's questions in ascending order.
@@ -70,9 +73,13 @@
 	if q.Prompt != nil {
 		p.recordCachedParts(now, c, q)
 	}
+	source := c.sourceKey
+	if c.Source == "" {
+		source = noSourceKey
+	}
 	return Advice{
 		Upstream: c.state.key, Version: c.Version, Misses: c.Misses, MemoryTokens: c.memoryTokens, Running: c.Running, QueueingDelayMS: c.QueueingDelayMS,
-		Source: c.sourceKey, Save: c.SaveTo != "",
+		Source: source, Save: c.SaveTo != "",
 	}, Placed
 }
 
@@ -92,9 +99,12 @@
 	}
 	c.Version = max(a.Version, s.version(q.Prompt.Model))
 	c.memoryTokens = a.MemoryTokens
-	c.Source = q.CacheAddress
-	if source := p.byKey[a.Source]; a.Source != cacheStoreKey && source != nil {
+	switch source := p.byKey[a.Source]; {
+	case a.Source == noSourceKey:
+	case a.Source != cacheStoreKey && source != nil:
 		c.Source, c.sourceKey = source.up.Address, a.Source
+	default:
+		c.Source = q.CacheAddress
 	}
 	if a.Save {
 		c.SaveTo = q.CacheAddress
--- a/pkg/placer/advice_test.go
+++ b/pkg/placer/advice_test.go
@@ -260,3 +260,20 @@
 		t.Errorf("of %d sessions that were used %v ago, the coordinator knows where %d are cached", sample, interval, known)
 	}
 }
+
+// The coordinator leaves out a cache store that is down, of which the asking node may
+// not know.
+func TestAdviceWithoutCacheStore(t *testing.T) {
+	ups := engines(2, versionOne)
+	asked := prompt("s", 100)
+	without := *asked
+	without.CacheAddress = ""
+	a, _ := newPlacer(12, ups).Advise(start, "n", 1, &without)
+	if c, ok := newPlacer(13, ups).Follow(start, a, asked); !ok || c.Source != "" || c.SaveTo != "" {
+		t.Errorf("source %q, saved to %q, followed %t; want neither", c.Source, c.SaveTo, ok)
+	}
+	a, _ = newPlacer(12, ups).Advise(start, "n", 1, asked)
+	if c, ok := newPlacer(13, ups).Follow(start, a, asked); !ok || c.Source != cacheAddress {
+		t.Errorf("source %q, followed %t; want the cache store", c.Source, ok)
+	}
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -36,7 +36,7 @@
 	Pinned bool
 	// CacheAddress is the address of the cache store, empty for none.
 	CacheAddress string
-	// CacheTokens is the capacity of the cache store.
+	// CacheTokens is the capacity of all cache stores together.
 	CacheTokens int
 }
 
--- a/pkg/placer/prefixindex.go
+++ b/pkg/placer/prefixindex.go
@@ -110,6 +110,17 @@
 	return dst
 }
 
+// SharedPrefix returns the hash of the parts that the prompt may share with others, 0 if
+// there are none. The cache store of a prompt follows from it.
+func (q *Query) SharedPrefix() uint64 {
+	var buf [8]uint64
+	hashes := appendPrefixHashes(buf[:0], q)
+	if len(hashes) < 2 {
+		return 0
+	}
+	return hashes[len(hashes)-2]
+}
+
 // mix spreads the bits of x (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
