fix(broadcaster): nodes without reports leave out silent nodes

A report about silent nodes counted for 3 s, so that a node that was cut off from the aggregators fell back on the registrations, which last for 13 s after the last renewal.

The last report stays until a newer one replaces it. A node that hears others, but not an aggregator for 2 s, leaves that one out too: only aggregators hear all nodes, and nobody reported that both had gone.

TestSilentNodesOfLargeFleetAreLeftOutWithoutReports.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	// directed to a node. It spans about ten messages, some of which may be
 	// lost.
 	silenceThreshold = time.Second
+	// aggregatorSilence is the same for an aggregator of a large fleet, which sends a
+	// message to each node in every fifth round.
+	aggregatorSilence = 2 * time.Second
 	// maxDatagramBytes is the size of the receive buffer, which holds any
 	// datagram.
 	maxDatagramBytes = 64 << 10
@@ -160,13 +164,16 @@
 
 	mu           sync.Mutex
 	aggregator   *aggregator
+	startedAt    time.Time
 	round        int
 	echoes       map[string]echo
 	lastReceived map[string]time.Time // by node name
-	suspensions  []announcedSuspension
-	upgrades     []announcedUpgrade
-	leaving      bool
-	unreachable  map[string]bool
+	// reportedSilent is the last report of an aggregator about silent nodes.
+	reportedSilent []string
+	suspensions    []announcedSuspension
+	upgrades       []announcedUpgrade
+	leaving        bool
+	unreachable    map[string]bool
 	// unreadable has the senders of unreadable datagrams, by address, and the BootID of
 	// their incarnation, 0 if it isn't known.
 	unreadable map[string]uint64
@@ -193,7 +200,7 @@
 		return nil, errors.Annotate(err, "listen for peer datagrams")
 	}
 	return &Broadcaster{
-		clk: clk, boot: boot, log: log, self: self, conn: conn, fleet: fleet, state: state, scope: scope, handlers: map[Kind]Handler{},
+		clk: clk, boot: boot, log: log, self: self, startedAt: clk.Now(), conn: conn, fleet: fleet, state: state, scope: scope, handlers: map[Kind]Handler{},
 		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, unreadable: map[string]uint64{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
 	}, nil
 }
@@ -245,15 +252,24 @@
 	b.triggerBroadcast()
 }
 
-// SilentNodes returns the registered nodes that no message has been received
-// from recently. It returns none if these are half of the nodes or more, since
-// this node is probably cut off itself then. Only aggregators and the nodes of
-// small fleets receive messages from all nodes.
+// SilentNodes returns the registered nodes that callers shouldn't be directed to, since
+// they have sent no message recently. In a large fleet, only the aggregators receive
+// messages from all nodes, and report to the others which ones are silent.
 func (b *Broadcaster) SilentNodes() []string {
-	nodes := b.fleet().Nodes()
-	now := b.clk.Now()
+	fleet := b.fleet()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if fleet.FullMesh() || fleet.IsAggregator(b.self.Name) {
+		return b.unheardNodes(fleet.Nodes())
+	}
+	return b.reportedSilentNodes(fleet)
+}
+
+// unheardNodes returns the nodes that this node has heard nothing from. It returns none
+// if these are half of the nodes or more, since this node is probably cut off itself
+// then.
+func (b *Broadcaster) unheardNodes(nodes []traffic.Node) []string {
+	now := b.clk.Now()
 	var out []string
 	for i := range nodes {
 		if name := nodes[i].Name; name != b.self.Name && now.Sub(b.lastReceived[name]) > silenceThreshold {
@@ -266,6 +282,27 @@
 	return out
 }
 
+// reportedSilentNodes returns the last report of an aggregator, which stays valid for a
+// node that is cut off from all others, and the aggregators that are silent themselves
+// while other nodes are heard.
+func (b *Broadcaster) reportedSilentNodes(fleet *roster.Roster) []string {
+	now := b.clk.Now()
+	out := slices.Clone(b.reportedSilent)
+	hearsOthers := false
+	for _, at := range b.lastReceived {
+		hearsOthers = hearsOthers || now.Sub(at) <= aggregatorSilence
+	}
+	if !hearsOthers || now.Sub(b.startedAt) <= aggregatorSilence {
+		return out
+	}
+	for _, n := range fleet.Aggregators() {
+		if now.Sub(b.lastReceived[n.Name]) > aggregatorSilence && !slices.Contains(out, n.Name) {
+			out = append(out, n.Name)
+		}
+	}
+	return out
+}
+
 // Announce sends the local state to all nodes at once.
 func (b *Broadcaster) Announce() {
 	b.mu.Lock()
@@ -522,6 +559,9 @@
 	if m.StoreReader {
 		b.storeReaders[m.From] = b.clk.Now()
 	}
+	if m.Aggregated {
+		b.reportedSilent = m.SilentNodes
+	}
 	b.mu.Unlock()
 	if fleet := b.fleet(); !m.Aggregated && !fleet.FullMesh() && fleet.IsAggregator(b.self.Name) {
 		b.aggregator.add(b.clk.Now(), &m)
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
@@ -157,6 +158,67 @@
 	}
 }
 
+// A node of a large fleet that is cut off keeps to the last report: a machine that had
+// been off for 12 s was named to callers again by nodes that were cut off meanwhile. The
+// aggregators themselves are silent once only other nodes are heard.
+func TestSilentNodesOfLargeFleetAreLeftOutWithoutReports(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	clk := testlib.NewClock(time.Unix(100, 0))
+	nodes := []traffic.Node{{Name: "self", Peer: address(t)}}
+	for i := range 19 { // too many for a full mesh; n0 and n1 are the aggregators
+		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: "127.0.0.1:9", MilliCores: 1000 - i})
+	}
+	fleet := roster.New(nodes)
+	l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
+	b, err := broadcaster.New(clk, clk, log, nodes[0], func() *roster.Roster { return fleet }, l, tally.NoopScope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = b.Run(ctx) })
+	defer func() { cancel(); wg.Wait() }()
+	sender, err := net.Dial("udp4", nodes[0].Peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	send := func(m *broadcaster.Message) {
+		t.Helper()
+		body, err := packer.Pack(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := sender.Write(append([]byte{0}, body...)); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the message", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			got := l.received[m.From]
+			if m.Aggregated {
+				got = l.total
+			}
+			return got != nil && got.SentAt == m.SentAt
+		})
+	}
+	clk.Step(time.Minute)
+	send(&broadcaster.Message{From: "n0", Aggregated: true, SilentNodes: []string{"n7"}, SentAt: 1})
+	send(&broadcaster.Message{From: "n1", SentAt: 2})
+	clk.Step(10 * time.Second)
+	if got := b.SilentNodes(); !slices.Equal(got, []string{"n7"}) {
+		t.Errorf("a node that has heard nothing for 10 s leaves out %v, want n7", got)
+	}
+	send(&broadcaster.Message{From: "n5", SentAt: 3})
+	if got := b.SilentNodes(); !slices.Equal(got, []string{"n7", "n0", "n1"}) {
+		t.Errorf("while the aggregators are silent, %v are left out, want n7, n0 and n1", got)
+	}
+	send(&broadcaster.Message{From: "n0", Aggregated: true, SentAt: 4})
+	if got := b.SilentNodes(); !slices.Equal(got, []string{"n1"}) {
+		t.Errorf("after a new report %v are left out, want n1", got)
+	}
+}
+
 // Guards against dating proofs by the clock of an earlier incarnation: after a
 // power loss a VM has another boot clock, while peers still echo times of its
 // earlier one.
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -42,7 +42,7 @@
 
 // Entries implements ingress.Directory.
 func (d *directory) Entries(dataCentre, region string) []string {
-	silent := d.state.silentNodes()
+	silent := d.state.broadcaster.SilentNodes()
 	var nodes []traffic.Node
 	for _, n := range d.obs.Snapshot().Nodes {
 		if !slices.Contains(silent, n.Name) {
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -37,8 +37,6 @@
 	// betterReaderAt is when a store reader that ranks before this node last sent a
 	// message.
 	betterReaderAt time.Time
-	silent         []string      // silent nodes as reported by an aggregator
-	silentReceived time.Time     // when silent was received
 	sentLoads      []placer.Load // loads in the last message
 }
 
@@ -146,9 +144,6 @@
 	case each && !m.Aggregated:
 		s.relay.MergeReport(m.From, relayer.TrafficReport{Report: m.Report, Placements: m.Placements})
 	case !each && m.Aggregated:
-		s.mu.Lock()
-		s.silent, s.silentReceived = m.SilentNodes, s.clk.Now()
-		s.mu.Unlock()
 		s.relay.MergeReport(fleetTotal, relayer.TrafficReport{Report: placer.Report{Loads: s.subtractOwn(m.Loads)}, Placements: m.Placements})
 	}
 }
@@ -204,22 +199,6 @@
 	return s.relay.Advise(peer, question, q)
 }
 
-// silentTTL is how long an aggregator's report of silent nodes is valid.
-const silentTTL = 3 * time.Second
-
-// silentNodes returns the registered nodes that have sent no message recently.
-func (s *localState) silentNodes() []string {
-	if s.receivesAll() {
-		return s.broadcaster.SilentNodes()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.clk.Now().Sub(s.silentReceived) > silentTTL {
-		return nil
-	}
-	return s.silent
-}
-
 // Suspend implements orderer.Traffic.
 func (s *localState) Suspend(incarnation string, until time.Time) {
 	s.relay.Suspend(incarnation, until)
