perf(observer): few nodes notice the end of an outage of the store

During an outage each of 295 nodes tried again 0.6 s after a failed read, and for 4.4 s after it each read the whole store every 0.8 s.

Store readers try every 0.2 s and the nodes that may stand in for them each 0.6 s; the rest try each 2 s and take the digest of a reader, which is sent to all at once when the store is back, as the end of the outage. Which missing upstreams are kept is decided by the readers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,7 +117,7 @@
 	state.broadcaster = bcast
 	adv.Attach(bcast, state)
 	obs.SetStoreReader(state.readsForOthers)
-	obs.SetPatience(state.patience)
+	obs.SetPace(state.pace)
 	obs.SetChangeSource(feeder.New(log, s.Name, state.roster, bcast, obs).Request)
 	obs.SetAnnouncer(bcast.Announce)
 	ord := orderer.New(orderer.Settings{
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -90,8 +90,8 @@
 	return s.roster().ReadsStore(s.self, s.clk.Now().Sub(since))
 }
 
-// patience returns how long this node relies on the last digest of a store reader.
-func (s *localState) patience() time.Duration { return s.roster().Patience(s.self) }
+// pace returns when this node reads the store for itself.
+func (s *localState) pace() roster.Pace { return s.roster().Pace(s.self) }
 
 // Receive implements broadcaster.LocalState.
 func (s *localState) Receive(m *broadcaster.Message) {
--- a/internal/feeder/feeder_test.go
+++ b/internal/feeder/feeder_test.go
@@ -136,7 +136,7 @@
 		obs := observer.New(f.clk, f.clk, log, store, observer.Layout{OperatorPrefix: "op/", Decode: decode})
 		obs.SetListener(ignoringListener{})
 		obs.SetStoreReader(func() bool { return i < readers })
-		obs.SetPatience(func() time.Duration { return all.Patience(nodes[i].Name) })
+		obs.SetPace(func() roster.Pace { return all.Pace(nodes[i].Name) })
 		obs.SetChangeSource(feeder.New(log, nodes[i].Name, func() *roster.Roster { return all }, transport{f: f, addr: nodes[i].Peer}, obs).Request)
 		f.obs = append(f.obs, obs)
 		wg.Go(func() { _ = obs.Run(ctx) })
@@ -274,6 +274,27 @@
 	}
 }
 
+// The store is down for some seconds: its readers notice that it is back, and the other
+// nodes needn't ask.
+func TestOutageCostsFewCalls(t *testing.T) {
+	const nodes, outage = 40, 8 * time.Second
+	f := newFleet(t, nodes, traffic.CurrentProtocol)
+	f.run(3 * time.Second)
+	before := f.store.PricedCalls()
+	f.store.SetError(platform.Unavailable)
+	f.run(outage)
+	f.store.SetError(nil)
+	f.store.Delete("up/00")
+	f.store.Set("op/config", "2")
+	f.until("the changes", func(obs *observer.Observer) bool { return configVersion(obs) == 2 && upstreams(obs) == 39 })
+	f.run(5 * time.Second)
+	// Two readers try five times a second, six stand-ins each 0.6 s, and the rest each 2 s.
+	most := 2*5*outage.Seconds() + 6*2*outage.Seconds() + (nodes-8)*(outage.Seconds()/2+1) + 60
+	if calls := f.store.PricedCalls() - before; calls > most {
+		t.Errorf("%.0f calls in and after an outage of %v, want at most %.0f", calls, outage, most)
+	}
+}
+
 // A change of many keys at once, such as the registration of all nodes, doesn't fit
 // into one datagram.
 func TestManyChangesAtOnceArriveInParts(t *testing.T) {
--- a/internal/observer/digest.go
+++ b/internal/observer/digest.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -26,10 +26,9 @@
 // store for other nodes too. It must be called before Run.
 func (o *Observer) SetStoreReader(isStoreReader func() bool) { o.isStoreReader = isStoreReader }
 
-// SetPatience sets the function that returns how long this node relies on the last
-// digest of a store reader until it reads the store itself. It must be called before
-// Run.
-func (o *Observer) SetPatience(patience func() time.Duration) { o.patience = patience }
+// SetPace sets the function that returns when this node reads the store itself. It must be
+// called before Run.
+func (o *Observer) SetPace(pace func() roster.Pace) { o.pace = pace }
 
 // Digest returns the digest of the latest snapshot. ok is false if the snapshot
 // is too old for other nodes to rely on.
--- a/internal/observer/feed.go
+++ b/internal/observer/feed.go
@@ -157,11 +157,13 @@
 	defer o.mu.Unlock()
 	now := o.clk.Now()
 	f := &o.feed
+	othersRead := f.silence(now) < outageThreshold
 	f.receivedAt = now
 	f.latestRevision = max(f.latestRevision, d.Revision)
 	if o.lastRead.IsZero() {
 		return 0, false
 	}
+	o.endOutage(now, othersRead)
 	configBehind := o.catalog == nil || d.ConfigVersion > o.catalog.Version
 	if configBehind && d.ConfigVersion > f.wantedConfig {
 		f.wantedConfig, f.configBehindSince = d.ConfigVersion, now
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -23,7 +23,8 @@
 	// one lost response fit into the 2 s within which a leaving upstream must
 	// be noticed.
 	pollInterval = 800 * time.Millisecond
-	// pollRetryDelay is the delay after a failed read.
+	// pollRetryDelay is the delay after a failed read of a store reader, which notices
+	// the end of an outage for all nodes.
 	pollRetryDelay = 200 * time.Millisecond
 	// watchTimeout is how long a watch waits for a change. The store sometimes
 	// ends a watch earlier.
@@ -44,11 +45,6 @@
 	// minRepairDelay is the minimum time between two reads of a node that can't
 	// get the changes that it missed from a store reader.
 	minRepairDelay = 300 * time.Millisecond
-	// followerRetryDelay is the delay after a failed read on a node that isn't a
-	// store reader. The store readers notice the end of an outage for all nodes.
-	followerRetryDelay = 600 * time.Millisecond
-	// defaultPatience is how long a node relies on the last digest.
-	defaultPatience = 400 * time.Millisecond
 	waitStep        = 50 * time.Millisecond
 	maxPages        = 64
 	// maxVersions bounds the number of announced versions kept per model.
@@ -121,7 +117,7 @@
 	feed          feed
 	trigger       chan struct{}
 	isStoreReader func() bool
-	patience      func() time.Duration
+	pace          func() roster.Pace
 	changeSource  ChangeSource
 	announce      func()
 }
@@ -131,7 +127,7 @@
 	o := &Observer{
 		clk: clk, boot: boot, log: log, store: s, layout: l, items: map[string]knownItem{}, weights: map[string][]relayer.ModelVersion{},
 		feed: newFeed(), trigger: make(chan struct{}, 1), isStoreReader: func() bool { return true },
-		patience: func() time.Duration { return defaultPatience },
+		pace: func() roster.Pace { return roster.New(nil).Pace("") },
 	}
 	o.snapshot.Store(&Snapshot{Roster: roster.New(nil)})
 	return o
@@ -173,8 +169,7 @@
 				return nil
 			}
 			o.recordReadFailure(err)
-			wait = followerRetryDelay
-			if o.isStoreReader() {
+			if wait = o.pace().RetryDelay; o.isStoreReader() {
 				wait = pollRetryDelay
 			}
 		}
@@ -232,12 +227,11 @@
 
 // dueRead returns the scope of the read that is due elapsed after the last one.
 func (o *Observer) dueRead(elapsed time.Duration) readScope {
-	isStoreReader, patience := o.isStoreReader(), o.patience()
+	isStoreReader, patience := o.isStoreReader(), o.pace().Patience
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clk.Now()
-	settled := o.recovered.IsZero() || now.Sub(o.recovered) > 2*recoveryGrace
-	if isStoreReader || o.down || !settled || o.feed.silence(now) > patience {
+	if isStoreReader || o.feed.silence(now) > patience {
 		switch {
 		case elapsed < pollInterval:
 			return scopeNone
@@ -342,17 +336,11 @@
 	if stale && r.first < o.revision {
 		return
 	}
-	if o.down {
-		away := now.Sub(o.downSince)
-		// If other nodes could read the store, no running upstream was dropped.
-		othersRead := now.Sub(o.feed.receivedAt) < outageThreshold && o.feed.latestRevision > o.revision
-		if away > outageThreshold && !othersRead {
-			o.recovered = now
-		}
-		o.log.WithField("event", "storeBack").WithField("awayMs", away.Milliseconds()).Info("platform store is available again")
-	}
+	// If other nodes could read the store, no running upstream was dropped.
+	othersRead := now.Sub(o.feed.receivedAt) < outageThreshold && o.feed.latestRevision > o.revision
+	o.endOutage(now, othersRead)
 	initial := o.lastRead.IsZero()
-	o.down, o.lastRead, o.revision = false, now, max(o.revision, r.first)
+	o.lastRead, o.revision = now, max(o.revision, r.first)
 	o.feed.recordRead(now, r.first)
 	seen := make(map[string]bool, len(r.items))
 	for _, it := range r.items {
@@ -370,6 +358,23 @@
 	o.publish()
 }
 
+// endOutage ends an outage of the store, if there was one. Upstreams that are missing
+// then are kept for a while, unless others could read the store all the time.
+func (o *Observer) endOutage(now time.Time, othersRead bool) {
+	if !o.down {
+		return
+	}
+	o.down = false
+	away := now.Sub(o.downSince)
+	if away > outageThreshold && !othersRead {
+		o.recovered = now
+	}
+	o.log.WithField("event", "storeBack").WithField("awayMs", away.Milliseconds()).Info("platform store is available again")
+	if o.announce != nil && o.isStoreReader() {
+		o.announce() // all nodes wait for the digest of a store reader
+	}
+}
+
 // ReceiveProof applies a peer's freshness proof if the peer has the same
 // configuration version. at is a boot time of this node; the proof is at least
 // as recent.
@@ -428,7 +433,7 @@
 	if o.isStoreReader() {
 		return true
 	}
-	patience := o.patience()
+	patience := o.pace().Patience
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clk.Now()
--- a/pkg/roster/reader.go
+++ b/pkg/roster/reader.go
@@ -17,6 +17,10 @@
 	// othersDelay is how much later the nodes of a large fleet that don't stand in
 	// read the store themselves.
 	othersDelay = 600 * time.Millisecond
+	// retryDelay is the delay after a failed read of a node that doesn't read for
+	// others, othersRetryDelay that of a node that doesn't stand in either.
+	retryDelay       = 600 * time.Millisecond
+	othersRetryDelay = 2 * time.Second
 )
 
 // ReadsStore reports whether a node reads the store for other nodes, given how long no
@@ -27,13 +31,21 @@
 	return r.IsAggregator(name) || rank < min(standInCount, len(r.ranked)) && silence > r.digestTTL()+time.Duration(rank)*standInDelayPerRank
 }
 
-// Patience returns how long a node relies on the last digest of a store reader until it
-// reads the store itself.
-func (r *Roster) Patience(name string) time.Duration {
+// Pace tells when a node that doesn't read the store for others reads it for itself.
+type Pace struct {
+	// Patience is how long the node relies on the last digest of a store reader.
+	Patience time.Duration
+	// RetryDelay is the delay after a failed read.
+	RetryDelay time.Duration
+}
+
+// Pace returns the pace of a node. In a large fleet, only the nodes that may stand in for
+// store readers notice the end of an outage, and tell the others.
+func (r *Roster) Pace(name string) Pace {
 	if !r.FullMesh() && r.Rank(name) >= standInCount {
-		return r.digestTTL() + othersDelay
+		return Pace{Patience: r.digestTTL() + othersDelay, RetryDelay: othersRetryDelay}
 	}
-	return r.digestTTL()
+	return Pace{Patience: r.digestTTL(), RetryDelay: retryDelay}
 }
 
 func (r *Roster) digestTTL() time.Duration {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -71,7 +71,7 @@
 			t.Errorf("%d of %d nodes read the store while the aggregators are silent, want 3 to 8", got, n)
 		}
 		last := nodes[n-1].Name
-		if r.Patience(last) < r.Patience(nodes[2].Name) {
+		if r.Pace(last).Patience < r.Pace(nodes[2].Name).Patience {
 			t.Errorf("the last of %d nodes reads the store before the one that stands in", n)
 		}
 		if r.ReadsStore("unknown", time.Minute) {
