--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -45,8 +45,8 @@
 	// minRepairDelay is the minimum time between two reads of a node that can't
 	// get the changes that it missed from a store reader.
 	minRepairDelay = 300 * time.Millisecond
-	waitStep        = 50 * time.Millisecond
-	maxPages        = 64
+	waitStep       = 50 * time.Millisecond
+	maxPages       = 64
 	// maxVersions bounds the number of announced versions kept per model.
 	maxVersions = 8
 	// minAgeDifference is the smallest difference between the ages reported by
