--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -39,6 +39,13 @@
 	// Fresh restricts the reuse of connections to those that have been idle for
 	// less than maxFreshIdleTime.
 	Fresh bool
+	// New demands a new connection. A late copy of the response to an earlier attempt
+	// with the same request ID can't arrive on it.
+	New bool
+	// Permit is called right before the request is written, nil for always. If it
+	// returns an error, nothing is sent. The process may have been suspended while the
+	// connection was opened.
+	Permit func() error
 	// FirstByteTimeout is the timeout for the response header.
 	FirstByteTimeout time.Duration
 	// Matches reports whether a response belongs to this call.
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -347,3 +347,45 @@
 		t.Errorf("%d connections", n)
 	}
 }
+
+// Guards against an idle connection that the read deadline of its last response has made
+// unusable.
+func TestConnectionOutlivesReadTimeoutOfItsLastResponse(t *testing.T) {
+	u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+		return writeResponse(conn, r.Header.Get("Id"), "ok")
+	})
+	conns := connector.New(systemclock.New())
+	for range 3 {
+		call := newCall(u, "1")
+		call.FirstByteTimeout = 100 * time.Millisecond
+		x, _, err := conns.Open(t.Context(), call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(x); err != nil {
+			t.Error(err)
+		}
+		x.Close()
+		time.Sleep(150 * time.Millisecond)
+	}
+	if n := u.Connections(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestCallWithoutPermitIsNotSent(t *testing.T) {
+	u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+		return writeResponse(conn, r.Header.Get("Id"), "ok")
+	})
+	call := newCall(u, "1")
+	refused := errors.New("permission has expired")
+	call.Permit = func() error { return refused }
+	_, outcome, err := connector.New(systemclock.New()).Open(t.Context(), call)
+	if outcome != connector.NotSent || !errors.Is(err, refused) {
+		t.Errorf("outcome %d, error %v", outcome, err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n := len(u.Received()); n != 0 {
+		t.Errorf("%d requests were sent", n)
+	}
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -55,7 +55,10 @@
 // Open sends a call and waits for the header of its response. It returns an
 // Exchange only with Opened. The connection is closed when ctx is done.
 func (c *Connector) Open(ctx context.Context, call *Call) (*Exchange, Outcome, error) {
-	cn := c.takeIdle(call.Incarnation, call.Fresh)
+	var cn *conn
+	if !call.New {
+		cn = c.takeIdle(call.Incarnation, call.Fresh)
+	}
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx, call); err != nil {
@@ -78,6 +81,11 @@
 
 // exchange writes the request and reads the header of the response.
 func (c *Connector) exchange(cn *conn, call *Call) (x *Exchange, wrote bool, err error) {
+	if call.Permit != nil {
+		if err := call.Permit(); err != nil {
+			return nil, false, errors.Trace(err)
+		}
+	}
 	now := c.clk.Now()
 	if err := cn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 		return nil, false, errors.Trace(err)
@@ -186,7 +194,7 @@
 	if !x.complete {
 		return errors.NotValidf("rest of more than %d bytes", maxDrainBytes)
 	}
-	return errors.Trace(x.conn.SetReadDeadline(time.Time{}))
+	return nil
 }
 
 // Close ends the exchange. The connection is reused if the response was read to its
@@ -196,6 +204,11 @@
 		x.conn.close()
 		return
 	}
+	// A read deadline that passes while the connection is idle would make it unusable.
+	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
+		x.conn.close()
+		return
+	}
 	x.conn.expires = idleExpiry(x.connector.clk, x.Header)
 	x.connector.putIdle(x.conn)
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -62,8 +62,13 @@
 	Leader   string
 	// FencingToken rises from one leader to the next.
 	FencingToken uint64
+	// Permit returns an error once the order must not be sent any more.
+	Permit func() error
 }
 
+// errLeadershipExpired reports an order that was not sent.
+const errLeadershipExpired = errors.ConstError("leadership may have expired")
+
 // Upstreams sends orders and report requests to engines.
 type Upstreams interface {
 	Order(ctx context.Context, order FencedOrder) (roller.Result, error)
@@ -325,12 +330,18 @@
 	o.traffic.Suspend(ord.Incarnation, o.clk.Now().Add(suspendDuration))
 	token := o.orderToken()
 	if token == 0 {
-		o.recordResult(ord, roller.Failed, errors.New("leadership may have expired"), 0)
+		o.recordResult(ord, roller.Failed, errLeadershipExpired, 0)
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	res, err := o.ups.Order(call, FencedOrder{Order: ord, Upstream: u, Leader: o.set.Node, FencingToken: token})
+	permit := func() error {
+		if o.orderToken() != token {
+			return errLeadershipExpired
+		}
+		return nil
+	}
+	res, err := o.ups.Order(call, FencedOrder{Order: ord, Upstream: u, Leader: o.set.Node, FencingToken: token, Permit: permit})
 	o.recordResult(ord, res, err, token)
 }
 
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -28,12 +28,14 @@
 	}
 	now := u.r.Boot.Elapsed()
 	m := u.view.Matcher
-	if u.route = m.Route(u.req.Host, u.req.Path); u.route == nil {
+	route := m.Route(u.req.Host, u.req.Path)
+	if route == nil { // a request that has been admitted keeps the properties of its route
 		if !proof.Fresh(now, maxDenialProofAge) {
 			return failure.ConfigStale
 		}
 		return failure.UnknownRoute
 	}
+	u.route = route
 	if u.route.Public || !m.RequiresKey() {
 		return failure.None
 	}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -166,11 +166,30 @@
 		Address: u.choice.Upstream.Address, Incarnation: u.choice.Incarnation(),
 		Method: u.req.Method, Target: u.req.Target, Host: u.req.Host,
 		Head: u.r.Dialect.AppendHeader(nil, u.req, &a), Body: u.req.Body,
-		Fresh: !u.route.Repeatable(), FirstByteTimeout: min(u.firstByteTimeout(remaining), u.untilVersionCutoff(q)),
+		Fresh: !u.route.Repeatable(), New: u.sends > 0, Permit: u.permit, FirstByteTimeout: min(u.firstByteTimeout(remaining), u.untilVersionCutoff(q)),
 		Matches: func(h connector.Header) bool { return u.r.Dialect.ParseResponse(0, h).RequestID == id },
 	})
 }
 
+// errNotPermitted reports a request that was not sent, since it may no longer be.
+const errNotPermitted = errors.ConstError("request may no longer be sent to the upstream")
+
+// permit returns an error if the request must not be sent to the chosen upstream any
+// more. It is called right before the send: the process may have been suspended since the
+// upstream was chosen, and a key or the upstream may have been taken away meanwhile.
+func (u *relay) permit() error {
+	service := u.service
+	if u.checkSend() != failure.None || u.service != service {
+		return errNotPermitted
+	}
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	if !u.r.placer.Eligible(u.choice.Incarnation()) {
+		return errNotPermitted
+	}
+	return nil
+}
+
 // cacheSalt returns the salt that separates cached parts of different models,
 // versions and cache scopes. An isolated workspace has a cache scope of its own.
 func cacheSalt(model string, version int, cacheScope string) string {
@@ -235,11 +254,16 @@
 // whether to make another one.
 func (u *relay) handleUnreachable(err error) bool {
 	callerGone := u.ctx.Err() != nil
+	notPermitted := errors.Is(err, errNotPermitted)
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		if !callerGone {
+		if !callerGone && !notPermitted {
 			p.RecordUnreachable(u.r.Clock.Now(), c)
 		}
 	})
+	if notPermitted {
+		u.logEntry("attemptNotSent").WithError(err).Info("request was not sent")
+		return true // the check before the next attempt tells why
+	}
 	u.exclude = append(u.exclude, u.choice.Incarnation())
 	u.logEntry("attemptNotSent").WithError(err).Info("connection to the upstream failed")
 	if len(u.exclude) > maxSends {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -50,6 +50,7 @@
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		end := lastEventEnd(buf)
+		sawEvent := hasEvent(buf[:end])
 		if end > 0 {
 			if werr := u.writeEvents(x, buf[:end]); werr != nil {
 				return u.handleCallerGone(werr)
@@ -68,7 +69,7 @@
 			return false
 		case err != nil:
 			return u.handleBrokenStream(err)
-		case end > 0: // only complete events extend the timeout
+		case end > 0 && sawEvent: // only complete events extend the timeout, and not comments
 			if err := x.SetReadTimeout(u.eventTimeout()); err != nil {
 				return u.handleBrokenStream(err)
 			}
@@ -144,6 +145,17 @@
 	return end
 }
 
+// hasEvent reports whether b has a line that isn't a comment. An engine that has stalled
+// may go on sending comments.
+func hasEvent(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // lastID returns the ID of the last event in b that has one, or an empty string.
 func lastID(b []byte) string {
 	for len(b) > 0 {
