fix(roller): a roll-out leaves a small service its capacity

At most a third more than may load are away now, which keeps the weight store busy at 240 engines and is one more than load at 12 and 18, as before; and the utilization counts slots too.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -441,8 +441,8 @@
 	// Running is the number of requests of all nodes that run there. Pinned is how
 	// many of these can't move to another upstream.
 	Running, Pinned int
-	// Utilization is the share of the memory for running requests that is in use, 0 if
-	// the memory isn't known.
+	// Utilization is the share of the slots, or of the memory for running requests, that
+	// is in use, whichever is greater.
 	Utilization float64
 	// Reachable is false while the circuit breaker is open.
 	Reachable bool
@@ -457,11 +457,14 @@
 		return UpstreamStatus{}
 	}
 	utilization := 0.0
+	if s.up.Slots > 0 {
+		utilization = float64(s.local.Running+s.peers.Running) / float64(s.up.Slots)
+	}
 	if s.memoryTokens > 0 {
-		utilization = min(1, float64(s.local.MemoryTokens+s.peers.MemoryTokens)/(maxMemoryShare*float64(s.memoryTokens)))
+		utilization = max(utilization, float64(s.local.MemoryTokens+s.peers.MemoryTokens)/(maxMemoryShare*float64(s.memoryTokens)))
 	}
 	return UpstreamStatus{
-		Utilization: utilization,
+		Utilization: min(1, utilization),
 		Running:     s.local.Running + s.peers.Running, Pinned: s.local.Pinned + s.peers.Pinned, Reachable: s.breaker.Allows(now),
 	}
 }
--- a/pkg/roller/roller.go
+++ b/pkg/roller/roller.go
@@ -93,8 +93,9 @@
 	// service: the weight store slows down beyond that.
 	parallelLoadDivisor = 5
 	// maxAwayFactor limits the engines that get no work to a multiple of those that
-	// load: the others drain, or have loaded and not reported it yet.
-	maxAwayFactor = 2
+	// load: the others drain, or have loaded and not reported it yet. More would leave
+	// the rest of a small service overloaded.
+	maxAwayFactor = 4.0 / 3
 	// targetUtilization is the utilization of the remaining engines up to which
 	// further engines are taken away.
 	targetUtilization = 0.7
@@ -218,7 +219,7 @@
 func maxAway(engines int, busy float64) int {
 	loads := maxParallelLoads(engines)
 	spare := engines - int(math.Ceil(busy/targetUtilization))
-	return max(loads+1, min(maxAwayFactor*loads, spare))
+	return max(loads+1, min(int(maxAwayFactor*float64(loads)), spare))
 }
 
 // drainedEngines returns the engines that are ready for their order, those that
