--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -104,6 +104,17 @@
 		Upstream int
 		For      time.Duration
 	}
+	// UpstreamRepeats makes an upstream send responses once more, late, on connections
+	// that are in use again.
+	UpstreamRepeats struct {
+		Upstream int
+		For      time.Duration
+	}
+	// UpstreamStalls makes streams of an upstream stall and send comments.
+	UpstreamStalls struct {
+		Upstream int
+		For      time.Duration
+	}
 	// UpstreamLeaves drains an upstream, which another one replaces at its address.
 	UpstreamLeaves struct{ Upstream int }
 	// KeyTaken revokes a key.
@@ -114,22 +125,24 @@
 	WeightsNamed struct{}
 )
 
-func (Stop) fault()           {}
-func (StopAll) fault()        {}
-func (Kill) fault()           {}
-func (Freeze) fault()         {}
-func (StoreDown) fault()      {}
-func (StoreSlow) fault()      {}
-func (StoreLoses) fault()     {}
-func (StoreRefuses) fault()   {}
-func (StoreForgets) fault()   {}
-func (Link) fault()           {}
-func (UpstreamCrash) fault()  {}
-func (UpstreamErrs) fault()   {}
-func (UpstreamLeaves) fault() {}
-func (KeyTaken) fault()       {}
-func (RouteMoved) fault()     {}
-func (WeightsNamed) fault()   {}
+func (Stop) fault()            {}
+func (StopAll) fault()         {}
+func (Kill) fault()            {}
+func (Freeze) fault()          {}
+func (StoreDown) fault()       {}
+func (StoreSlow) fault()       {}
+func (StoreLoses) fault()      {}
+func (StoreRefuses) fault()    {}
+func (StoreForgets) fault()    {}
+func (Link) fault()            {}
+func (UpstreamCrash) fault()   {}
+func (UpstreamErrs) fault()    {}
+func (UpstreamRepeats) fault() {}
+func (UpstreamStalls) fault()  {}
+func (UpstreamLeaves) fault()  {}
+func (KeyTaken) fault()        {}
+func (RouteMoved) fault()      {}
+func (WeightsNamed) fault()    {}
 
 // Step is a fault and the time at which it starts, counted from the start of the
 // traffic.
@@ -149,6 +162,8 @@
 	burstProbability = 0.35
 	// faultsPerSecond is the average rate of faults.
 	faultsPerSecond = 0.8
+	// maxLaterFaults is the largest number of faults of the kinds that were added later.
+	maxLaterFaults = 3
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
 	// in which a revoked key must be rejected, so that some faults last longer.
 	maxDuration = 7 * time.Second
@@ -157,13 +172,16 @@
 // Planner generates plans. The same seed and options give the same plan, as long as
 // the order of the random draws stays the same.
 type Planner struct {
-	rnd  *rand.Rand
+	rnd *rand.Rand
+	// more draws the kinds of faults that were added later, so that a seed draws the
+	// same other faults as before.
+	more *rand.Rand
 	opts Options
 }
 
 // New returns a Planner for a seed.
 func New(seed uint64, opts Options) *Planner {
-	return &Planner{rnd: rand.New(rand.NewPCG(seed, 0x50a4)), opts: opts}
+	return &Planner{rnd: rand.New(rand.NewPCG(seed, 0x50a4)), more: rand.New(rand.NewPCG(seed, 0x50a5)), opts: opts}
 }
 
 // Plan returns the faults in the order of their start.
@@ -179,6 +197,9 @@
 		}
 		out = append(out, Step{At: at, Fault: p.draw(startupTime + span - at)})
 	}
+	for range 1 + p.more.IntN(maxLaterFaults) {
+		out = append(out, Step{At: startupTime + time.Duration(p.more.Int64N(int64(span))), Fault: p.drawLater()})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -242,6 +263,15 @@
 	return WeightsNamed{}
 }
 
+// drawLater draws a fault of the kinds that were added later.
+func (p *Planner) drawLater() Fault {
+	up, d := p.more.IntN(p.opts.Upstreams), time.Second+time.Duration(p.more.Int64N(int64(maxDuration)))
+	if p.more.IntN(2) == 0 {
+		return UpstreamRepeats{Upstream: up, For: d}
+	}
+	return UpstreamStalls{Upstream: up, For: d}
+}
+
 // someNodes draws one node or more.
 func (p *Planner) someNodes() []int {
 	nodes := p.rnd.Perm(p.opts.Nodes)
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -41,8 +41,8 @@
 			}
 		}
 	}
-	if len(kinds) != 16 {
-		t.Errorf("%d types of faults, want 16: %v", len(kinds), kinds)
+	if len(kinds) != 18 {
+		t.Errorf("%d types of faults, want 18: %v", len(kinds), kinds)
 	}
 	if overlapping < 50 {
 		t.Errorf("only %d faults start within 400 ms of the previous one", overlapping)
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -62,12 +62,11 @@
 	case planner.UpstreamCrash:
 		s.runAsync(func() { s.crashUpstream(ctx, s.endpoints[f.Upstream], f.For) })
 	case planner.UpstreamErrs:
-		inc := s.endpoints[f.Upstream].current.Load()
-		inc.server.SetFaults(errorRates)
-		s.runAsync(func() {
-			clock.Sleep(ctx, s.clk, f.For)
-			inc.server.SetFaults(upstream.Faults{})
-		})
+		s.injectUpstreamFault(ctx, f.Upstream, errorRates, f.For)
+	case planner.UpstreamRepeats:
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{RepeatResponse: 0.3}, f.For)
+	case planner.UpstreamStalls:
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{StallStream: 0.3}, f.For)
 	case planner.UpstreamLeaves:
 		s.runAsync(func() { s.drainUpstream(ctx, s.endpoints[f.Upstream]) })
 	case planner.KeyTaken:
@@ -88,6 +87,16 @@
 	}
 }
 
+// injectUpstreamFault gives an upstream faults, and ends them in the background.
+func (s *Soaker) injectUpstreamFault(ctx context.Context, i int, f upstream.Faults, d time.Duration) {
+	inc := s.endpoints[i].current.Load()
+	inc.server.SetFaults(f)
+	s.runAsync(func() {
+		clock.Sleep(ctx, s.clk, d)
+		inc.server.SetFaults(upstream.Faults{})
+	})
+}
+
 // runAsync runs a part of a fault in the background. Run waits for it.
 func (s *Soaker) runAsync(f func()) {
 	s.faultGroup.Go(func() error { f(); return nil })
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return "", errors.Annotate(err, "listen for stand-in")
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, ConnContext: upstream.ConnContext}
 	g.Go(func() error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
