--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -149,7 +149,8 @@
 		resp, err = c.conn.Receive(record.SentAt.Add(wait + time.Second))
 	}
 	record.EndedAt = c.s.clk.Now()
-	record.Status, record.Complete, record.Stamped, record.ResponseID, record.Body = resp.Status, resp.Complete, resp.Stamped, resp.RequestID, string(resp.Body)
+	record.Status, record.Complete, record.Stamped, record.ResponseID = resp.Status, resp.Complete, resp.Stamped, resp.RequestID
+	record.Body = strings.ReplaceAll(string(resp.Body), upstream.Comment, "") // callers ignore comments
 	var timeout net.Error
 	record.ConnectionLost = err != nil && !(longStream && ctx.Err() != nil) && !(errors.As(err, &timeout) && timeout.Timeout())
 	if err != nil {
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -210,9 +210,9 @@
 	if !n.restarting.CompareAndSwap(false, true) {
 		// Another fault is stopping or restarting the node. Killing the process ends
 		// its shutdown.
+		from := s.clk.Now() // connections end before the signal call returns
 		s.signal(n, syscall.SIGKILL)
-		now := s.clk.Now()
-		s.addDisturbance(checker.Disturbance{Node: n.index, From: now, To: now})
+		s.addDisturbance(checker.Disturbance{Node: n.index, From: from, To: s.clk.Now()})
 		return
 	}
 	defer n.restarting.Store(false)
