fix(broadcaster): a new aggregator reports no silent nodes until it hears most

A node that hears less than half of the fleet takes itself for cut off, and said that none was silent; nodes that were cut off right after it (8 to 16 s) kept that report and named the lost machine.

Such a node sends its own state and no totals, and keeps to the last report it got itself.

TestNewAggregatorReportsNothingUntilItHearsMostNodes.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -265,10 +265,27 @@
 	return b.reportedSilentNodes(fleet)
 }
 
-// unheardNodes returns the nodes that this node has heard nothing from. It returns none
-// if these are half of the nodes or more, since this node is probably cut off itself
-// then.
+// unheardNodes returns the nodes that this node has heard nothing from. If these are
+// half of the nodes or more, it knows too little, and returns the last report of another
+// aggregator: it is probably cut off itself, or has just become an aggregator.
 func (b *Broadcaster) unheardNodes(nodes []traffic.Node) []string {
+	if out, ok := b.listUnheard(nodes); ok {
+		return out
+	}
+	return slices.Clone(b.reportedSilent)
+}
+
+// hearsMostNodes reports whether this node hears enough of the fleet to report on it.
+func (b *Broadcaster) hearsMostNodes(nodes []traffic.Node) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.listUnheard(nodes)
+	return ok
+}
+
+// listUnheard returns the nodes that this node has heard nothing from. ok is false if
+// these are half of the nodes or more.
+func (b *Broadcaster) listUnheard(nodes []traffic.Node) (unheard []string, ok bool) {
 	now := b.clk.Now()
 	var out []string
 	for i := range nodes {
@@ -276,10 +293,7 @@
 			out = append(out, name)
 		}
 	}
-	if 2*len(out) >= len(nodes) {
-		return nil
-	}
-	return out
+	return out, 2*len(out) < len(nodes)
 }
 
 // reportedSilentNodes returns the last report of an aggregator, which stays valid for a
@@ -377,7 +391,8 @@
 func (b *Broadcaster) messageToOthers(fleet *roster.Roster, m *Message) *Message {
 	others := *m
 	others.Loads, others.Placements, others.Tripped = nil, nil, nil
-	if !b.sendsTotals(fleet) {
+	// A new aggregator that doesn't hear most nodes yet would report that none is silent.
+	if !b.sendsTotals(fleet) || !b.hearsMostNodes(fleet.Nodes()) {
 		return &others
 	}
 	others.Aggregated = true
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -219,6 +219,97 @@
 	}
 }
 
+// A machine that replaces an aggregator becomes one itself before the other nodes send to
+// it. Its first reports said that no node was silent, and nodes that were cut off right
+// after it kept to that.
+func TestNewAggregatorReportsNothingUntilItHearsMostNodes(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	clk := testlib.NewClock(time.Unix(100, 0))
+	peer, err := net.ListenPacket("udp4", address(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	nodes := []traffic.Node{{Name: "self", Peer: address(t), MilliCores: 2000}}
+	for i := range 19 {
+		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: peer.LocalAddr().String(), MilliCores: 1000 - i})
+	}
+	fleet := roster.New(nodes)
+	l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
+	b, err := broadcaster.New(clk, clk, log, nodes[0], func() *roster.Roster { return fleet }, l, tally.NoopScope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = b.Run(ctx) })
+	defer func() { cancel(); wg.Wait() }()
+	hear := func(from string, m broadcaster.Message) {
+		t.Helper()
+		m.From = from
+		m.SentAt = clk.Now().UnixNano()
+		body, err := packer.Pack(&m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		to, err := net.ResolveUDPAddr("udp4", nodes[0].Peer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := peer.WriteTo(append([]byte{0}, body...), to); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the message", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			got := l.received[from]
+			if m.Aggregated {
+				got = l.total
+			}
+			return got != nil && got.SentAt == m.SentAt
+		})
+	}
+	// sends reports what the node sends in some rounds.
+	sends := func() (total *broadcaster.Message) {
+		t.Helper()
+		buf := make([]byte, 64<<10)
+		for range 10 {
+			clk.Step(100 * time.Millisecond)
+			if err := peer.SetReadDeadline(time.Now().Add(30 * time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			for {
+				n, _, err := peer.ReadFrom(buf)
+				if err != nil {
+					break
+				}
+				var m broadcaster.Message
+				if err := packer.New(buf[1:n]).Unpack(&m); err == nil && m.Aggregated {
+					total = &m
+				}
+			}
+		}
+		return total
+	}
+	clk.Step(time.Minute)
+	hear("n0", broadcaster.Message{Aggregated: true, SilentNodes: []string{"n7"}})
+	hear("n1", broadcaster.Message{})
+	if m := sends(); m != nil {
+		t.Errorf("a node that hears 2 of 19 others reports %v as silent", m.SilentNodes)
+	}
+	if got := b.SilentNodes(); !slices.Equal(got, []string{"n7"}) {
+		t.Errorf("%v are left out, want the last report", got)
+	}
+	for i := range 19 {
+		if i != 7 {
+			hear(fmt.Sprint("n", i), broadcaster.Message{})
+		}
+	}
+	if got := b.SilentNodes(); !slices.Equal(got, []string{"n7"}) {
+		t.Errorf("%v are left out by a node that hears all but n7", got)
+	}
+}
+
 // Guards against dating proofs by the clock of an earlier incarnation: after a
 // power loss a VM has another boot clock, while peers still echo times of its
 // earlier one.
