fix(broadcaster): a node that ceases to be an aggregator keeps its own report

Once a new machine ranks before it, it relied on reports that it had never got, and the new aggregator was cut off at that moment. It keeps what it knew last.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -168,7 +168,8 @@
 	round        int
 	echoes       map[string]echo
 	lastReceived map[string]time.Time // by node name
-	// reportedSilent is the last report of an aggregator about silent nodes.
+	// reportedSilent is the last report about silent nodes, of this node while it is an
+	// aggregator, or else of another one.
 	reportedSilent []string
 	suspensions    []announcedSuspension
 	upgrades       []announcedUpgrade
@@ -270,7 +271,7 @@
 // aggregator: it is probably cut off itself, or has just become an aggregator.
 func (b *Broadcaster) unheardNodes(nodes []traffic.Node) []string {
 	if out, ok := b.listUnheard(nodes); ok {
-		return out
+		b.reportedSilent = out // for the time when another node is the aggregator
 	}
 	return slices.Clone(b.reportedSilent)
 }
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,9 +235,10 @@
 	for i := range 19 {
 		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: peer.LocalAddr().String(), MilliCores: 1000 - i})
 	}
-	fleet := roster.New(nodes)
+	var fleet atomic.Pointer[roster.Roster]
+	fleet.Store(roster.New(nodes))
 	l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
-	b, err := broadcaster.New(clk, clk, log, nodes[0], func() *roster.Roster { return fleet }, l, tally.NoopScope)
+	b, err := broadcaster.New(clk, clk, log, nodes[0], fleet.Load, l, tally.NoopScope)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -301,12 +303,18 @@
 		t.Errorf("%v are left out, want the last report", got)
 	}
 	for i := range 19 {
-		if i != 7 {
+		if i != 7 && i != 8 {
 			hear(fmt.Sprint("n", i), broadcaster.Message{})
 		}
 	}
-	if got := b.SilentNodes(); !slices.Equal(got, []string{"n7"}) {
-		t.Errorf("%v are left out by a node that hears all but n7", got)
+	if got := b.SilentNodes(); !slices.Equal(got, []string{"n7", "n8"}) {
+		t.Errorf("%v are left out by a node that hears all but n7 and n8", got)
+	}
+	// Two new machines become the aggregators, which have reported nothing yet.
+	fleet.Store(roster.New(append([]traffic.Node{{Name: "x", MilliCores: 9000}, {Name: "y", MilliCores: 9000}}, nodes...)))
+	clk.Step(200 * time.Millisecond)
+	if got := b.SilentNodes(); !slices.Contains(got, "n8") {
+		t.Errorf("%v are left out by a node that has ceased to be an aggregator, want n8 too", got)
 	}
 }
 
