--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -219,32 +218,6 @@
 	return g.Wait()
 }
 
-// AnnounceSuspension tells peers at once to send no new work to an upstream.
-func (b *Broadcaster) AnnounceSuspension(upstream uint32, until time.Time) {
-	now := b.clk.Now()
-	b.mu.Lock()
-	b.suspensions = append(b.suspensions, announcedSuspension{upstream: upstream, until: until, announcedAt: now})
-	b.eventsPending = true
-	b.mu.Unlock()
-	b.triggerBroadcast()
-}
-
-// AnnounceUpgrade tells peers at once that an upstream has loaded new weights.
-func (b *Broadcaster) AnnounceUpgrade(u Upgrade) {
-	now := b.clk.Now()
-	b.mu.Lock()
-	b.upgrades = append(b.upgrades, announcedUpgrade{Upgrade: u, announcedAt: now})
-	kept := b.suspensions[:0]
-	for _, c := range b.suspensions {
-		if c.upstream != u.Upstream {
-			kept = append(kept, c)
-		}
-	}
-	b.suspensions, b.eventsPending = kept, true
-	b.mu.Unlock()
-	b.triggerBroadcast()
-}
-
 // AnnounceLeaving tells peers at once to direct no more callers to this node.
 func (b *Broadcaster) AnnounceLeaving() {
 	b.mu.Lock()
@@ -253,71 +226,6 @@
 	b.triggerBroadcast()
 }
 
-// SilentNodes returns the registered nodes that callers shouldn't be directed to, since
-// they have sent no message recently. In a large fleet, only the aggregators receive
-// messages from all nodes, and report to the others which ones are silent.
-func (b *Broadcaster) SilentNodes() []string {
-	fleet := b.fleet()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if fleet.FullMesh() || fleet.IsAggregator(b.self.Name) {
-		return b.unheardNodes(fleet.Nodes())
-	}
-	return b.reportedSilentNodes(fleet)
-}
-
-// unheardNodes returns the nodes that this node has heard nothing from. If these are
-// half of the nodes or more, it knows too little, and returns the last report of another
-// aggregator: it is probably cut off itself, or has just become an aggregator.
-func (b *Broadcaster) unheardNodes(nodes []traffic.Node) []string {
-	if out, ok := b.listUnheard(nodes); ok {
-		b.reportedSilent = out // for the time when another node is the aggregator
-	}
-	return slices.Clone(b.reportedSilent)
-}
-
-// hearsMostNodes reports whether this node hears enough of the fleet to report on it.
-func (b *Broadcaster) hearsMostNodes(nodes []traffic.Node) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	_, ok := b.listUnheard(nodes)
-	return ok
-}
-
-// listUnheard returns the nodes that this node has heard nothing from. ok is false if
-// these are half of the nodes or more.
-func (b *Broadcaster) listUnheard(nodes []traffic.Node) (unheard []string, ok bool) {
-	now := b.clk.Now()
-	var out []string
-	for i := range nodes {
-		if name := nodes[i].Name; name != b.self.Name && now.Sub(b.lastReceived[name]) > silenceThreshold {
-			out = append(out, name)
-		}
-	}
-	return out, 2*len(out) < len(nodes)
-}
-
-// reportedSilentNodes returns the last report of an aggregator, which stays valid for a
-// node that is cut off from all others, and the aggregators that are silent themselves
-// while other nodes are heard.
-func (b *Broadcaster) reportedSilentNodes(fleet *roster.Roster) []string {
-	now := b.clk.Now()
-	out := slices.Clone(b.reportedSilent)
-	hearsOthers := false
-	for _, at := range b.lastReceived {
-		hearsOthers = hearsOthers || now.Sub(at) <= aggregatorSilence
-	}
-	if !hearsOthers || now.Sub(b.startedAt) <= aggregatorSilence {
-		return out
-	}
-	for _, n := range fleet.Aggregators() {
-		if now.Sub(b.lastReceived[n.Name]) > aggregatorSilence && !slices.Contains(out, n.Name) {
-			out = append(out, n.Name)
-		}
-	}
-	return out
-}
-
 // Announce sends the local state to all nodes at once.
 func (b *Broadcaster) Announce() {
 	b.mu.Lock()
@@ -347,106 +255,6 @@
 	return nil
 }
 
-// audience is the set of nodes that one round sends to.
-type audience struct {
-	fleet *roster.Roster
-	// everyone is set if all nodes must learn something at once.
-	everyone bool
-	// relays is set if this node's messages keep the other nodes informed.
-	relays bool
-	round  int
-}
-
-// includes reports whether the round sends to the node at position i, besides the
-// aggregators. The nodes take turns, since messages to hundreds of nodes at once
-// would hold up the answers to questions on the link.
-func (a audience) includes(i int) bool {
-	return a.everyone || a.fleet.FullMesh() || a.relays && i%roundsPerTotal == a.round%roundsPerTotal
-}
-
-// broadcast sends one message to each node that should receive one. In a small
-// fleet, each node sends to all others. In a large fleet, nodes send to the
-// aggregators, and those that keep the others informed send to the rest.
-func (b *Broadcaster) broadcast() {
-	fleet := b.fleet()
-	m := b.message()
-	to := audience{fleet: fleet, everyone: b.takeEveryone(), relays: fleet.IsAggregator(b.self.Name) || m.StoreReader, round: b.round}
-	readers := b.actingReaders()
-	var others *Message
-	for i, n := range fleet.Nodes() {
-		switch {
-		case n.Name == b.self.Name:
-		case fleet.FullMesh(), fleet.IsAggregator(n.Name):
-			b.sendMessage(&n, m)
-		case to.includes(i), readers[n.Name]:
-			if others == nil {
-				others = b.messageToOthers(fleet, m)
-			}
-			b.sendMessage(&n, others)
-		}
-	}
-}
-
-// messageToOthers returns the message for the nodes of a large fleet that aren't
-// aggregators. One aggregator adds the totals of the loads.
-func (b *Broadcaster) messageToOthers(fleet *roster.Roster, m *Message) *Message {
-	others := *m
-	others.Loads, others.Placements, others.Tripped = nil, nil, nil
-	// A new aggregator that doesn't hear most nodes yet would report that none is silent.
-	if !b.sendsTotals(fleet) || !b.hearsMostNodes(fleet.Nodes()) {
-		return &others
-	}
-	others.Aggregated = true
-	others.SilentNodes = b.SilentNodes()
-	others.Loads = b.aggregator.total(b.clk.Now(), m.Loads)
-	return &others
-}
-
-// sendsTotals reports whether this node is the first aggregator that isn't silent.
-func (b *Broadcaster) sendsTotals(fleet *roster.Roster) bool {
-	for _, n := range fleet.Aggregators() {
-		if n.Name == b.self.Name {
-			return true
-		}
-		b.mu.Lock()
-		silent := b.clk.Now().Sub(b.lastReceived[n.Name]) > silenceThreshold
-		b.mu.Unlock()
-		if !silent {
-			return false
-		}
-	}
-	return false
-}
-
-// takeEveryone reports whether the next messages go to all nodes. Events wait for
-// each other for eventFlushInterval; they are sent to the aggregators at once.
-func (b *Broadcaster) takeEveryone() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.clk.Now()
-	if !b.everyone && (!b.eventsPending || now.Sub(b.flushedAt) < eventFlushInterval) {
-		return false
-	}
-	b.everyone, b.eventsPending, b.flushedAt = false, false, now
-	return true
-}
-
-// actingReaders returns the nodes that read the store for others although they
-// aren't aggregators. They need this node's messages in order to echo them.
-func (b *Broadcaster) actingReaders() map[string]bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := map[string]bool{}
-	for name, at := range b.storeReaders {
-		if b.clk.Now().Sub(at) < silenceThreshold {
-			out[name] = true
-		} else {
-			delete(b.storeReaders, name)
-		}
-	}
-	return out
-}
-
 func (b *Broadcaster) sendMessage(n *traffic.Node, m *Message) {
 	b.mu.Lock()
 	m.Echo, m.EchoBootID = b.echoes[n.Name].sentAt, b.echoes[n.Name].bootID
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -57,7 +57,7 @@
 	t.Helper()
 	var nodes []traffic.Node
 	for i := range n {
-		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: address(t), MilliCores: 1})
+		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: testlib.NewAddress(t), MilliCores: 1})
 	}
 	log, _ := logtest.NewNullLogger()
 	fleet := roster.New(nodes)
@@ -81,15 +81,6 @@
 	return broadcasters, locals
 }
 
-func address(t *testing.T) string {
-	t.Helper()
-	addr, err := testlib.Address()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return addr
-}
-
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for range 1000 {
@@ -165,7 +156,7 @@
 func TestSilentNodesOfLargeFleetAreLeftOutWithoutReports(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
 	clk := testlib.NewClock(time.Unix(100, 0))
-	nodes := []traffic.Node{{Name: "self", Peer: address(t)}}
+	nodes := []traffic.Node{{Name: "self", Peer: testlib.NewAddress(t)}}
 	for i := range 19 { // too many for a full mesh; n0 and n1 are the aggregators
 		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: "127.0.0.1:9", MilliCores: 1000 - i})
 	}
@@ -226,12 +217,12 @@
 func TestNewAggregatorReportsNothingUntilItHearsMostNodes(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
 	clk := testlib.NewClock(time.Unix(100, 0))
-	peer, err := net.ListenPacket("udp4", address(t))
+	peer, err := net.ListenPacket("udp4", testlib.NewAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer peer.Close()
-	nodes := []traffic.Node{{Name: "self", Peer: address(t), MilliCores: 2000}}
+	nodes := []traffic.Node{{Name: "self", Peer: testlib.NewAddress(t), MilliCores: 2000}}
 	for i := range 19 {
 		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: peer.LocalAddr().String(), MilliCores: 1000 - i})
 	}
@@ -325,7 +316,7 @@
 	log, _ := logtest.NewNullLogger()
 	var nodes []traffic.Node
 	for i := range 2 {
-		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: address(t), BootID: 1})
+		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), Peer: testlib.NewAddress(t), BootID: 1})
 	}
 	fleet := roster.New(nodes)
 	run := func(self traffic.Node, clk clock.Clock, booted time.Duration) (*recorder, func()) {
@@ -375,7 +366,7 @@
 		t.Fatal(err)
 	}
 	defer sender.Close()
-	self := traffic.Node{Name: "n0", Peer: address(t), Protocol: 1}
+	self := traffic.Node{Name: "n0", Peer: testlib.NewAddress(t), Protocol: 1}
 	fleet := roster.New([]traffic.Node{self, {Name: "n1", Peer: sender.LocalAddr().String(), Protocol: 9, BootID: 5}})
 	l := &recorder{received: map[string]*broadcaster.Message{}, upgraded: map[uint32]bool{}}
 	b, err := broadcaster.New(systemclock.New(), testlib.NewClock(time.Unix(50, 0)), log, self, func() *roster.Roster { return fleet }, l, scope)
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -46,15 +46,6 @@
 	t.Fatalf("no log line contains %q", text)
 }
 
-func address(t *testing.T) string {
-	t.Helper()
-	addr, err := testlib.Address()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return addr
-}
-
 type fixture struct {
 	store   *metastore.Store
 	log     *logBuffer
@@ -65,12 +56,12 @@
 
 func newFixture(t *testing.T, graceSeconds float64) *fixture {
 	t.Helper()
-	b := &fixture{store: metastore.New(systemclock.New()), log: &logBuffer{}, callers: address(t), ended: make(chan error, 1)}
+	b := &fixture{store: metastore.New(systemclock.New()), log: &logBuffer{}, callers: testlib.NewAddress(t), ended: make(chan error, 1)}
 	server := httptest.NewServer(b.store.Handler("n"))
 	t.Cleanup(server.Close)
 	s := config.EntrySettings{
-		Name: "n", DataCentre: "a", CallerListen: b.callers, ReadyListen: address(t), DirectoryListen: address(t),
-		PeerListen: address(t), Store: strings.TrimPrefix(server.URL, "http://"), MemoryMB: 512, GraceSeconds: graceSeconds,
+		Name: "n", DataCentre: "a", CallerListen: b.callers, ReadyListen: testlib.NewAddress(t), DirectoryListen: testlib.NewAddress(t),
+		PeerListen: testlib.NewAddress(t), Store: strings.TrimPrefix(server.URL, "http://"), MemoryMB: 512, GraceSeconds: graceSeconds,
 	}.WithDefaults()
 	e, err := entry.New(s, b.log)
 	if err != nil {
--- a/internal/feeder/feeder_test.go
+++ b/internal/feeder/feeder_test.go
@@ -27,18 +27,18 @@
 
 const readers = 2
 
-// decode decodes "up/ID" with "ready" or "draining", "op/config" with a version and
-// padding, and "op/weights" with a version.
+// decode decodes "up/ID" with "ready" or "draining", "ops/config" with a version and
+// padding, and "ops/weights" with a version.
 func decode(it platform.Item) (traffic.StoreRecord, error) {
 	value := string(it.Value)
 	switch {
 	case strings.HasPrefix(it.Key, "up/"):
 		return &traffic.Upstream{ID: it.Key[3:], StartedMS: 1, Service: "s", Address: "127.0.0.1:1", Draining: value == "draining"}, nil
-	case it.Key == "op/config":
+	case it.Key == "ops/config":
 		version, _, _ := strings.Cut(value, " ")
 		n, err := strconv.ParseUint(version, 10, 64)
 		return &traffic.Catalog{Version: n}, errors.Trace(err)
-	case it.Key == "op/weights":
+	case it.Key == "ops/weights":
 		n, err := strconv.Atoi(value)
 		return &traffic.Weights{Model: "m", Version: n}, errors.Trace(err)
 	}
@@ -116,8 +116,8 @@
 		t: t, clk: testlib.NewClock(time.Unix(100, 0)), store: testlib.NewStore(), rnd: rand.New(rand.NewPCG(1, 2)), digestInterval: 500 * time.Millisecond,
 		handlers: map[string]map[broadcaster.Kind]broadcaster.Handler{}, sent: map[broadcaster.Kind]int{},
 	}
-	f.store.Set("op/config", "1")
-	f.store.Set("op/weights", "1")
+	f.store.Set("ops/config", "1")
+	f.store.Set("ops/weights", "1")
 	for i := range 40 {
 		f.store.Set(fmt.Sprintf("up/%02d", i), "ready")
 	}
@@ -133,7 +133,7 @@
 		if i < readers {
 			store = cutStore{Store: f.store, cut: &f.storeCut}
 		}
-		obs := observer.New(f.clk, f.clk, log, store, observer.Layout{OperatorPrefix: "op/", Decode: decode})
+		obs := observer.New(f.clk, f.clk, log, store, observer.Layout{OperatorPrefix: "ops/", Decode: decode})
 		obs.SetListener(ignoringListener{})
 		obs.SetStoreReader(func() bool { return i < readers })
 		obs.SetPace(func() roster.Pace { return all.Pace(nodes[i].Name) })
@@ -232,8 +232,8 @@
 				}
 			}
 			for i := 2; i <= 4; i++ {
-				f.store.Set("op/config", strconv.Itoa(i))
-				f.store.Set("op/weights", strconv.Itoa(i))
+				f.store.Set("ops/config", strconv.Itoa(i))
+				f.store.Set("ops/weights", strconv.Itoa(i))
 				took := f.until("the configuration", func(obs *observer.Observer) bool { return configVersion(obs) == uint64(i) && weights(obs) == i })
 				if took > noticeBound {
 					t.Errorf("configuration %d reached the last node after %v, want at most %v", i, took, noticeBound)
@@ -256,7 +256,7 @@
 	f.digestInterval = 100 * time.Millisecond // as in a full mesh
 	f.run(3 * time.Second)
 	f.storeCut.Store(true)
-	f.store.Set("op/config", "2")
+	f.store.Set("ops/config", "2")
 	f.store.Delete("up/00")
 	others := f.obs[readers:]
 	var took time.Duration
@@ -285,7 +285,7 @@
 	f.run(outage)
 	f.store.SetError(nil)
 	f.store.Delete("up/00")
-	f.store.Set("op/config", "2")
+	f.store.Set("ops/config", "2")
 	f.until("the changes", func(obs *observer.Observer) bool { return configVersion(obs) == 2 && upstreams(obs) == 39 })
 	f.run(5 * time.Second)
 	// Two readers try five times a second, six stand-ins each 0.6 s, and the rest each 2 s.
@@ -325,7 +325,7 @@
 	for i := range padding {
 		padding[i] = byte('a' + f.rnd.IntN(26))
 	}
-	f.store.Set("op/config", "2 "+string(padding))
+	f.store.Set("ops/config", "2 "+string(padding))
 	f.store.Set("up/50", "ready")
 	took := f.until("the configuration", func(obs *observer.Observer) bool { return configVersion(obs) == 2 && upstreams(obs) == 41 })
 	if took > noticeBound {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -55,14 +55,6 @@
 	s.Handler.ServeHTTP(w, r)
 }
 
-func freeAddr(b *testing.B) string {
-	addr, err := testlib.Address()
-	if err != nil {
-		b.Fatal(err)
-	}
-	return addr
-}
-
 // startInProcess runs one node in the test process with store as its platform and
 // upstream as the handler of all upstreams. It returns the node's address.
 func startInProcess(b *testing.B, store, upstream http.Handler) string {
@@ -71,7 +63,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := config.Settings{
-		Name: "bench", DataCentre: "dc", Listen: freeAddr(b), PeerListen: "127.0.0.1:0", PeerSecret: "the secret of the bench",
+		Name: "bench", DataCentre: "dc", Listen: testlib.NewAddress(b), PeerListen: "127.0.0.1:0", PeerSecret: "the secret of the bench",
 		Platform: platform.URL, Limits: config.Limits{EntrySeconds: 0.01},
 	}.WithDefaults()
 	var clk clock.Clock = systemclock.New()
--- a/internal/testlib/ports.go
+++ b/internal/testlib/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"testing"
 
 	"github.com/juju/errors"
 )
@@ -82,3 +83,13 @@
 
 // Address returns an address on loopback that nothing else uses.
 func Address() (string, error) { return processPorts.Address() }
+
+// NewAddress is Address for a test, which fails without one.
+func NewAddress(t testing.TB) string {
+	t.Helper()
+	addr, err := Address()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
