--- a/internal/feeder/feeder.go
+++ b/internal/feeder/feeder.go
@@ -24,7 +24,8 @@
 
 // Snapshot is the node's view of the store.
 type Snapshot interface {
-	Digest() (d observer.Digest, ok bool)
+	// Generation changes whenever the result of ChangesSince may.
+	Generation() uint64
 	ChangesSince(revision uint64) observer.Changes
 	OperatorPrefix() string
 	ReceiveChanges(reader string, c observer.Changes)
@@ -61,12 +62,10 @@
 	// responses are the encoded responses for the current snapshot, by Since. Most
 	// nodes ask for the same changes.
 	responses map[uint64][]byte
-	// current identifies the snapshot.
-	current snapshotID
+	// generation is that of the snapshot.
+	generation uint64
 }
 
-type snapshotID struct{ revision, hash, config uint64 }
-
 // New returns the Feeder of the node with the name self, and registers its handlers.
 func New(log logrus.FieldLogger, self string, fleet func() *roster.Roster, transport Transport, local Snapshot) *Feeder {
 	f := &Feeder{log: log, self: self, roster: fleet, transport: transport, local: local, responses: map[uint64][]byte{}}
@@ -104,13 +103,12 @@
 // compressedChanges returns the changes after a revision, encoded and compressed. It
 // omits what operators wrote if it is too large for a datagram.
 func (f *Feeder) compressedChanges(since uint64) ([]byte, error) {
-	d, _ := f.local.Digest()
-	id := snapshotID{revision: d.Revision, hash: d.Hash, config: d.ConfigVersion}
+	generation := f.local.Generation() // read first: the changes are then at least as new
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if id != f.current {
+	if generation != f.generation {
 		clear(f.responses)
-		f.current = id
+		f.generation = generation
 	}
 	if b, ok := f.responses[since]; ok {
 		return b, nil
--- a/internal/feeder/feeder_test.go
+++ b/internal/feeder/feeder_test.go
@@ -55,6 +55,8 @@
 	clk   *testlib.Clock
 	store *testlib.Store
 	obs   []*observer.Observer
+	// feeders are those of the nodes, in the same order.
+	feeders []*feeder.Feeder
 
 	digestInterval time.Duration
 	// storeCut is set while the store rejects the store readers.
@@ -137,7 +139,9 @@
 		obs.SetListener(ignoringListener{})
 		obs.SetStoreReader(func() bool { return i < readers })
 		obs.SetPace(func() roster.Pace { return all.Pace(nodes[i].Name) })
-		obs.SetChangeSource(feeder.New(log, nodes[i].Name, func() *roster.Roster { return all }, transport{f: f, addr: nodes[i].Peer}, obs).Request)
+		feed := feeder.New(log, nodes[i].Name, func() *roster.Roster { return all }, transport{f: f, addr: nodes[i].Peer}, obs)
+		f.feeders = append(f.feeders, feed)
+		obs.SetChangeSource(feed.Request)
 		f.obs = append(f.obs, obs)
 		wg.Go(func() { _ = obs.Run(ctx) })
 	}
@@ -168,6 +172,14 @@
 	}
 }
 
+// ask makes a node request the changes since a revision from a reader.
+func (f *fleet) ask(reader, node int, since uint64) {
+	f.t.Helper()
+	if !f.feeders[node].Request(fmt.Sprint("n", reader), since) {
+		f.t.Fatal("the reader can't be asked")
+	}
+}
+
 func (f *fleet) run(d time.Duration) {
 	for end := f.clk.Now().Add(d); f.clk.Now().Before(end); {
 		f.step()
@@ -349,6 +361,32 @@
 	}
 }
 
+// A store reader learns of new weights by its watch, before its next read: neither the
+// revision nor the hash of its snapshot changes. A response that was cached for them would
+// lack the weights.
+func TestChangesAreCurrentBetweenTwoReadsOfTheReader(t *testing.T) {
+	f := newFleet(t, 3, traffic.CurrentProtocol)
+	f.run(time.Second)
+	before, _ := f.obs[0].Digest()
+	since := before.Revision
+	ask := func() int {
+		f.ask(0, 2, since)
+		return weights(f.obs[2])
+	}
+	if got := ask(); got != 1 {
+		t.Fatalf("weights %d, want 1", got)
+	}
+	f.store.Set("ops/weights", "2")
+	it, _ := f.store.Item("ops/weights")
+	f.obs[0].ReceiveChanges("watch", observer.Changes{Since: since, To: since, Hash: 1, Items: []platform.Item{it}})
+	if after, _ := f.obs[0].Digest(); after.Revision != since || after.Hash != before.Hash {
+		t.Fatal("the digest shows the weights")
+	}
+	if got := ask(); got != 2 {
+		t.Errorf("the reader knows weights 2, its answer brought %d", got)
+	}
+}
+
 // A store reader that has just started can't tell which keys were removed before.
 func TestChangesBeforeTheFirstReadAreAGap(t *testing.T) {
 	f := newFleet(t, 3, traffic.CurrentProtocol)
--- a/internal/observer/feed.go
+++ b/internal/observer/feed.go
@@ -210,6 +210,13 @@
 // called before Run.
 func (o *Observer) SetAnnouncer(announce func()) { o.announce = announce }
 
+// Generation returns a number that changes with each published snapshot.
+func (o *Observer) Generation() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.generation
+}
+
 // ChangesSince returns the changes after a revision, for a peer.
 func (o *Observer) ChangesSince(since uint64) Changes {
 	o.mu.Lock()
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -110,6 +110,7 @@
 	s.Roster = roster.New(s.Nodes)
 	o.snapshot.Store(s)
 	o.hash = s.hash()
+	o.generation++
 	if o.catalog == nil {
 		return
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -114,6 +114,7 @@
 	down          bool
 	downSince     time.Time
 	hash          uint64 // of the last snapshot
+	generation    uint64 // number of snapshots published
 	feed          feed
 	trigger       chan struct{}
 	isStoreReader func() bool
