--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -92,6 +93,23 @@
 	})
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedParts returns the IDs of the parts that the prompt may share with other requests,
+// separated by commas. Requests that crash upstreams may have one of them in common.
+func (u *relay) sharedParts() string {
+	p := u.req.Prompt
+	if p == nil {
+		return ""
+	}
+	var ids []string
+	for i := 0; i+1 < len(p.Parts) && i < maxLoggedParts; i++ {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // logEntry returns a log entry with the fields of the request and of its latest
 // placement decision.
 func (u *relay) logEntry(event string) *logrus.Entry {
