feat(detector): find what makes requests crash upstreams

Requests that crash engines may never be alike: the cause is one part of their prompts among others that sound requests have too. pkg/detector takes lost runs and successes with their features (a hash of each shared part and one of the whole request) and decides, without I/O or a clock:

- features of runs lost at a crash are suspects, and a success with one clears it at once, at any node;
- poison is a suspect lost at three crashes, in two of them by runs sent after the first, with a quarter of all crashes since to its account, while other runs succeed.
A suspect that has succeeded before needs twice as much.
Reports of a crash are awaited for 0.4 s, suspects are observed for 0.7 s;
- parts that always came together are rejected together, until a success takes one out;
- what was lost beside poison is absolved;
- a rejection ends after 10 minutes, and one more crash renews it.

--- /dev/null
+++ b/pkg/detector/detector.go
@@ -0,0 +1,221 @@
+package detector
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// poisonTTL is how long requests are rejected before one may run again.
+	poisonTTL = 10 * time.Minute
+	// paroleTTL is how long after that a single crash suffices to reject them again.
+	paroleTTL = time.Hour
+	// suspicionTTL is how long a crash is remembered.
+	suspicionTTL = 10 * time.Minute
+	// reportTime is how long evidence is repeated, so that a lost message doesn't matter.
+	reportTime = 2 * time.Second
+	// crashWindow is the time within which the runs lost at an upstream belong to the
+	// same crash.
+	crashWindow = 2 * time.Second
+
+	maxFeatures  = 32   // of one run
+	maxCrashes   = 128  // remembered
+	maxRuns      = 64   // of one crash
+	maxReports   = 48   // of each kind in one message
+	maxPoisons   = 32   // remembered
+	maxSuspects  = 4096 // remembered
+	maxSucceeded = 4096 // features remembered, in each of two generations
+)
+
+// report is an item of evidence that is repeated for reportTime.
+type report[T any] struct {
+	item T
+	at   time.Time
+}
+
+// Detector holds the evidence known to a node. It is not safe for concurrent use.
+type Detector struct {
+	judges   bool
+	crashes  []*crash              // by time
+	suspects map[Feature]time.Time // when the suspicion ends
+	vouched  map[Feature]time.Time // when a report of an earlier success ends
+	cleared  map[Feature]time.Time // until when reports of poison with the feature are void
+	poisons  []*poison
+	// succeeded and olderSucceeded are the features of runs that have succeeded here.
+	succeeded, olderSucceeded map[Feature]struct{}
+	totals                    runTotals
+
+	lostRuns    []report[lostRun]
+	clearings   []report[Feature]
+	vouchings   []report[Feature]
+	foundLately []Finding
+}
+
+// Finding reports that a node started to reject requests.
+type Finding struct {
+	Features []Feature
+	// Crashes is the number of crashes that support it, 0 if a peer reported it.
+	Crashes int
+}
+
+// New returns a Detector without evidence.
+func New() *Detector {
+	return &Detector{
+		suspects: map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
+		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{},
+	}
+}
+
+// SetJudge sets whether the evidence of all nodes reaches this node. Only then does it
+// decide what is poison; otherwise it relies on the nodes that do.
+func (d *Detector) SetJudge(judges bool) { d.judges = judges }
+
+// Rejects reports whether a request with the given features must not run.
+func (d *Detector) Rejects(now time.Time, features []Feature) bool {
+	for _, p := range d.poisons {
+		if now.Before(p.until) && p.matches(features) {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordLoss records that a run was lost when its upstream ended the connection.
+func (d *Detector) RecordLoss(now time.Time, upstream uint32, sentAt time.Time, features []Feature) {
+	r := newRun(sentAt, features)
+	d.totals.lost++
+	d.addLostRun(now, upstream, now, r)
+	if len(d.lostRuns) < maxReports {
+		d.lostRuns = append(d.lostRuns, report[lostRun]{lostRun{upstream: upstream, run: r}, now})
+	}
+}
+
+// newRun returns a run with at most maxFeatures features. The last one identifies the
+// whole request.
+func newRun(sentAt time.Time, features []Feature) run {
+	if over := len(features) - maxFeatures; over > 0 {
+		features = features[over:]
+	}
+	r := run{sentAt: sentAt, features: slices.Clone(features)}
+	for _, f := range features {
+		r.id = r.id*31 + uint64(f)
+	}
+	return r
+}
+
+// RecordSuccess records that a run with the given features succeeded.
+func (d *Detector) RecordSuccess(now time.Time, features []Feature) {
+	d.totals.succeeded++
+	for _, f := range features {
+		d.succeeded[f] = struct{}{}
+		if _, ok := d.suspects[f]; ok || d.isPoison(f) {
+			d.clear(now, f)
+			d.clearings = appendReport(d.clearings, f, now)
+		}
+	}
+	if len(d.succeeded) >= maxSucceeded {
+		d.succeeded, d.olderSucceeded = map[Feature]struct{}{}, d.succeeded
+	}
+}
+
+func (d *Detector) isPoison(f Feature) bool {
+	return slices.ContainsFunc(d.poisons, func(p *poison) bool { return slices.Contains(p.features, f) })
+}
+
+func appendReport(reports []report[Feature], f Feature, now time.Time) []report[Feature] {
+	if len(reports) >= maxReports || slices.ContainsFunc(reports, func(r report[Feature]) bool { return r.item == f }) {
+		return reports
+	}
+	return append(reports, report[Feature]{f, now})
+}
+
+// clear removes a feature from all suspicions.
+func (d *Detector) clear(now time.Time, f Feature) {
+	delete(d.suspects, f)
+	d.cleared[f] = now.Add(crashWindow + reportTime)
+	d.vouched[f] = now.Add(suspicionTTL)
+	for _, c := range d.crashes {
+		for i := range c.runs {
+			c.runs[i].features = without(c.runs[i].features, f)
+		}
+	}
+	for _, p := range d.poisons {
+		p.features = without(p.features, f)
+	}
+	d.poisons = slices.DeleteFunc(d.poisons, func(p *poison) bool { return len(p.features) == 0 })
+}
+
+func without(features []Feature, f Feature) []Feature {
+	if !slices.Contains(features, f) {
+		return features
+	}
+	return slices.DeleteFunc(slices.Clone(features), func(g Feature) bool { return g == f })
+}
+
+// addLostRun adds a run to the crash of its upstream, unless it is known already.
+func (d *Detector) addLostRun(now time.Time, upstream uint32, lostAt time.Time, r run) {
+	c := d.crashOf(now, upstream, lostAt)
+	if c.has(r.id) || len(c.runs) >= maxRuns {
+		return
+	}
+	c.runs = append(c.runs, r)
+	for _, p := range d.poisons {
+		if !p.matches(r.features) {
+			continue
+		}
+		if !now.Before(p.until) {
+			p.until = now.Add(poisonTTL)
+			d.foundLately = append(d.foundLately, Finding{Features: p.features, Crashes: 1})
+		}
+		c.explain(p.features)
+	}
+	if c.explained && !d.Rejects(now, r.features) {
+		c.runs[len(c.runs)-1].features = nil
+		return
+	}
+	for _, f := range r.features {
+		d.suspect(now, f)
+	}
+}
+
+// crashOf returns the crash of an upstream at about the given time.
+func (d *Detector) crashOf(now time.Time, upstream uint32, at time.Time) *crash {
+	for _, c := range d.crashes {
+		if c.upstream == upstream && c.at.Sub(at).Abs() < crashWindow {
+			return c
+		}
+	}
+	c := &crash{upstream: upstream, at: at, reportedAt: now, before: d.totals}
+	i := len(d.crashes)
+	for i > 0 && d.crashes[i-1].at.After(at) {
+		i--
+	}
+	d.crashes = slices.Insert(d.crashes, i, c)
+	if len(d.crashes) > maxCrashes {
+		d.crashes = slices.Delete(d.crashes, 0, 1)
+	}
+	return c
+}
+
+// suspect marks a feature as a suspect, and vouches for it if a run with it has succeeded
+// here.
+func (d *Detector) suspect(now time.Time, f Feature) {
+	_, known := d.suspects[f]
+	if !known && len(d.suspects) >= maxSuspects {
+		return
+	}
+	d.suspects[f] = now.Add(suspicionTTL)
+	if known || !d.hasSucceeded(f) {
+		return
+	}
+	d.vouched[f] = now.Add(suspicionTTL)
+	d.vouchings = appendReport(d.vouchings, f, now)
+}
+
+func (d *Detector) hasSucceeded(f Feature) bool {
+	if _, ok := d.succeeded[f]; ok {
+		return true
+	}
+	_, ok := d.olderSucceeded[f]
+	return ok
+}
--- /dev/null
+++ b/pkg/detector/evidence.go
@@ -0,0 +1,117 @@
+package detector
+
+import (
+	"slices"
+	"time"
+)
+
+// Feature is a hash of something that requests may have in common.
+type Feature uint64
+
+// LostRun is a run whose upstream ended the connection before the response was complete.
+type LostRun struct {
+	// Upstream is a hash of the incarnation.
+	Upstream uint32
+	// AgeMS is how long ago the run was lost, and DurationMS how long before that its
+	// request was sent.
+	AgeMS, DurationMS int64
+	// Features are those of the request, the most general first.
+	Features []Feature
+}
+
+// Poison describes requests that crash upstreams: those that have all of its features.
+type Poison struct {
+	Features []Feature // sorted
+	// RemainingMS is how long such requests are still rejected.
+	RemainingMS int64
+}
+
+// Evidence is what nodes exchange. It is encoded as an array, so the order of the fields
+// is part of the format. Later releases add fields at the end.
+type Evidence struct {
+	LostRuns []LostRun
+	// Suspects have been lost with several upstreams. The receivers report if they have
+	// seen a run with one of them succeed.
+	Suspects []Feature
+	// Cleared are former suspects with which a run has succeeded since.
+	Cleared []Feature
+	// Vouched are suspects with which a run had succeeded before they were suspected.
+	Vouched []Feature
+	Poisons []Poison
+}
+
+// WithoutReports returns the evidence that an aggregator passes on to nodes that don't
+// judge themselves.
+func (e Evidence) WithoutReports() Evidence {
+	e.LostRuns, e.Vouched = nil, nil
+	return e
+}
+
+// IsEmpty reports whether there is no evidence.
+func (e Evidence) IsEmpty() bool {
+	return len(e.LostRuns)+len(e.Suspects)+len(e.Cleared)+len(e.Vouched)+len(e.Poisons) == 0
+}
+
+// run is a lost run as the Detector keeps it.
+type run struct {
+	id       uint64 // identifies its reports
+	sentAt   time.Time
+	features []Feature
+}
+
+// lostRun is a run with the upstream that lost it.
+type lostRun struct {
+	upstream uint32
+	run
+}
+
+// runTotals counts the runs of a node by their end.
+type runTotals struct{ succeeded, lost uint64 }
+
+// crash holds the runs that were lost at one crash of an upstream.
+type crash struct {
+	upstream   uint32
+	at         time.Time
+	reportedAt time.Time // when this node learned of it
+	// before counts the runs of this node until then.
+	before runTotals
+	// explained is set if a run lost there was poison: then the others are innocent.
+	explained bool
+	runs      []run
+}
+
+// explain absolves the other runs of a crash if one with all of the given features was lost
+// there.
+func (c *crash) explain(features []Feature) {
+	guilty := func(r run) bool { return containsAll(r.features, features) }
+	if !slices.ContainsFunc(c.runs, guilty) {
+		return
+	}
+	for i, r := range c.runs {
+		if !guilty(r) && !c.explained {
+			c.runs[i].features = nil
+		}
+	}
+	c.explained = true
+}
+
+func (c *crash) has(id uint64) bool {
+	return slices.ContainsFunc(c.runs, func(r run) bool { return r.id == id })
+}
+
+// poison is a Poison as the Detector keeps it.
+type poison struct {
+	features []Feature // sorted
+	until    time.Time
+}
+
+func (p *poison) matches(features []Feature) bool { return containsAll(features, p.features) }
+
+func containsAll(all, some []Feature) bool {
+	for _, f := range some {
+		if !slices.Contains(all, f) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/detector/exchange.go
@@ -0,0 +1,148 @@
+package detector
+
+import (
+	"slices"
+	"time"
+)
+
+// Evidence returns what this node tells the others.
+func (d *Detector) Evidence(now time.Time) Evidence {
+	d.expire(now)
+	e := Evidence{Suspects: d.repeatedSuspects(), Cleared: items(d.clearings), Vouched: items(d.vouchings)}
+	for _, r := range d.lostRuns {
+		e.LostRuns = append(e.LostRuns, LostRun{
+			Upstream: r.item.upstream, AgeMS: now.Sub(r.at).Milliseconds(), DurationMS: r.at.Sub(r.item.sentAt).Milliseconds(), Features: r.item.features,
+		})
+	}
+	for _, p := range d.poisons {
+		if now.Before(p.until) {
+			e.Poisons = append(e.Poisons, Poison{Features: p.features, RemainingMS: p.until.Sub(now).Milliseconds()})
+		}
+	}
+	return e
+}
+
+// repeatedSuspects returns the suspects that were lost at two crashes or more. Those of one
+// crash are many, and clear themselves.
+func (d *Detector) repeatedSuspects() []Feature {
+	if !d.judges {
+		return nil
+	}
+	var out []Feature
+	seen := map[Feature]*crash{}
+	for _, c := range d.crashes {
+		if c.explained {
+			continue
+		}
+		for _, r := range c.runs {
+			for _, f := range r.features {
+				first, ok := seen[f]
+				switch {
+				case !ok:
+					seen[f] = c
+				case first != c && first != nil && len(out) < maxReports:
+					out = append(out, f)
+					seen[f] = nil
+				}
+			}
+		}
+	}
+	return out
+}
+
+func items[T any](reports []report[T]) []T {
+	var out []T
+	for _, r := range reports {
+		out = append(out, r.item)
+	}
+	return out
+}
+
+// Merge merges the evidence of a peer.
+func (d *Detector) Merge(now time.Time, e Evidence) {
+	for _, l := range e.LostRuns {
+		lostAt := now.Add(-time.Duration(l.AgeMS) * time.Millisecond)
+		d.addLostRun(now, l.Upstream, lostAt, newRun(lostAt.Add(-time.Duration(l.DurationMS)*time.Millisecond), l.Features))
+	}
+	for _, f := range e.Suspects {
+		d.suspect(now, f)
+	}
+	for _, f := range e.Vouched {
+		d.vouched[f] = now.Add(suspicionTTL)
+	}
+	for _, f := range e.Cleared {
+		_, suspected := d.suspects[f]
+		if !suspected && !d.isPoison(f) {
+			continue
+		}
+		d.clear(now, f)
+		if d.judges { // the nodes that don't send their evidence to each other learn it from here
+			d.clearings = appendReport(d.clearings, f, now)
+		}
+	}
+	for _, p := range e.Poisons {
+		d.mergePoison(now, p)
+	}
+}
+
+// renewalSlack is by how much a peer's end of a rejection must be later to count. It covers
+// the time that messages take, which would otherwise add up.
+const renewalSlack = 5 * time.Second
+
+func (d *Detector) mergePoison(now time.Time, reported Poison) {
+	if len(reported.Features) == 0 || len(reported.Features) > maxFeatures || reported.RemainingMS <= 0 {
+		return
+	}
+	for _, f := range reported.Features {
+		if now.Before(d.cleared[f]) {
+			return
+		}
+	}
+	until := now.Add(min(poisonTTL, time.Duration(reported.RemainingMS)*time.Millisecond))
+	if d.reject(now, reported.Features, until) {
+		d.foundLately = append(d.foundLately, Finding{Features: reported.Features})
+	}
+}
+
+// reject rejects requests with all of the features until the given time, and reports
+// whether they weren't rejected before.
+func (d *Detector) reject(now time.Time, features []Feature, until time.Time) bool {
+	features = slices.Clone(features)
+	slices.Sort(features)
+	for _, p := range d.poisons {
+		if slices.Equal(p.features, features) {
+			expired := !now.Before(p.until)
+			if until.Sub(p.until) > renewalSlack {
+				p.until = until
+			}
+			return expired
+		}
+	}
+	if len(d.poisons) >= maxPoisons {
+		d.poisons = slices.Delete(d.poisons, 0, 1)
+	}
+	d.poisons = append(d.poisons, &poison{features: features, until: until})
+	return true
+}
+
+// expire removes what no longer counts.
+func (d *Detector) expire(now time.Time) {
+	d.lostRuns, d.clearings, d.vouchings = dropOld(d.lostRuns, now), dropOld(d.clearings, now), dropOld(d.vouchings, now)
+	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) >= suspicionTTL })
+	d.poisons = slices.DeleteFunc(d.poisons, func(p *poison) bool { return now.Sub(p.until) >= paroleTTL })
+	dropExpired(d.suspects, now)
+	dropExpired(d.vouched, now)
+	dropExpired(d.cleared, now)
+}
+
+func dropOld[T any](reports []report[T], now time.Time) []report[T] {
+	return slices.DeleteFunc(reports, func(r report[T]) bool { return now.Sub(r.at) >= reportTime })
+}
+
+func dropExpired(ends map[Feature]time.Time, now time.Time) {
+	for f, end := range ends {
+		if !now.Before(end) {
+			delete(ends, f)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/detector/judge.go
@@ -0,0 +1,192 @@
+package detector
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes after which a suspect may be poison, and
+	// minLaterRuns in how many of them a run was lost that had been sent after the first:
+	// a crash of many upstreams at once has many features in common.
+	minCrashes   = 3
+	minLaterRuns = 2
+	// clearCrashes is the number of crashes at which nothing sound is lost each time.
+	clearCrashes = 6
+	// vouchedFactor multiplies both for a suspect with which runs had succeeded before.
+	vouchedFactor = 2
+	// minShare is the share of all crashes since the first one that poison must account
+	// for, as its inverse.
+	minShare = 4
+	// maxLossRatio is how many runs may be lost for each one that succeeds.
+	maxLossRatio = 8
+	// settleTime is the time within which the reports of a crash arrive from all nodes, and
+	// observationTime the time in which a first success with a suspect may clear it.
+	settleTime      = 400 * time.Millisecond
+	observationTime = 700 * time.Millisecond
+)
+
+// tally counts the crashes at which a feature was lost.
+type tally struct {
+	feature Feature
+	first   int // index of the first crash
+	last    int // index of the latest crash
+	crashes int
+	// laterRuns is the number of crashes with a run that had been sent after the first.
+	laterRuns int
+	lastLater int
+	vouched   bool
+}
+
+// Judge decides which features are poison and returns what this node started to reject
+// since the last call, by its own decision or by a peer's.
+func (d *Detector) Judge(now time.Time) []Finding {
+	for range maxPoisons {
+		features, crashes := d.findPoison(now)
+		if len(features) == 0 {
+			break
+		}
+		d.reject(now, features, now.Add(poisonTTL))
+		d.foundLately = append(d.foundLately, Finding{Features: features, Crashes: crashes})
+		for _, c := range d.crashes {
+			c.explain(features)
+		}
+	}
+	found := d.foundLately
+	d.foundLately = nil
+	return found
+}
+
+// findPoison returns the features of the most probable cause of the crashes that isn't
+// rejected yet, none if no suspect qualifies.
+func (d *Detector) findPoison(now time.Time) (features []Feature, crashes int) {
+	if !d.judges {
+		return nil, 0
+	}
+	var settled []*crash
+	for _, c := range d.crashes {
+		if now.Sub(c.reportedAt) >= settleTime {
+			settled = append(settled, c)
+		}
+	}
+	if len(settled) < minCrashes {
+		return nil, 0
+	}
+	var candidates []*tally
+	for _, t := range d.count(settled) {
+		if d.qualifies(now, t, settled) {
+			candidates = append(candidates, t)
+		}
+	}
+	slices.SortFunc(candidates, (*tally).compare)
+	for i, t := range candidates {
+		common := d.commonFeatures(settled, t)
+		if d.Rejects(now, common) {
+			continue
+		}
+		if t.isAmbiguous(common, candidates[i+1:]) {
+			return nil, 0
+		}
+		return common, t.crashes
+	}
+	return nil, 0
+}
+
+// isAmbiguous reports whether another candidate that came with other requests was lost as
+// often: it may just have run beside the cause, or be the cause. The next crash tells.
+func (t *tally) isAmbiguous(common []Feature, others []*tally) bool {
+	return t.crashes < clearCrashes && slices.ContainsFunc(others, func(o *tally) bool {
+		return o.vouched == t.vouched && o.crashes == t.crashes && !slices.Contains(common, o.feature)
+	})
+}
+
+func (d *Detector) count(crashes []*crash) map[Feature]*tally {
+	tallies := map[Feature]*tally{}
+	for i, c := range crashes {
+		for _, r := range c.runs {
+			for _, f := range r.features {
+				t := tallies[f]
+				if t == nil {
+					_, vouched := d.vouched[f]
+					t = &tally{feature: f, first: i, last: -1, lastLater: -1, vouched: vouched}
+					tallies[f] = t
+				}
+				if t.last != i {
+					t.last = i
+					t.crashes++
+				}
+				if t.lastLater != i && !r.sentAt.Before(crashes[t.first].at) {
+					t.lastLater = i
+					t.laterRuns++
+				}
+			}
+		}
+	}
+	return tallies
+}
+
+func (d *Detector) qualifies(now time.Time, t *tally, crashes []*crash) bool {
+	factor := 1
+	if t.vouched {
+		factor = vouchedFactor
+	}
+	first := crashes[t.first]
+	return t.crashes >= factor*minCrashes && t.laterRuns >= factor*minLaterRuns &&
+		now.Sub(first.reportedAt) >= observationTime &&
+		t.crashes*minShare >= unexplained(crashes[t.first:]) &&
+		d.otherRunsSucceed(first)
+}
+
+// otherRunsSucceed reports whether a fair share of this node's runs has succeeded since a
+// crash. While upstreams lose almost all that they run, the requests aren't the cause.
+func (d *Detector) otherRunsSucceed(since *crash) bool {
+	succeeded := d.totals.succeeded - since.before.succeeded
+	lost := d.totals.lost - since.before.lost
+	return succeeded > 0 && succeeded*maxLossRatio >= lost
+}
+
+func unexplained(crashes []*crash) int {
+	n := 0
+	for _, c := range crashes {
+		if !c.explained {
+			n++
+		}
+	}
+	return n
+}
+
+// compare sorts the more probable cause first. Sound features that requests have beside the
+// cause are lost as often.
+func (t *tally) compare(o *tally) int {
+	if t.vouched != o.vouched {
+		if o.vouched {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(o.crashes, t.crashes), cmp.Compare(t.feature, o.feature))
+}
+
+// commonFeatures returns the features that all lost runs with the cause have in common, since
+// any of them may be the cause. A success with one of them takes it away later.
+func (d *Detector) commonFeatures(crashes []*crash, cause *tally) []Feature {
+	var common []Feature
+	for _, c := range crashes {
+		for _, r := range c.runs {
+			switch {
+			case !slices.Contains(r.features, cause.feature):
+			case common == nil:
+				common = slices.Clone(r.features)
+			default:
+				common = slices.DeleteFunc(common, func(f Feature) bool { return !slices.Contains(r.features, f) })
+			}
+		}
+	}
+	common = slices.DeleteFunc(common, func(f Feature) bool {
+		_, vouched := d.vouched[f]
+		return vouched && !cause.vouched
+	})
+	slices.Sort(common)
+	return common
+}
