fix(relayer): a part of a prompt that crashes engines stops reaching them

Cause: the platform's path had no guard at all. pkg/quarantiner is used by the scheduler of serve alone, and its fingerprint is the whole request, so that it wouldn't have helped either.

Change: the relayer feeds pkg/detector with the runs that upstreams broke off and those that succeeded, checks requests before each send and right before they are written, and answers poison at once with 502 (nothing is promised, so that callers don't send it again). Nodes exchange the evidence in their messages; in a large fleet the aggregators judge and pass on suspects, clearings and findings. New fields are at the end of the message (protocol 2, golden bytes of its own). TestMessageOfProtocolOne used to compare the bytes of this release's message with those of protocol 1, which can't hold any more: it now encodes the earlier fields and reads them with this release, and this release's message with the earlier fields, besides the new golden file.

--- a/internal/broadcaster/audience.go
+++ b/internal/broadcaster/audience.go
@@ -49,6 +49,7 @@
 func (b *Broadcaster) messageToOthers(fleet *roster.Roster, m *Message) *Message {
 	others := *m
 	others.Loads, others.Placements, others.Tripped = nil, nil, nil
+	others.Evidence = m.Evidence.WithoutReports()
 	// A new aggregator that doesn't hear most nodes yet would report that none is silent.
 	if !b.sendsTotals(fleet) || !b.hearsMostNodes(fleet.Nodes()) {
 		return &others
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -102,6 +103,9 @@
 	Announcements []Announcement
 	Suspensions   []Suspension
 	Upgrades      []Upgrade
+	// Evidence is what the sender knows of requests that crash upstreams. Nodes have it
+	// since ProtocolEvidence.
+	Evidence detector.Evidence
 }
 
 // Kind is the first byte of a datagram.
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -19,6 +19,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -31,11 +32,15 @@
 	received map[string]*broadcaster.Message
 	total    *broadcaster.Message
 	upgraded map[uint32]bool
+	evidence detector.Evidence // sent to the peers
 }
 
 func (l *recorder) Fill(m *broadcaster.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	m.Loads = []placer.Load{{Upstream: 7, Running: 1, PrefillTokens: 100}}
 	m.ConfigVersion, m.ProofAgeMS = 3, 40
+	m.Evidence = l.evidence
 }
 
 func (l *recorder) Receive(m *broadcaster.Message) {
@@ -137,6 +142,40 @@
 	}
 }
 
+// In a large fleet, reports of lost runs reach the aggregators alone, and what these found
+// reaches all nodes.
+func TestEvidenceReachesNodesOfLargeFleet(t *testing.T) {
+	const n = 20 // too many for a full mesh
+	_, locals := start(t, n)
+	for _, l := range locals {
+		l.mu.Lock()
+		l.evidence = detector.Evidence{
+			LostRuns: []detector.LostRun{{Upstream: 7, Features: []detector.Feature{1}}},
+			Poisons:  []detector.Poison{{Features: []detector.Feature{2}, RemainingMS: 1000}},
+		}
+		l.mu.Unlock()
+	}
+	told := 0
+	for i, l := range locals {
+		eventually(t, "a message with poison", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.total != nil && len(l.total.Evidence.Poisons) == 1 || len(l.received) == n-1
+		})
+		l.mu.Lock()
+		if l.total != nil && len(l.total.Evidence.LostRuns) > 0 {
+			t.Errorf("node %d received reports of lost runs in the totals", i)
+		}
+		if l.total != nil {
+			told++
+		}
+		l.mu.Unlock()
+	}
+	if told < n-2 {
+		t.Errorf("%d nodes received totals", told)
+	}
+}
+
 // A registered node that sends nothing is reported as silent. A node that
 // receives nothing is cut off itself and reports none.
 func TestSilentNodesAreReported(t *testing.T) {
--- a/internal/broadcaster/events.go
+++ b/internal/broadcaster/events.go
@@ -29,3 +29,10 @@
 	b.mu.Unlock()
 	b.triggerBroadcast()
 }
+
+// FlushEvents makes the next message go to all nodes, at most every eventFlushInterval.
+func (b *Broadcaster) FlushEvents() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.eventsPending = true
+}
--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -7,12 +7,12 @@
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 )
 
-// Nodes of two releases run side by side during each upgrade.
-func TestMessageOfProtocolOne(t *testing.T) {
-	m := broadcaster.Message{
+func protocolOneMessage() broadcaster.Message {
+	return broadcaster.Message{
 		From: "n1", BootID: 1, SentAt: 2, Echo: 3, EchoBootID: 4, ConfigVersion: 5, ProofAgeMS: 6, Leaving: true, Aggregated: true, StoreReader: true,
 		LatestConfig: 7, CacheStoreDown: true, Revision: 8, Hash: 9,
 		Report: placer.Report{
@@ -25,7 +25,42 @@
 		Suspensions:   []broadcaster.Suspension{{Upstream: 24, DurationMS: 25}},
 		Upgrades:      []broadcaster.Upgrade{{Upstream: 26, Model: "m", Version: 27}},
 	}
-	b, err := packer.Pack(&m)
+}
+
+// earlierMessage has the fields of protocol one, in their order.
+type earlierMessage struct {
+	From           string
+	BootID         uint64
+	SentAt, Echo   int64
+	EchoBootID     uint64
+	ConfigVersion  uint64
+	ProofAgeMS     int64
+	Leaving        bool
+	Aggregated     bool
+	StoreReader    bool
+	LatestConfig   uint64
+	CacheStoreDown bool
+	Revision, Hash uint64
+	placer.Report
+	Placements    []placer.Placement
+	SilentNodes   []string
+	Announcements []broadcaster.Announcement
+	Suspensions   []broadcaster.Suspension
+	Upgrades      []broadcaster.Upgrade
+}
+
+func earlier(m broadcaster.Message) earlierMessage {
+	return earlierMessage{
+		m.From, m.BootID, m.SentAt, m.Echo, m.EchoBootID, m.ConfigVersion, m.ProofAgeMS, m.Leaving, m.Aggregated, m.StoreReader,
+		m.LatestConfig, m.CacheStoreDown, m.Revision, m.Hash, m.Report, m.Placements, m.SilentNodes, m.Announcements, m.Suspensions, m.Upgrades,
+	}
+}
+
+// Nodes of two releases run side by side during each upgrade: this release reads the
+// messages of the earlier one, and that one reads those of this release.
+func TestMessageOfProtocolOne(t *testing.T) {
+	m := protocolOneMessage()
+	b, err := packer.Pack(earlier(m))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,4 +68,34 @@
 	if err := packer.New(testlib.Golden(t, "protocol-1-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
 		t.Errorf("got %+v, error %v", got, err)
 	}
+	withEvidence := protocolTwoMessage()
+	if b, err = packer.Pack(&withEvidence); err != nil {
+		t.Fatal(err)
+	}
+	var old earlierMessage
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, earlier(m)) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
+
+func protocolTwoMessage() broadcaster.Message {
+	m := protocolOneMessage()
+	m.Evidence = detector.Evidence{
+		LostRuns: []detector.LostRun{{Upstream: 28, AgeMS: 29, DurationMS: 30, Features: []detector.Feature{31, 32}}},
+		Suspects: []detector.Feature{33}, Cleared: []detector.Feature{34}, Vouched: []detector.Feature{35},
+		Poisons: []detector.Poison{{Features: []detector.Feature{36}, RemainingMS: 37}},
+	}
+	return m
+}
+
+func TestMessageOfProtocolTwo(t *testing.T) {
+	m := protocolTwoMessage()
+	b, err := packer.Pack(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got broadcaster.Message
+	if err := packer.New(testlib.Golden(t, "protocol-2-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
 }
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,12 @@
 // errStrayResponse reports a response that belongs to another request.
 const errStrayResponse = errors.ConstError("response belongs to another request")
 
+// ClosedByUpstream reports whether an exchange failed because the upstream, or the VM it runs
+// on, ended the connection.
+func ClosedByUpstream(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Open sends a call and waits for the header of its response. It returns an
 // Exchange only with Opened. The connection is closed when ctx is done.
 func (c *Connector) Open(ctx context.Context, call *Call) (*Exchange, Outcome, error) {
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -10,6 +10,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/prober"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -38,6 +39,7 @@
 	// message.
 	betterReaderAt time.Time
 	sentLoads      []placer.Load // loads in the last message
+	sentEvidence   int           // items of evidence for all nodes in the last message
 }
 
 // fleetTotal is the source name of totals over all other nodes.
@@ -50,8 +52,10 @@
 
 // Fill implements broadcaster.LocalState.
 func (s *localState) Fill(m *broadcaster.Message) {
+	s.relay.SetJudge(s.receivesAll())
 	t := s.relay.TakeReport()
-	m.Report, m.Placements = t.Report, t.Placements
+	m.Report, m.Placements, m.Evidence = t.Report, t.Placements, t.Evidence
+	s.flushNewEvidence(t.Evidence)
 	d, fresh := s.obs.Digest()
 	m.Revision, m.Hash, m.LatestConfig = d.Revision, d.Hash, d.ConfigVersion
 	fleet := s.roster()
@@ -79,6 +83,19 @@
 	}
 }
 
+// flushNewEvidence sends the next message to all nodes of a large fleet if it has more
+// evidence than the last one: each of them may clear a suspect.
+func (s *localState) flushNewEvidence(e detector.Evidence) {
+	size := len(e.Suspects) + len(e.Cleared) + len(e.Poisons)
+	s.mu.Lock()
+	grown := size > s.sentEvidence
+	s.sentEvidence = size
+	s.mu.Unlock()
+	if grown && s.receivesAll() {
+		s.broadcaster.FlushEvents()
+	}
+}
+
 // readsForOthers reports whether this node reads the store for other nodes.
 func (s *localState) readsForOthers() bool {
 	s.mu.Lock()
@@ -97,6 +114,7 @@
 func (s *localState) Receive(m *broadcaster.Message) {
 	now := s.clk.Now()
 	s.mergeLoads(m)
+	s.relay.MergeEvidence(m.Evidence)
 	if m.StoreReader {
 		s.mu.Lock()
 		s.storeReaders[m.From] = now
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -48,6 +48,10 @@
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
+	if u.isPoison() {
+		u.reason = "such requests have crashed upstreams"
+		return failure.Quarantined
+	}
 	if u.runs == 0 && !u.mayStart(now) {
 		u.reason = "request may not finish before the node shuts down"
 		return failure.Draining
--- /dev/null
+++ b/internal/relayer/poison.go
@@ -0,0 +1,91 @@
+package relayer
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
+	"github.com/auburnnotch/auburnnotch/pkg/placer"
+)
+
+// crashSuspicionTime is how long after its first event a run may still crash its engine.
+const crashSuspicionTime = time.Second
+
+// requestFeatures returns what a request may have in common with others that crash
+// upstreams: the parts of its prompt but the last, which belongs to it alone, and the
+// whole request.
+func requestFeatures(req *Request) []detector.Feature {
+	var out []detector.Feature
+	if p := req.Prompt; p != nil {
+		for i := 0; i+1 < len(p.Parts); i++ {
+			out = append(out, detector.Feature(xxhash.Sum64String(p.Parts[i].ID)))
+		}
+	}
+	h := xxhash.New()
+	for _, s := range []string{req.Method, req.Host, req.Target, req.Key} {
+		_, _ = h.WriteString(s) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(req.Body)
+	return append(out, detector.Feature(h.Sum64()))
+}
+
+// isPoison reports whether the request would crash the upstream that runs it.
+func (u *relay) isPoison() bool {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	return u.r.detector.Rejects(u.r.Clock.Now(), u.features)
+}
+
+// recordLoss records an attempt that its upstream has ended: a crash may be the reason.
+// The relayer's lock must be held.
+func (u *relay) recordLoss(err error) {
+	now := u.r.Clock.Now()
+	if !connector.ClosedByUpstream(err) || u.firstEventSeen && now.Sub(u.sentAt)-u.timeToFirstEvent > crashSuspicionTime {
+		return
+	}
+	u.r.detector.RecordLoss(now, placer.Key(u.choice.Incarnation()), u.sentAt, u.features)
+}
+
+// evidence returns what this node tells its peers about requests that crash upstreams.
+// The relayer's lock must be held.
+func (r *Relayer) evidence(now time.Time) detector.Evidence {
+	r.logFindings(r.detector.Judge(now))
+	return r.detector.Evidence(now)
+}
+
+// MergeEvidence merges what a peer knows of requests that crash upstreams.
+func (r *Relayer) MergeEvidence(e detector.Evidence) {
+	if e.IsEmpty() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	r.detector.Merge(now, e)
+	r.logFindings(r.detector.Judge(now))
+}
+
+// SetJudge sets whether the evidence of all nodes reaches this node.
+func (r *Relayer) SetJudge(judges bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.detector.SetJudge(judges)
+}
+
+func (r *Relayer) logFindings(found []detector.Finding) {
+	for _, f := range found {
+		hashes := make([]string, len(f.Features))
+		for i, feature := range f.Features {
+			hashes[i] = fmt.Sprintf("%x", uint64(feature))
+		}
+		r.Log.WithFields(logrus.Fields{
+			"event": "poisonFound", "features": strings.Join(hashes, ","), "crashes": f.Crashes, "byPeer": f.Crashes == 0,
+		}).Warn("rejecting requests that crash upstreams")
+	}
+}
--- a/internal/relayer/poison_test.go
+++ b/internal/relayer/poison_test.go
@@ -59,6 +59,7 @@
 func TestPoisonPartStopsReachingEngines(t *testing.T) {
 	const requests, soundEvery = 150, 5
 	f := newPromptFixture(t, 12)
+	f.relay.SetJudge(true)
 	rejected, lastRun := 0, 0
 	for i := range requests {
 		if r := f.serve("root", "subject", "deadly"); r.kind == failure.Quarantined {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/estimator"
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -61,6 +62,7 @@
 
 	mu           sync.Mutex
 	placer       *placer.Placer
+	detector     *detector.Detector
 	estimator    *estimator.Estimator
 	retryBudgets map[string]*budgeter.Budgeter // by service
 	// lastQuestion is the number of the latest question to the placement
@@ -73,7 +75,7 @@
 // New returns a Relayer without upstreams.
 func New(s Settings, deps Dependencies) *Relayer {
 	return &Relayer{
-		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), estimator: estimator.New(), retryBudgets: map[string]*budgeter.Budgeter{},
+		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(), estimator: estimator.New(), retryBudgets: map[string]*budgeter.Budgeter{},
 		// Question numbers of earlier incarnations of this node are smaller.
 		lastQuestion: uint64(deps.Clock.Now().UnixMicro()), openQuestions: map[uint64]struct{}{},
 	}
@@ -102,6 +104,8 @@
 type TrafficReport struct {
 	placer.Report
 	Placements []placer.Placement
+	// Evidence is what the node knows of requests that crash upstreams.
+	Evidence detector.Evidence
 }
 
 // TakeReport returns the load that this node has in flight at upstreams and the
@@ -117,6 +121,7 @@
 	return TrafficReport{
 		Report:     placer.Report{Loads: r.placer.LocalLoads(now), Settled: settled, Tripped: r.placer.Tripped(now)},
 		Placements: r.placer.TakePlacements(),
+		Evidence:   r.evidence(now),
 	}
 }
 
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/limitreader"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -61,6 +62,7 @@
 
 	view      *View
 	route     *traffic.Route
+	features  []detector.Feature
 	workspace *traffic.Workspace
 	service   string
 	deadline  time.Time
@@ -90,6 +92,7 @@
 		u.refuse(k, u.retryAfter(k))
 		return
 	}
+	u.features = requestFeatures(u.req)
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
@@ -313,6 +316,7 @@
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		if !callerGone {
 			p.RecordFailure(u.r.Clock.Now(), c)
+			u.recordLoss(err)
 		}
 	})
 	u.logEntry("attemptBroken").WithError(err).WithFields(logrus.Fields{
@@ -347,6 +351,9 @@
 		}
 		p.RecordSuccess(c)
 		u.recordDuration()
+		if x.Status < http.StatusMultipleChoices {
+			u.r.detector.RecordSuccess(u.r.Clock.Now(), u.features)
+		}
 	})
 	if failed && !u.responseStarted && u.mayRetry(0) && u.sends < maxSends && u.canRetry() {
 		u.exclude = append(u.exclude, u.choice.Incarnation())
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -113,6 +113,9 @@
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		p.RecordSuccess(c)
 		u.recordDuration()
+		if u.firstEventSeen {
+			u.r.detector.RecordSuccess(u.r.Clock.Now(), u.features)
+		}
 	})
 	if !u.responseStarted {
 		u.w.Begin(x.Status, x.Header, -1)
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -82,8 +82,11 @@
 const (
 	// ProtocolChanges is the first protocol with requests for changes of the store.
 	ProtocolChanges = 1
+	// ProtocolEvidence is the first protocol with evidence of requests that crash
+	// upstreams.
+	ProtocolEvidence = 2
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolChanges
+	CurrentProtocol = ProtocolEvidence
 )
 
 // Leader is the node that sends orders to engines.
