--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -66,9 +66,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	r.detector.Merge(now, e)
-	r.logFindings(r.detector.Judge(now))
+	r.detector.Merge(r.Clock.Now(), e)
 }
 
 // SetJudge sets whether the evidence of all nodes reaches this node.
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -35,12 +35,13 @@
 
 // Detector holds the evidence known to a node. It is not safe for concurrent use.
 type Detector struct {
-	judges   bool
-	crashes  []*crash              // by time
-	suspects map[Feature]time.Time // when the suspicion ends
-	vouched  map[Feature]time.Time // when a report of an earlier success ends
-	cleared  map[Feature]time.Time // until when reports of poison with the feature are void
-	poisons  []*poison
+	judges     bool
+	crashes    []*crash              // by time
+	reportedAt time.Time             // when the last lost run was reported
+	suspects   map[Feature]time.Time // when the suspicion ends
+	vouched    map[Feature]time.Time // when a report of an earlier success ends
+	cleared    map[Feature]time.Time // until when reports of poison with the feature are void
+	poisons    []*poison
 	// succeeded and olderSucceeded are the features of runs that have succeeded here.
 	succeeded, olderSucceeded map[Feature]struct{}
 	totals                    runTotals
@@ -159,6 +160,7 @@
 		return
 	}
 	c.runs = append(c.runs, r)
+	d.reportedAt = now
 	for _, p := range d.poisons {
 		if !p.matches(r.features) {
 			continue
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -8,7 +8,7 @@
 // Evidence returns what this node tells the others.
 func (d *Detector) Evidence(now time.Time) Evidence {
 	d.expire(now)
-	e := Evidence{Suspects: d.repeatedSuspects(), Cleared: items(d.clearings), Vouched: items(d.vouchings)}
+	e := Evidence{Suspects: d.repeatedSuspects(now), Cleared: items(d.clearings), Vouched: items(d.vouchings)}
 	for _, r := range d.lostRuns {
 		e.LostRuns = append(e.LostRuns, LostRun{
 			Upstream: r.item.upstream, AgeMS: now.Sub(r.at).Milliseconds(), DurationMS: r.at.Sub(r.item.sentAt).Milliseconds(), Features: r.item.features,
@@ -24,8 +24,8 @@
 
 // repeatedSuspects returns the suspects that were lost at two crashes or more. Those of one
 // crash are many, and clear themselves.
-func (d *Detector) repeatedSuspects() []Feature {
-	if !d.judges {
+func (d *Detector) repeatedSuspects(now time.Time) []Feature {
+	if !d.judges || !d.isUndecided(now) {
 		return nil
 	}
 	var out []Feature
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -21,6 +21,8 @@
 	minShare = 4
 	// maxLossRatio is how many runs may be lost for each one that succeeds.
 	maxLossRatio = 8
+	// decisionTime is how long after the last report of a lost run it may still decide.
+	decisionTime = 2 * time.Second
 	// settleTime is the time within which the reports of a crash arrive from all nodes, and
 	// observationTime the time in which a first success with a suspect may clear it.
 	settleTime      = 400 * time.Millisecond
@@ -61,7 +63,7 @@
 // findPoison returns the features of the most probable cause of the crashes that isn't
 // rejected yet, none if no suspect qualifies.
 func (d *Detector) findPoison(now time.Time) (features []Feature, crashes int) {
-	if !d.judges {
+	if !d.judges || !d.isUndecided(now) {
 		return nil, 0
 	}
 	var settled []*crash
@@ -93,6 +95,10 @@
 	return nil, 0
 }
 
+// isUndecided reports whether lost runs were reported lately. Without new ones, the evidence
+// needs no further look.
+func (d *Detector) isUndecided(now time.Time) bool { return now.Sub(d.reportedAt) < decisionTime }
+
 // isAmbiguous reports whether another candidate that came with other requests was lost as
 // often: it may just have run beside the cause, or be the cause. The next crash tells.
 func (t *tally) isAmbiguous(common []Feature, others []*tally) bool {
