--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -315,7 +315,7 @@
 			p.RecordFailure(u.r.Clock.Now(), c)
 		}
 	})
-	u.logEntry("attemptBroken").WithError(err).WithField("callerGone", callerGone && !u.pastShutdownDeadline()).Info("attempt ended before the response was complete")
+	u.logEntry("attemptBroken").WithError(err).WithField("endedBy", u.endedBy(err)).Info("attempt ended before the response was complete")
 	if callerGone || !u.mayRetry(0) || u.sends >= maxSends {
 		u.reason = "upstream failed before the response was complete"
 		u.fail(failure.UpstreamFailed)
