--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -183,3 +183,48 @@
 	}
 	close(release)
 }
+
+// Guards against LOST: a pipelined request, whose bytes were read together with the
+// one before it, counted as idle, and its connection was closed without an answer.
+func TestCloseIdleKeepsPipelinedRequest(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := closer.New(systemclock.New())
+	second, release := make(chan struct{}), make(chan struct{})
+	s := &http.Server{ConnState: k.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/2" {
+			close(second)
+			<-release
+		}
+		_, _ = io.WriteString(w, "answer")
+	})}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(k.Wrap(l)) })
+	defer wg.Wait()
+	defer s.Close()
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-second
+	if left := k.CloseIdle(); left != 1 {
+		t.Errorf("%d connections are left, want 1", left)
+	}
+	close(release)
+	in := bufio.NewReader(conn)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("connection ended without a response: %v", err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
