fix(relayer): a silent upstream is waited for until another one may take over

What callers saw: a stream whose engine was silent for 1.5 s was cut off in the middle, though its engine went on after 1.9 s. Safe requests got a 502 after 2.5 objectives of silence, though their answer was on its way.

Cause: silence was a read timeout. The attempt was dead before the node asked whether another upstream could take the request. If the key, the route or the proof had changed meanwhile, no other upstream was to be had or the retry budget was spent, nothing was left to go on with. Beside a configuration change this is likeliest, since it takes away what a second attempt needs.

Now a watch asks first, with the checks that the next attempt has to pass, and ends the attempt only if they pass; otherwise it asks again every 100 ms. A request's deadline, the caller's leave and the cutoff of old weights end it as before. Between the check and the send another request may still take the last of the retry budget, or the new connection may fail.

Ruled out: longer timeouts, which only move the moment; opening the second stream before closing the first, during which two engines would work on one request.

--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -17,10 +17,12 @@
 		return "caller"
 	case cause != nil:
 		return "deadline"
+	case u.silence.gaveUp():
+		return "silence"
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return "upstream"
 	case u.deadline.Sub(u.r.Clock.Now()) < minRemaining:
 		return "deadline"
 	}
-	return "silence"
+	return "weights" // may no longer start on the engine's version
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -40,11 +40,10 @@
 	pickWaitDivisor = 8
 	// maxResponseBytes is the maximum size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// firstEventObjectives is the timeout for the first event of a stream that may
-	// be retried at another upstream, in latency objectives.
+	// firstEventObjectives is how long an upstream may be silent before the first
+	// event of a stream that may be retried at another one, in latency objectives.
 	firstEventObjectives = 3
-	// safeResponseObjectives is the same timeout for the response to a safe
-	// request.
+	// safeResponseObjectives is the same for the response to a safe request.
 	safeResponseObjectives = 2.5
 	eventStreamType        = "text/event-stream"
 	// announcementSlack covers the time until this node receives the announcement
@@ -80,6 +79,7 @@
 	// expectedDuration is the latest estimate, during graceful shutdown, of how
 	// long the request takes; 0 if unknown.
 	expectedDuration time.Duration
+	silence          *silenceWatch // of the current attempt
 	reason           string
 }
 
@@ -112,7 +112,10 @@
 		return false
 	}
 	u.firstEventSeen = false
+	u.silence = newSilenceWatch(u.ctx, u.r.Clock)
+	defer u.silence.end()
 	x, outcome, err := u.send(&q)
+	u.silence.disarm()
 	switch outcome {
 	case connector.NotSent:
 		return u.handleUnreachable(err)
@@ -162,11 +165,11 @@
 	}
 	id := u.req.ID
 	u.sentAt = u.r.Clock.Now()
-	return u.r.Connector.Open(u.ctx, &connector.Call{
+	return u.r.Connector.Open(u.silence.ctx, &connector.Call{
 		Address: u.choice.Upstream.Address, Incarnation: u.choice.Incarnation(),
 		Method: u.req.Method, Target: u.req.Target, Host: u.req.Host,
 		Head: u.r.Dialect.AppendHeader(nil, u.req, &a), Body: u.req.Body,
-		Fresh: !u.route.Repeatable(), New: u.sends > 0, Permit: u.permit, FirstByteTimeout: min(u.firstByteTimeout(remaining), u.untilVersionCutoff(q)),
+		Fresh: !u.route.Repeatable(), New: u.sends > 0, Permit: u.beginSend, FirstByteTimeout: min(remaining, u.untilVersionCutoff(q)),
 		Matches: func(h connector.Header) bool { return u.r.Dialect.ParseResponse(0, h).RequestID == id },
 	})
 }
@@ -190,6 +193,19 @@
 	return nil
 }
 
+// beginSend is permit, and starts to watch the upstream for silence.
+func (u *relay) beginSend() error {
+	if err := u.permit(); err != nil {
+		return err
+	}
+	if u.mayRetry(1) {
+		sent := *u
+		sent.sends, sent.runs = u.sends+1, u.runs+1 // as if the attempt had failed
+		u.silence.arm(&sent, u.firstBytePatience())
+	}
+	return nil
+}
+
 // cacheSalt returns the salt that separates cached parts of different models,
 // versions and cache scopes. An isolated workspace has a cache scope of its own.
 func cacheSalt(model string, version int, cacheScope string) string {
@@ -224,17 +240,14 @@
 	u.r.placer.RecordActivity(u.r.Clock.Now(), u.choice)
 }
 
-// firstByteTimeout returns the timeout for the first byte of a response. A
-// request that can't be retried is waited for until its deadline.
-func (u *relay) firstByteTimeout(remaining time.Duration) time.Duration {
-	if !u.mayRetry(1) {
-		return remaining
-	}
+// firstBytePatience is how long the upstream may be silent before the first byte of a
+// response to a request that can be retried.
+func (u *relay) firstBytePatience() time.Duration {
 	objectives := float64(firstEventObjectives)
 	if u.route.Kind == traffic.Safe {
 		objectives = safeResponseObjectives
 	}
-	return min(remaining, time.Duration(objectives*float64(u.route.LatencyObjective)))
+	return time.Duration(objectives * float64(u.route.LatencyObjective))
 }
 
 // mayRetry reports whether the request may be run again after the runs so far and
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -68,3 +68,36 @@
 		})
 	}
 }
+
+// slowOnce returns a script for all upstreams of a fixture that answers the first request
+// after a while and all others at once.
+func slowOnce(pause time.Duration) testlib.Script {
+	var paused atomic.Bool
+	return func(conn net.Conn, r testlib.Received) bool {
+		if paused.CompareAndSwap(false, true) {
+			time.Sleep(pause)
+		}
+		return ok(conn, r)
+	}
+}
+
+// Guards against an error response in place of one that a silent upstream was about to
+// send, where no other upstream could be asked.
+func TestSilentUpstreamIsWaitedForBeforeItsFirstByte(t *testing.T) {
+	const pause = 900 * time.Millisecond // the latency objective is 200 ms
+	for upstreams, wantSent := range map[int]int{1: 1, 2: 2} {
+		t.Run(fmt.Sprint(upstreams, " upstreams"), func(t *testing.T) {
+			t.Parallel()
+			b := newFixture(t, make([]testlib.Script, upstreams)...)
+			script := slowOnce(pause)
+			for _, u := range b.ups {
+				u.SetScript(script)
+			}
+			began := time.Now()
+			r := b.serve(t.Context(), "/safe/")
+			if r.status != 200 || b.sent() != wantSent {
+				t.Errorf("status %d, %v after %v and %d sends, want %d", r.status, r.kind, time.Since(began), b.sent(), wantSent)
+			}
+		})
+	}
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -17,21 +17,25 @@
 	readBufferBytes = 4 << 10
 	// maxEventBytes is the maximum size of one event.
 	maxEventBytes = 1 << 20
-	// eventPauseObjectives is the timeout between two events of a stream that may
-	// be resumed elsewhere, in pause objectives. Callers wait four times as long.
+	// eventPauseObjectives is how long an engine may be silent between two events of a
+	// stream that may be resumed elsewhere, in pause objectives. Callers wait four
+	// times as long.
 	eventPauseObjectives = 3
-	// minEventTimeout is the shortest such timeout, so that a stream isn't ended
+	// minEventPatience is the shortest such time, so that a stream isn't moved
 	// because of a busy core or a preempted request.
-	minEventTimeout = 1500 * time.Millisecond
+	minEventPatience = 1500 * time.Millisecond
 )
 
 // relayStream forwards events as they arrive, and reports whether to make another
 // attempt. It forwards only complete events, so that another engine can resume
 // after the last one.
 func (u *relay) relayStream(x *connector.Exchange) bool {
-	if err := x.SetReadTimeout(u.eventTimeout()); err != nil {
+	if err := x.SetReadTimeout(max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
 		return u.handleBrokenStream(err)
 	}
+	if u.mayRetry(0) {
+		u.silence.arm(u, max(minEventPatience, eventPauseObjectives*u.route.PauseObjective))
+	}
 	buffered := reservation{limit: &u.r.bufferLimit}
 	defer buffered.release()
 	buf := make([]byte, 0, readBufferBytes)
@@ -69,22 +73,12 @@
 			return false
 		case err != nil:
 			return u.handleBrokenStream(err)
-		case end > 0 && sawEvent: // only complete events extend the timeout, and not comments
-			if err := x.SetReadTimeout(u.eventTimeout()); err != nil {
-				return u.handleBrokenStream(err)
-			}
+		case end > 0 && sawEvent: // comments are no sign of progress, nor are incomplete events
+			u.silence.recordSign()
 		}
 	}
 }
 
-func (u *relay) eventTimeout() time.Duration {
-	remaining := max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))
-	if !u.mayRetry(0) {
-		return remaining
-	}
-	return min(remaining, max(minEventTimeout, eventPauseObjectives*u.route.PauseObjective))
-}
-
 // writeEvents forwards complete events to the caller.
 func (u *relay) writeEvents(x *connector.Exchange, events []byte) error {
 	now := u.r.Clock.Now()
