fix(closer): a pipelined request isn't closed as idle

What callers saw: at the end of a shutdown, a request that was sent together with the one before it lost its connection without an answer while it was at work, on both interfaces.

Cause: a connection counted as busy from a Read to the state idle. The server had read the second request's bytes with the first one's, so that no Read told of it. It is busy from the state active on, too.

Open: the microseconds in which such a request is parsed still count as idle.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -77,11 +77,14 @@
 	c.mu.Lock()
 	k := c.conns[nc.RemoteAddr().String()]
 	c.mu.Unlock()
-	if k != nil && s == http.StateIdle {
-		k.mu.Lock()
-		k.busy = false
-		k.mu.Unlock()
+	if k == nil || s != http.StateIdle && s != http.StateActive {
+		return
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// The bytes of a pipelined request may have been read with the request before, so
+	// that no Read tells of it.
+	k.busy = s == http.StateActive
 }
 
 // CloseIdle closes the connections on which no byte of a pending request has been
