fix(relayer): a passed deadline isn't taken for a caller that left

What callers would see: their connection closed without an answer, where the timer of the request's context fires before the node's clock shows the deadline.

Cause: fail and checkSend inferred the caller's leave from "the context has ended and the clock is before the deadline" instead of from the cause of the cancellation.

Evidence: TestPassedDeadlineIsNotTakenForCallerGone failed on the code before (callerGone instead of outcomeUnknown).

--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -7,15 +7,18 @@
 	"github.com/juju/errors"
 )
 
+// callerGone reports whether the caller has closed its connection. The context also ends
+// at the deadline and at the node's shutdown deadline, of which the caller has to be told.
+func (u *relay) callerGone() bool { return errors.Is(context.Cause(u.ctx), context.Canceled) }
+
 // endedBy returns who or what ended an attempt that failed with err, for the log.
 func (u *relay) endedBy(err error) string {
-	cause := context.Cause(u.ctx)
 	switch {
 	case u.pastShutdownDeadline():
 		return "shutdown"
-	case errors.Is(cause, context.Canceled):
+	case u.callerGone():
 		return "caller"
-	case cause != nil:
+	case u.ctx.Err() != nil:
 		return "deadline"
 	case u.silence.gaveUp():
 		return "silence"
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -39,10 +39,10 @@
 // checkSend returns why the request must not be sent now, or failure.None.
 func (u *relay) checkSend() failure.Kind {
 	now := u.r.Clock.Now()
-	if u.ctx.Err() != nil && now.Before(u.deadline) {
+	if u.callerGone() {
 		return failure.CallerGone
 	}
-	if u.deadline.Sub(now) < minRemaining {
+	if u.ctx.Err() != nil || u.deadline.Sub(now) < minRemaining {
 		return failure.DeadlinePassed
 	}
 	if k := u.authorize(); k != failure.None {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
@@ -123,10 +124,14 @@
 
 // newFixture returns a relayer with one upstream for each script.
 func newFixture(t *testing.T, scripts ...testlib.Script) *fixture {
+	t.Helper()
+	return newFixtureWithClock(t, systemclock.New(), scripts...)
+}
+
+func newFixtureWithClock(t *testing.T, clk clock.Clock, scripts ...testlib.Script) *fixture {
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
-	clk := systemclock.New()
 	b := &fixture{fleet: &fleet{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook}
 	conns := connector.New(clk)
 	metrics := meter.New()
@@ -376,6 +381,26 @@
 	}
 }
 
+// slowClock is behind the clock of the contexts' timers.
+type slowClock struct{ systemclock.SystemClock }
+
+func (slowClock) Now() time.Time { return time.Now().Add(-100 * time.Millisecond) }
+
+// Guards against LOST: a request whose time was over by its context, but not yet by the
+// node's clock, was taken for one whose caller had left, and got no answer.
+func TestPassedDeadlineIsNotTakenForCallerGone(t *testing.T) {
+	hold := make(chan struct{})
+	b := newFixtureWithClock(t, slowClock{}, func(net.Conn, testlib.Received) bool { <-hold; return false })
+	defer close(hold)
+	r := &reply{}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/unsafe/", Path: "/unsafe/", Host: "h", Key: "key", Timeout: 300 * time.Millisecond, Arrived: slowClock{}.Now(),
+	}, r)
+	if r.kind != failure.OutcomeUnknown || r.starts != 1 {
+		t.Errorf("kind %s after %d starts of a response", r.kind, r.starts)
+	}
+}
+
 func TestEveryRequestLogsOneFinalLine(t *testing.T) {
 	b := newFixture(t, ok)
 	b.serve(t.Context(), "/safe/")
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -28,7 +28,7 @@
 	switch {
 	case u.pastShutdownDeadline():
 		k, u.reason = failure.Draining, ErrShutdownDeadline.Error()
-	case u.ctx.Err() != nil && u.r.Clock.Now().Before(u.deadline):
+	case u.callerGone():
 		k = failure.CallerGone
 	}
 	if u.responseStarted {
