fix(front): a request whose handler panics is answered

It gets a 500 now, which says nothing on whether the request has run; a response that has begun is cut. event=handlerPanic has the stack.

Evidence: TestPanicIsAnswered ends with EOF if the recover is taken out.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -91,7 +91,7 @@
 // response.
 func (f *Front) Run(ctx context.Context) error {
 	conns := closer.New(f.clk)
-	routes := f.routes()
+	routes := f.recoverer(f.routes())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conns.Closing() {
 			w.Header().Set("Connection", "close")
--- /dev/null
+++ b/internal/front/recoverer_test.go
@@ -0,0 +1,50 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/auburnnotch/auburnnotch/internal/meter"
+)
+
+// Guards against LOST: a panic while a request was handled closed the caller's
+// connection without an answer.
+func TestPanicIsAnswered(t *testing.T) {
+	log, lines := logtest.NewNullLogger()
+	metrics := meter.New()
+	defer metrics.Close()
+	f := &Front{log: log, meter: metrics}
+	server := httptest.NewServer(f.recoverer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/begun" {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+		}
+		panic("broken handler")
+	})))
+	defer server.Close()
+	resp, err := http.Get(server.URL + "/")
+	if err != nil {
+		t.Fatalf("connection ended without a response: %v", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusInternalServerError || err != nil || !strings.Contains(string(body), "internal") {
+		t.Errorf("response %d %q, %v", resp.StatusCode, body, err)
+	}
+	if e := lines.AllEntries(); len(e) == 0 || e[0].Data["event"] != "handlerPanic" || e[0].Data["stack"] == nil {
+		t.Errorf("log lines of the panic: %v", e)
+	}
+	begun, err := http.Get(server.URL + "/begun")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer begun.Body.Close()
+	if body, err := io.ReadAll(begun.Body); err == nil {
+		t.Errorf("a response that a panic cut looks complete: %q", body)
+	}
+}
