fix(relayer): an upstream's error is kept if the request may not be sent again

What callers saw: a 502 of the node in place of the 500 that an upstream had answered, where the key or route was taken away in between. The same class as the silent upstream: what is at hand is given up before it is known whether the next attempt may start. The check before a retry now includes the checks of a send, as for a silent upstream.

Evidence: TestFailedAnswerIsKeptWhenNoOtherUpstreamMayBeAsked failed on the code before (upstreamFailed instead of 500).

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -58,6 +58,13 @@
 	return failure.None
 }
 
+// mayMove reports whether the request could be sent to another upstream now, in place of
+// its current attempt, for which it must have counted a send and a run. It works on a copy,
+// since the checks change the request's state.
+func (u relay) mayMove() bool {
+	return u.checkSend() == failure.None && u.mayRetry(0) && u.sends < maxSends && u.canRetry()
+}
+
 func (u *relay) placementQuery() placer.Query {
 	q := placer.Query{
 		Service: u.service, Prompt: u.req.Prompt, DataCentre: u.r.settings.DataCentre, Exclude: u.exclude,
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -359,7 +359,7 @@
 		p.RecordSuccess(c)
 		u.recordDuration()
 	})
-	if failed && !u.responseStarted && u.mayRetry(0) && u.sends < maxSends && u.canRetry() {
+	if failed && !u.responseStarted && u.mayMove() {
 		u.exclude = append(u.exclude, u.choice.Incarnation())
 		u.logEntry("answerFailed").WithField("status", x.Status).Info("upstream returned a server error; retrying the request")
 		return true
--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
-	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
 // silenceRecheck is the time between two checks whether the request of a silent upstream
@@ -95,9 +94,3 @@
 	}
 	w.timer.Reset(left)
 }
-
-// mayMove reports whether the request could be sent to another upstream now, in place of
-// its current attempt. It works on a copy, since the checks change the request's state.
-func (u relay) mayMove() bool {
-	return u.checkSend() == failure.None && u.mayRetry(0) && u.sends < maxSends && u.canRetry()
-}
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -101,3 +101,18 @@
 		})
 	}
 }
+
+// Guards against discarding an upstream's answer for a retry that the request may no
+// longer have.
+func TestFailedAnswerIsKeptWhenNoOtherUpstreamMayBeAsked(t *testing.T) {
+	b := newFixture(t, nil, nil)
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			b.fleet.set(catalog(2, "other"), b.boot.Elapsed())
+			return failing(conn, r)
+		})
+	}
+	if r := b.serve(t.Context(), "/safe/"); r.status != 500 || b.sent() != 1 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
+	}
+}
