fix(orderer): a stopping leader waits 0.3 s at most for the release of its leadership

Cause: the orderer ends after the ingress, which uses the grace period up to 0.5 s before its end if requests have to be cut off. The release of the leader record was bounded by the timeout of any call to the store alone, 1.2 s. With a store that turns silent in the last second before (while the lease still counts as held), the process ended 0.7 s after its grace period, that is, it was killed.

Ruled out: a store that is silent from the signal on (the lease has then expired by the end of the ingress, and nothing is released), the registrar (its 1.2 s lie before the requests' end, and the ingress counts from the signal).

Callers got their responses before the kill, so that this alone loses no request.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -129,6 +129,31 @@
 	}
 }
 
+// Guards against a kill at the end of the grace period: the leader waited 1.2 s for the
+// store to clear its leader record, when only 0.5 s were left.
+func TestLeaderEndsWithinGracePeriodIfStoreTurnsSilent(t *testing.T) {
+	t.Parallel()
+	const grace = 3 * time.Second
+	b := newFixture(t, grace.Seconds())
+	b.log.await(t, "event=officeTaken")
+	b.sendPartialRequest(t)
+	signal := time.Now()
+	b.signal()
+	time.Sleep(2 * time.Second) // the lease is renewed until shortly before the release
+	b.store.SetFaults("n", metastore.Faults{Delay: 3 * time.Second})
+	if err := <-b.ended; err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(signal); d > grace {
+		t.Errorf("node ended %v after the signal; the platform kills it after %v", d, grace)
+	}
+	b.log.mu.Lock()
+	defer b.log.mu.Unlock()
+	if !strings.Contains(b.log.b.String(), "event=officeReleased") {
+		t.Error("the leader didn't try to clear its record, so that the test shows nothing")
+	}
+}
+
 // Guards against LOST: with an unresponsive store, a node started a request
 // that arrived 3.35 s after the signal, and was killed before it ended.
 func TestShutdownWithoutStoreStartsNoLateRequest(t *testing.T) {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -34,6 +34,9 @@
 	// orderTimeout bounds the sending of an order.
 	orderTimeout  = 800 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
+	// releaseTimeout bounds the release of the leadership, which comes last in the
+	// grace period, when the requests have ended.
+	releaseTimeout = 300 * time.Millisecond
 	// campaignInterval is the time between two campaigns of a node. It keeps
 	// nodes from writing the leader record all at once repeatedly.
 	campaignInterval = 400 * time.Millisecond
@@ -146,6 +149,8 @@
 // release clears the leader record, so that the next leader needn't wait for
 // the lease to expire.
 func (o *Orderer) release(ctx context.Context, token uint64) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	_, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 		Expect: []platform.Expectation{{Key: LeaderKey, Revision: token}}, Put: []platform.Put{{Key: LeaderKey}},
 	})
