fix(entry): a node ends within its grace period whatever a service waits for

What was seen: nothing yet; found by reading after the report of a node that was killed at the end of its grace period.

Cause: the supervisor waited without limit for each service in turn. A write of log lines to a pipe that nobody reads, which is the last step, kept the process until the platform killed it. So would any service that ignores its cancellation.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,11 +24,23 @@
 
 // logBuffer collects the log of a node.
 type logBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
+	mu      sync.Mutex
+	b       bytes.Buffer
+	blocked atomic.Pointer[chan struct{}] // writes wait until it is closed
+}
+
+// block blocks all further writes until the end of the test, like a pipe that nobody
+// reads.
+func (l *logBuffer) block(t *testing.T) {
+	c := make(chan struct{})
+	l.blocked.Store(&c)
+	t.Cleanup(func() { close(c) })
 }
 
 func (l *logBuffer) Write(p []byte) (int, error) {
+	if c := l.blocked.Load(); c != nil {
+		<-*c
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.b.Write(p)
@@ -149,6 +162,24 @@
 	}
 }
 
+// Guards against a kill at the end of the grace period: the process waited for its
+// last log lines to be written, without a limit.
+func TestNodeWithBlockedLogEndsWithinGracePeriod(t *testing.T) {
+	t.Parallel()
+	const grace = time.Second
+	b := newFixture(t, grace.Seconds())
+	b.log.block(t)
+	b.signal()
+	select {
+	case err := <-b.ended:
+		if err != nil {
+			t.Error(err) // the process would print it, which may block too
+		}
+	case <-time.After(grace):
+		t.Errorf("node still runs %v after the signal, when the platform kills it", grace)
+	}
+}
+
 // Guards against LOST: with an unresponsive store, a node started a request
 // that arrived 3.35 s after the signal, and was killed before it ended.
 func TestShutdownWithoutStoreStartsNoLateRequest(t *testing.T) {
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -5,10 +5,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/supervisor"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 )
 
 type service struct {
@@ -59,6 +61,40 @@
 	}
 }
 
+// stuckService ignores the cancellation of its context.
+type stuckService struct{ release chan struct{} }
+
+func (stuckService) Name() string { return "stuck" }
+
+func (s stuckService) Run(context.Context) error {
+	<-s.release
+	return nil
+}
+
+// Guards against a process that outlives its grace period: a service that ignored its
+// cancellation kept Run from returning, and the services below it from stopping.
+func TestStuckServiceIsAbandoned(t *testing.T) {
+	log := &stopLog{}
+	stuck := stuckService{release: make(chan struct{})}
+	defer close(stuck.release)
+	sup, err := supervisor.New(&service{name: "a", log: log}, stuck, &service{name: "b", log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var abandoned []string
+	sup = sup.WithStopTimeout(systemclock.New(), 20*time.Millisecond, func(name string) { abandoned = append(abandoned, name) })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := sup.Run(ctx); !errors.Is(err, errors.Timeout) {
+		t.Errorf("error %v, want a timeout", err)
+	}
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if strings.Join(log.stopped, "") != "ba" || strings.Join(abandoned, "") != "stuck" {
+		t.Errorf("stopped services %v, abandoned %v", log.stopped, abandoned)
+	}
+}
+
 func TestFindByName(t *testing.T) {
 	a := &service{name: "a"}
 	sup, err := supervisor.New(a)
