--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,7 +49,7 @@
 	milliPerCore  = 1000
 	// exitReserve is the part of the grace period that is left to the process to exit
 	// once it has abandoned a service that didn't stop.
-	exitReserve = 150 * time.Millisecond
+	exitReserve = 200 * time.Millisecond
 	// defaultBodyBytes bounds request bodies until a configuration is known.
 	defaultBodyBytes = 4 << 20
 )
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -35,7 +35,7 @@
 	orderTimeout  = 800 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	// releaseTimeout bounds the release of the leadership, which comes last in the
-	// grace period, when the requests have ended.
+	// grace period, when the requests have ended. The node may exit sooner.
 	releaseTimeout = 300 * time.Millisecond
 	// campaignInterval is the time between two campaigns of a node. It keeps
 	// nodes from writing the leader record all at once repeatedly.
