test(standin): the last request of a limited engine fault is affected by it

The engine's stand-in cleared its faults before it copied them for the request that used up Times, so that Times: 1 affected no stream.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -50,7 +50,7 @@
 	// Refuse rejects requests with status 503 and the header wire.HeaderNotRun.
 	Refuse bool `json:"refuse"`
 	// Times, if not 0, is the number of requests after which all faults are
-	// cleared. Stream faults don't affect the last of these requests any more.
+	// cleared.
 	Times int `json:"times"`
 }
 
@@ -230,9 +230,8 @@
 	e.waiting++
 	e.runs++
 	j.incarnation, j.crashed = e.incarnation, e.crashed
-	if e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.Duplicate) {
-		j.faults = e.faults
-	}
+	j.faults = e.faults // consumeFault may clear them
+	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.Duplicate)
 	if raw := r.Header.Get(wire.HeaderResumeFrom); raw != "" {
 		if !e.attempts[j.attemptID] {
 			e.waiting--
