fix(upstreamer): comments don't keep a stalled stream alive

What callers see: on the product's own interface a stream whose engine has stalled, but sends comments, never ends and never goes on. The deadline doesn't help: it bounds the start of a response alone.

Cause: each read extended the timeout between chunks.

Fix: for event streams only complete events extend the timeout.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -234,7 +234,7 @@
 // readStream reads the chunks of an event stream until the request ends or the
 // dispatcher starts its next step.
 func (r *runner) readStream(a *upstreamer.Attempt) {
-	a.BeforeRead = r.flush
+	a.BeforeRead, a.IsStream = r.flush, true
 	last := r.send.FromOffset - 1
 	var failed error
 	for ev, err := range sse.Read(a, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
@@ -242,6 +242,7 @@
 			failed = err
 			break
 		}
+		a.Extend()
 		if ev.Data == "[DONE]" {
 			r.handle(dispatcher.Ended{Attempt: r.send.Attempt, Total: last + 1})
 		} else {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -346,6 +346,20 @@
 
 var errStop = errors.New("stop reading")
 
+// Guards against callers that wait for ever: an engine that had stalled kept its stream
+// open with comments, so that no other engine went on with it.
+func TestStalledStreamOfCommentsIsContinuedElsewhere(t *testing.T) {
+	d := deploy(t, 2, 1)
+	for _, e := range d.engines {
+		e.SetFaults(engine.Faults{StallAfter: 3, Times: 1})
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, 15*time.Second)
+	defer cancel()
+	chat := testlib.NewChat("shared", "stalled", 12)
+	r, err := d.caller(0).Chat(ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
 func TestCallerResumesAtAnotherEntry(t *testing.T) {
 	d := deploy(t, 2, 2)
 	chat := testlib.NewChat("shared", "resume", 40)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,6 +20,9 @@
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
+// commentInterval is the time between two comments of a stalled stream.
+const commentInterval = 50 * time.Millisecond
+
 // Options describes an engine: its model, size and speed.
 type Options struct {
 	Name          string
@@ -40,6 +43,9 @@
 	// SilentAfter stalls a stream after that many tokens, with the connection
 	// open; 0 means never.
 	SilentAfter int `json:"silentAfter"`
+	// StallAfter stalls a stream after that many tokens, with comments as a sign of
+	// life; 0 means never.
+	StallAfter int `json:"stallAfter"`
 	// CutAfter closes the connection of a stream after that many tokens; 0 means
 	// never.
 	CutAfter int `json:"cutAfter"`
@@ -231,7 +237,7 @@
 	e.runs++
 	j.incarnation, j.crashed = e.incarnation, e.crashed
 	j.faults = e.faults // consumeFault may clear them
-	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.Duplicate)
+	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.StallAfter > 0 || e.faults.Duplicate)
 	if raw := r.Header.Get(wire.HeaderResumeFrom); raw != "" {
 		if !e.attempts[j.attemptID] {
 			e.waiting--
@@ -315,6 +321,9 @@
 		case j.faults.SilentAfter > 0 && sent >= j.faults.SilentAfter:
 			<-r.Context().Done()
 			return
+		case j.faults.StallAfter > 0 && sent >= j.faults.StallAfter:
+			e.sendComments(w, r)
+			return
 		}
 		data, _ := json.Marshal(e.chunk(j, Token(j.prompt, i)))
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
@@ -331,6 +340,15 @@
 	fmt.Fprintf(w, "id: %d\ndata: %s\n\ndata: [DONE]\n\n", j.maxTokens, data)
 }
 
+// sendComments sends comments until the request is canceled.
+func (e *Engine) sendComments(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	for clock.Sleep(r.Context(), e.clk, commentInterval) {
+		fmt.Fprint(w, ": waiting\n\n")
+		_ = rc.Flush()
+	}
+}
+
 func (e *Engine) writeResponse(w http.ResponseWriter, r *http.Request, j *job) {
 	e.sleep(r, j, time.Duration(j.maxTokens-j.firstToken)*e.opts.TokenTime)
 	stop := "stop"
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -96,7 +96,10 @@
 type Attempt struct {
 	Response *http.Response
 	// BeforeRead, if set, is called before each read of the response.
-	BeforeRead   func()
+	BeforeRead func()
+	// IsStream keeps bytes from extending the timeout; only Extend does. An engine
+	// that has stalled may go on sending comments.
+	IsStream     bool
 	body         io.Reader
 	cancel       context.CancelFunc
 	timer        clock.Timer
@@ -134,7 +137,7 @@
 		}
 		return nil, Refused, err
 	}
-	a.timer.Reset(s.ChunkTimeout)
+	a.Extend()
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wire.HeaderNotRun) == "true" {
 		a.Response = resp
 		a.Close()
@@ -178,16 +181,22 @@
 	a.cancel()
 }
 
-// Read implements io.Reader. It fails if no byte arrives within the timeout.
+// Read implements io.Reader. It fails if no byte arrives within the timeout, and for a
+// stream if Extend isn't called within it.
 func (a *Attempt) Read(p []byte) (int, error) {
 	if a.BeforeRead != nil {
 		a.BeforeRead()
 	}
 	n, err := a.body.Read(p)
-	a.timer.Reset(a.chunkTimeout)
+	if !a.IsStream {
+		a.Extend()
+	}
 	return n, err
 }
 
+// Extend starts the timeout between chunks anew.
+func (a *Attempt) Extend() { a.timer.Reset(a.chunkTimeout) }
+
 // TimedOut reports whether the attempt was aborted because nothing arrived within
 // the timeout.
 func (a *Attempt) TimedOut() bool { return a.timedOut.Load() }
