fix(upstreamer): a late copy of a response isn't taken for that of the next request

What callers see: on the product's own interface a caller could get the answer to another caller's request, if an upstream or something before it sends a response twice and the copy arrives after the next request was written to the pooled connection. net/http closes idle connections on which bytes arrive, but can't tell a copy that arrives later.

Cause: no response was checked against its request.

Fix: a response that names another attempt in X-Attempt-Id ends the exchange as broken, and its connection is closed. Requests that may not be repeated aren't affected: they use new connections.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -169,6 +169,7 @@
 	if err != nil {
 		return
 	}
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	e.mu.Lock()
 	refuse := e.draining || e.consumeFault(e.faults.Refuse)
 	e.mu.Unlock()
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -69,6 +69,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	if r.URL.Path == "/runs" {
 		_ = json.NewEncoder(w).Encode(s.Runs())
 		return
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -56,6 +56,9 @@
 // ErrSilent marks an attempt that was aborted because no response began in time.
 const ErrSilent = errors.ConstError("upstream sent no response in time")
 
+// errOtherAttempt reports a response that belongs to another attempt.
+const errOtherAttempt = errors.ConstError("response belongs to another attempt")
+
 // Upstreamer holds the HTTP clients and connections for upstreams. It is safe for
 // concurrent use.
 type Upstreamer struct {
@@ -137,13 +140,16 @@
 		}
 		return nil, Refused, err
 	}
+	a.Response = resp
+	if id := resp.Header.Get(wire.HeaderAttempt); id != "" && id != s.Header.Get(wire.HeaderAttempt) {
+		a.Close() // a late copy of a response on a pooled connection
+		return nil, Broken, errOtherAttempt
+	}
 	a.Extend()
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wire.HeaderNotRun) == "true" {
-		a.Response = resp
 		a.Close()
 		return nil, Refused, errors.Errorf("upstream refused the request with status %d and did not run it", resp.StatusCode)
 	}
-	a.Response = resp
 	a.body = resp.Body
 	return a, Opened, nil
 }
--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -1,12 +1,14 @@
 package upstreamer_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,3 +156,44 @@
 		a.Close()
 	}
 }
+
+// Guards against an answer that belongs to another request: a late copy of a response
+// arrived on a pooled connection after the next request had been sent on it.
+func TestLateCopyOfResponseIsNotTakenForNextRequest(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		br := bufio.NewReader(conn)
+		for range 2 {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+wire.HeaderAttempt+": first\r\nContent-Length: 5\r\n\r\nfirst")
+		}
+	})
+	u := upstreamer.New(systemclock.New())
+	for i, attempt := range []string{"first", "second"} {
+		s := spec("http://"+l.Addr().String(), false)
+		s.Header.Set(wire.HeaderAttempt, attempt)
+		a, outcome, _ := u.Open(context.Background(), s)
+		if a != nil {
+			_, _ = io.Copy(io.Discard, a)
+			a.Close()
+		}
+		if want := []upstreamer.Outcome{upstreamer.Opened, upstreamer.Broken}[i]; outcome != want {
+			t.Errorf("%s request: outcome %d, want %d", attempt, outcome, want)
+		}
+	}
+}
