fix(serve): a log that nobody reads doesn't stop the node

What callers see: on the product's own interface no request is answered any more once the pipe behind standard error is full.

Cause: the log was written to it directly, by the goroutine of each request. The users' platform has a queue before it (internal/linewriter).

Fix: the same queue for serve. At the end the process waits 0.5 s at most for its last lines.

Lines that find the queue full are dropped and counted, as on the platform; a crash loses up to 50 ms of lines.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburnnotch/auburnnotch/internal/linewriter"
 	"github.com/auburnnotch/auburnnotch/internal/loader"
 	"github.com/auburnnotch/auburnnotch/internal/logger"
 	"github.com/auburnnotch/auburnnotch/internal/node"
@@ -49,14 +50,16 @@
 	if err != nil {
 		return err
 	}
-	log, err := logger.New(streams.err, s.LogLevel)
+	clk := systemclock.New()
+	lines := linewriter.New(clk, streams.err)
+	log, err := logger.New(lines, s.LogLevel)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	n, err := node.New(s, systemclock.New(), log)
+	n, err := node.New(s, clk, log)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	log.WithFields(logrus.Fields{"event": "listening", "node": s.Name, "callers": n.Addr(), "peers": n.PeerAddr()}).Info("serving")
-	return n.Run(ctx)
+	return lines.During(func() error { return n.Run(ctx) })
 }
--- a/internal/linewriter/linewriter.go
+++ b/internal/linewriter/linewriter.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/auburnnotch/auburnnotch/internal/queue"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 )
@@ -18,6 +20,8 @@
 	// flushInterval is the time in which lines are collected into one write.
 	flushInterval = 50 * time.Millisecond
 	maxBatchBytes = 32 << 10
+	// flushTimeout bounds the writing of the last lines.
+	flushTimeout = 500 * time.Millisecond
 )
 
 // Writer is an io.Writer for whole lines. It implements supervisor.Service.
@@ -61,6 +65,25 @@
 	}
 }
 
+// During writes the queued lines while f runs, and those that are left when it returns.
+// It doesn't wait for an output that has stopped accepting them.
+func (w *Writer) During(f func() error) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	flushed := make(chan struct{})
+	var g errgroup.Group
+	g.Go(func() error {
+		defer close(flushed)
+		return w.Run(ctx)
+	})
+	err := f()
+	cancel()
+	select {
+	case <-flushed:
+	case <-w.clk.After(flushTimeout):
+	}
+	return err
+}
+
 // appendQueued appends the queued lines to buf. It writes buf whenever it exceeds
 // maxBatchBytes.
 func (w *Writer) appendQueued(buf []byte) []byte {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -53,6 +53,7 @@
 	store   *kvstore.Store
 	engines []*engine.Engine
 	service *plainservice.Service
+	output  *raceLog
 }
 
 func deploy(t testing.TB, engines, nodes int) *deployment {
@@ -61,7 +62,7 @@
 	d := &deployment{t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
 	races := &raceLog{t: t}
 	t.Cleanup(races.check)
-	d.Fleet = testlib.NewFleet(binDir, races)
+	d.Fleet, d.output = testlib.NewFleet(binDir, races), races
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
 	d.ctx = ctx
@@ -405,6 +406,26 @@
 	}
 }
 
+// Guards against a node that stands still as soon as nobody reads its log: each request
+// waited for its line to be written.
+func TestNodeWithBlockedLogServes(t *testing.T) {
+	d := deploy(t, 1, 1)
+	const requests = 2000 // their lines take several times what a pipe holds
+	d.output.mu.Lock()    // blocks the reader of the node's pipe
+	defer d.output.mu.Unlock()
+	c := &http.Client{Timeout: 5 * time.Second}
+	for i := range requests {
+		resp, err := c.Get("http://" + d.Nodes[0].Addr + "/none")
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusNotFound {
+			t.Fatalf("request %d: status %d", i, resp.StatusCode)
+		}
+	}
+}
+
 func TestEntryServesAfterProcessPause(t *testing.T) {
 	d := deploy(t, 1, 2)
 	if err := d.Nodes[0].Signal(syscall.SIGSTOP); err != nil {
