--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -53,6 +53,7 @@
 	store   *kvstore.Store
 	engines []*engine.Engine
 	service *plainservice.Service
+	output  *raceLog
 }
 
 func deploy(t testing.TB, engines, nodes int) *deployment {
@@ -61,7 +62,7 @@
 	d := &deployment{t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
 	races := &raceLog{t: t}
 	t.Cleanup(races.check)
-	d.Fleet = testlib.NewFleet(binDir, races)
+	d.Fleet, d.output = testlib.NewFleet(binDir, races), races
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
 	d.ctx = ctx
@@ -320,13 +321,13 @@
 		})
 	}
 	t.Run("refused by one", func(t *testing.T) {
+		d := deploy(t, 2, 1) // no circuit breaker is open because of the faults above
 		d.engines[0].SetFaults(engine.Faults{Refuse: true})
 		for i := range 6 {
 			chat := testlib.NewChat(fmt.Sprint("prefix ", i), "refused", 4)
 			r, err := d.caller(0).Chat(d.ctx, chat, nil)
 			d.requireComplete(r, err, chat)
 		}
-		d.engines[0].SetFaults(engine.Faults{})
 	})
 	t.Run("crash mid-stream", func(t *testing.T) {
 		chat := testlib.NewChat("shared", "crash", 30)
@@ -346,6 +347,20 @@
 
 var errStop = errors.New("stop reading")
 
+// Guards against callers that wait for ever: an engine that had stalled kept its stream
+// open with comments, so that no other engine went on with it.
+func TestStalledStreamOfCommentsIsContinuedElsewhere(t *testing.T) {
+	d := deploy(t, 2, 1)
+	for _, e := range d.engines {
+		e.SetFaults(engine.Faults{StallAfter: 3, Times: 1})
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, 15*time.Second)
+	defer cancel()
+	chat := testlib.NewChat("shared", "stalled", 12)
+	r, err := d.caller(0).Chat(ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
 func TestCallerResumesAtAnotherEntry(t *testing.T) {
 	d := deploy(t, 2, 2)
 	chat := testlib.NewChat("shared", "resume", 40)
@@ -391,6 +406,26 @@
 	}
 }
 
+// Guards against a node that stands still as soon as nobody reads its log: each request
+// waited for its line to be written.
+func TestNodeWithBlockedLogServes(t *testing.T) {
+	d := deploy(t, 1, 1)
+	const requests = 2000 // their lines take several times what a pipe holds
+	d.output.mu.Lock()    // blocks the reader of the node's pipe
+	defer d.output.mu.Unlock()
+	c := &http.Client{Timeout: 5 * time.Second}
+	for i := range requests {
+		resp, err := c.Get("http://" + d.Nodes[0].Addr + "/none")
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusNotFound {
+			t.Fatalf("request %d: status %d", i, resp.StatusCode)
+		}
+	}
+}
+
 func TestEntryServesAfterProcessPause(t *testing.T) {
 	d := deploy(t, 1, 2)
 	if err := d.Nodes[0].Signal(syscall.SIGSTOP); err != nil {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,6 +20,9 @@
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
+// commentInterval is the time between two comments of a stalled stream.
+const commentInterval = 50 * time.Millisecond
+
 // Options describes an engine: its model, size and speed.
 type Options struct {
 	Name          string
@@ -40,6 +43,9 @@
 	// SilentAfter stalls a stream after that many tokens, with the connection
 	// open; 0 means never.
 	SilentAfter int `json:"silentAfter"`
+	// StallAfter stalls a stream after that many tokens, with comments as a sign of
+	// life; 0 means never.
+	StallAfter int `json:"stallAfter"`
 	// CutAfter closes the connection of a stream after that many tokens; 0 means
 	// never.
 	CutAfter int `json:"cutAfter"`
@@ -50,7 +56,7 @@
 	// Refuse rejects requests with status 503 and the header wire.HeaderNotRun.
 	Refuse bool `json:"refuse"`
 	// Times, if not 0, is the number of requests after which all faults are
-	// cleared. Stream faults don't affect the last of these requests any more.
+	// cleared.
 	Times int `json:"times"`
 }
 
@@ -163,6 +169,7 @@
 	if err != nil {
 		return
 	}
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	e.mu.Lock()
 	refuse := e.draining || e.consumeFault(e.faults.Refuse)
 	e.mu.Unlock()
@@ -230,9 +237,8 @@
 	e.waiting++
 	e.runs++
 	j.incarnation, j.crashed = e.incarnation, e.crashed
-	if e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.Duplicate) {
-		j.faults = e.faults
-	}
+	j.faults = e.faults // consumeFault may clear them
+	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.StallAfter > 0 || e.faults.Duplicate)
 	if raw := r.Header.Get(wire.HeaderResumeFrom); raw != "" {
 		if !e.attempts[j.attemptID] {
 			e.waiting--
@@ -316,6 +322,9 @@
 		case j.faults.SilentAfter > 0 && sent >= j.faults.SilentAfter:
 			<-r.Context().Done()
 			return
+		case j.faults.StallAfter > 0 && sent >= j.faults.StallAfter:
+			e.sendComments(w, r)
+			return
 		}
 		data, _ := json.Marshal(e.chunk(j, Token(j.prompt, i)))
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
@@ -332,6 +341,15 @@
 	fmt.Fprintf(w, "id: %d\ndata: %s\n\ndata: [DONE]\n\n", j.maxTokens, data)
 }
 
+// sendComments sends comments until the request is canceled.
+func (e *Engine) sendComments(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	for clock.Sleep(r.Context(), e.clk, commentInterval) {
+		fmt.Fprint(w, ": waiting\n\n")
+		_ = rc.Flush()
+	}
+}
+
 func (e *Engine) writeResponse(w http.ResponseWriter, r *http.Request, j *job) {
 	e.sleep(r, j, time.Duration(j.maxTokens-j.firstToken)*e.opts.TokenTime)
 	stop := "stop"
