fix(observer): a large odd entry doesn't hide other changes from the nodes

Reported by another operator: one odd entry among those of the engines, and machines stopped following the list.

A store reader sends changes to the other nodes in the order of their revisions, by datagram. An entry of another writer with a value that doesn't compress into a datagram stopped all changes after it: each node noticed after 1.2 s that it still disagreed, and read the whole store, value included, again for each new value. Values of more than 16 KB that operators haven't written aren't kept or sent any more, so that they are unreadable at every node alike.

--- a/internal/feeder/feeder_test.go
+++ b/internal/feeder/feeder_test.go
@@ -27,11 +27,15 @@
 
 const readers = 2
 
+const maxDatagramBytes = 65507 // of UDP over IPv4
+
 // decode decodes "up/ID" with "ready" or "draining", "ops/config" with a version and
 // padding, and "ops/weights" with a version.
 func decode(it platform.Item) (traffic.StoreRecord, error) {
 	value := string(it.Value)
 	switch {
+	case strings.HasPrefix(it.Key, "up/") && value != "ready" && value != "draining":
+		return nil, errors.NotValidf("registration")
 	case strings.HasPrefix(it.Key, "up/"):
 		return &traffic.Upstream{ID: it.Key[3:], StartedMS: 1, Service: "s", Address: "127.0.0.1:1", Draining: value == "draining"}, nil
 	case it.Key == "ops/config":
@@ -87,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if len(b) > maxDatagramBytes {
+		return errors.Errorf("datagram of %d bytes", len(b))
+	}
 	p.f.mu.Lock()
 	p.f.sent[kind]++
 	p.f.largest = max(p.f.largest, len(b))
@@ -348,6 +355,31 @@
 	}
 }
 
+// Guards against an odd entry that doesn't fit into a datagram and thereby hides all
+// other changes from the nodes that follow the store by way of its readers.
+func TestLargeOddEntryHidesNoChanges(t *testing.T) {
+	const nodes, rounds = 20, 8
+	f := newFleet(t, nodes, traffic.CurrentProtocol)
+	f.run(3 * time.Second)
+	before := f.store.RangeCalls()
+	value := make([]byte, 200<<10)
+	for i := range rounds {
+		for j := range value {
+			value[j] = byte(f.rnd.Uint32())
+		}
+		f.store.Set("up/odd", string(value))
+		f.store.Delete(fmt.Sprintf("up/%02d", i))
+		if took := f.until("the removal", func(obs *observer.Observer) bool { return upstreams(obs) == 39-i }); took > noticeBound {
+			t.Errorf("removal %d reached the last node after %v, want at most %v", i, took, noticeBound)
+		}
+		f.run(time.Second)
+	}
+	byReaders := readers * (int(f.clk.Now().Sub(time.Unix(100, 0))/(800*time.Millisecond)) + 2)
+	if others := f.store.RangeCalls() - before - byReaders; others > 0 {
+		t.Errorf("the nodes that don't read for others read the store %d times, want none", others)
+	}
+}
+
 // Nodes of a release without requests for changes aren't asked: the store is read.
 func TestReaderOfEarlierReleaseIsNotAsked(t *testing.T) {
 	f := newFleet(t, 6, 0)
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,7 @@
 // applyItem applies the state of one key. initial is set during the first read
 // of the store.
 func (o *Observer) applyItem(it platform.Item, initial bool) {
+	it = o.withoutLongValue(it)
 	old, ok := o.items[it.Key]
 	if ok && old.revision >= it.Revision || o.feed.removals[it.Key] >= it.Revision {
 		return
@@ -66,6 +68,15 @@
 	}
 }
 
+// withoutLongValue returns the item without its value if that is too long to be one of
+// the fleet. All nodes then decode the same, also those that get it from a peer.
+func (o *Observer) withoutLongValue(it platform.Item) platform.Item {
+	if len(it.Value) > maxRecordBytes && !strings.HasPrefix(it.Key, o.layout.OperatorPrefix) {
+		it.Value = nil
+	}
+	return it
+}
+
 func (o *Observer) setCatalog(c *traffic.Catalog) {
 	if o.catalog != nil && c.Version <= o.catalog.Version {
 		return
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -47,6 +47,9 @@
 	minRepairDelay = 300 * time.Millisecond
 	waitStep       = 50 * time.Millisecond
 	maxPages       = 64
+	// maxRecordBytes bounds the values other than those of operators. Together with
+	// other changes, a value of this size fits into a datagram.
+	maxRecordBytes = 16 << 10
 	// maxVersions bounds the number of announced versions kept per model.
 	maxVersions = 8
 	// minAgeDifference is the smallest difference between the ages reported by
@@ -240,7 +243,9 @@
 		if err != nil {
 			return r, errors.Trace(err)
 		}
-		r.items = append(r.items, p.Items...)
+		for _, it := range p.Items {
+			r.items = append(r.items, o.withoutLongValue(it))
+		}
 		if r.first == 0 || p.Revision < r.first {
 			r.first = p.Revision
 		}
