fix(packer): a list that claims billions of elements takes no memory

Reported by another operator: an odd entry, and the machines that read it ended again and again.

The library's decoder of lists allocates as many elements as the head of the list claims, whatever its limit for this says. Ten bytes of a datagram, or five bytes among the announcements of weights in the store, made a node allocate 17 GB: 'fatal error: out of memory', which Go can't recover from. Lists of all types are read element by element now, as lists of structs were.

TestListsThatDoNotExistTakeNoMemory: the process ended before (run with 12 GB of address space).

--- a/internal/orderer/announcements.go
+++ b/internal/orderer/announcements.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -25,7 +26,7 @@
 // DecodeAnnouncements decodes the announcements of a model.
 func DecodeAnnouncements(it platform.Item) (*traffic.Announcements, error) {
 	n := &traffic.Announcements{Model: strings.TrimPrefix(it.Key, AnnouncementsPrefix), Revision: it.Revision}
-	if err := msgpack.Unmarshal(it.Value, &n.Announcements); err != nil {
+	if err := packer.New(it.Value).Unpack(&n.Announcements); err != nil {
 		return nil, errors.Annotate(err, "decode announcements of weights")
 	}
 	return n, nil
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -34,7 +34,7 @@
 	return &Unpacker{d: msgpack.NewDecoder(bytes.NewReader(message))}
 }
 
-// Unpack decodes the message into dst, a pointer to a struct. Structs may be encoded as
+// Unpack decodes the message into dst, a pointer to a struct or to a list. Structs may be encoded as
 // arrays or as maps by name.
 func (u *Unpacker) Unpack(dst any) error {
 	return errors.Trace(u.unpackValue(reflect.ValueOf(dst).Elem()))
@@ -45,7 +45,7 @@
 	case reflect.Struct:
 		return u.unpackStruct(v)
 	case reflect.Slice:
-		if v.Type().Elem().Kind() == reflect.Struct {
+		if v.Type().Elem().Kind() != reflect.Uint8 {
 			return u.unpackList(v)
 		}
 	case reflect.Pointer:
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"runtime"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -124,6 +125,28 @@
 	}
 }
 
+// Guards against a short message that ends the process, since it claims to have a list of
+// billions of elements.
+func TestListsThatDoNotExistTakeNoMemory(t *testing.T) {
+	const many = "\xdd\xff\xff\xff\xff" // the head of a list of 2^32-1 elements
+	for name, b := range map[string]string{
+		"structs": "\x92\xa1n\x91" + many,
+		"words":   "\x95\xa1n\xc0\xc0\xc0" + many,
+		"numbers": "\x96\xa1n\xc0\xc0\xc0\xc0" + many,
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		var out message
+		if err := packer.New([]byte(b)).Unpack(&out); err == nil {
+			t.Errorf("%s: read as a message", name)
+		}
+		runtime.ReadMemStats(&after)
+		if size := after.TotalAlloc - before.TotalAlloc; size > 4<<20 {
+			t.Errorf("%s: %d MB were allocated", name, size>>20)
+		}
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	f.Add(pack(f, &message{Name: "n", Embedded: embedded{List: make([]inner, 2)}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
