fix(packer): a deeply nested message doesn't exhaust the memory of the nodes

Reported by another operator: one odd entry, very deeply nested, and the machines that read it ended again and again.

The library skips fields that it doesn't know recursively: those that a later release has added, and all unknown ones of a struct that is encoded by name, as node registrations are. Values are skipped down to a depth of 32 now, and a struct by name is checked for it first. Node registrations, the ledger's pages and the intents of orders are read in the same way, since all of them lie in the store.

TestDeeplyNestedMessagesAreRejected, red before (growth of 64 to 256 MB). Not changed: messages between nodes of the product's own interface (internal/peerlink).

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/queue"
 	"github.com/auburnnotch/auburnnotch/internal/upstreamer"
@@ -195,7 +196,7 @@
 	e, err := d.store.Get(ctx, platform.LineOrders, intentsKey)
 	var p issuer.Page
 	if err == nil && e.Version != 0 {
-		err = msgpack.Unmarshal(e.Value, &p)
+		err = packer.New(e.Value).Unpack(&p)
 	}
 	d.events.Offer(issuer.PageRead{Page: p, Version: e.Version, Failed: err != nil})
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,6 +21,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/queue"
@@ -237,7 +238,7 @@
 	if err != nil || e.Version == 0 {
 		return p, 0, err
 	}
-	return p, e.Version, msgpack.Unmarshal(e.Value, &p)
+	return p, e.Version, packer.New(e.Value).Unpack(&p)
 }
 
 func (l *Ledger) write(ctx context.Context, key string, p claimer.Page, version uint64) (uint64, error) {
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -26,12 +26,21 @@
 	return buf.Bytes(), nil
 }
 
+// maxDepth bounds the nesting of what is skipped or decoded by name. The library does
+// both recursively.
+const maxDepth = 32
+
 // Unpacker decodes one message.
-type Unpacker struct{ d *msgpack.Decoder }
+type Unpacker struct {
+	message []byte
+	r       *bytes.Reader // read by d without a buffer
+	d       *msgpack.Decoder
+}
 
 // New returns an Unpacker of an encoded message.
 func New(message []byte) *Unpacker {
-	return &Unpacker{d: msgpack.NewDecoder(bytes.NewReader(message))}
+	r := bytes.NewReader(message)
+	return &Unpacker{message: message, r: r, d: msgpack.NewDecoder(r)}
 }
 
 // Unpack decodes the message into dst, a pointer to a struct or to a list. Structs may be encoded as
@@ -71,6 +80,11 @@
 	if err != nil {
 		return err
 	}
+	if isMap(code) {
+		if err := New(u.message[len(u.message)-u.r.Len():]).skip(0); err != nil {
+			return err
+		}
+	}
 	if !isArray(code) { // by name, or a type with an encoding of its own
 		return u.d.DecodeValue(v)
 	}
@@ -80,7 +94,7 @@
 	}
 	for i := range n {
 		if i >= len(fields) {
-			err = u.d.Skip()
+			err = u.skip(0)
 		} else {
 			err = u.unpackValue(v.FieldByIndex(fields[i]))
 		}
@@ -91,6 +105,31 @@
 	return nil
 }
 
+// skip skips a value at a depth. It returns an error if the value is nested too deeply.
+func (u *Unpacker) skip(depth int) error {
+	code, err := u.d.PeekCode()
+	if err != nil {
+		return err
+	}
+	var n int
+	switch {
+	case isArray(code):
+		n, err = u.d.DecodeArrayLen()
+	case isMap(code):
+		n, err = u.d.DecodeMapLen()
+		n *= 2 // names and values
+	default:
+		return u.d.Skip()
+	}
+	if depth >= maxDepth {
+		return errors.NotValidf("message nested more than %d levels deep", maxDepth)
+	}
+	for i := 0; i < n && err == nil; i++ {
+		err = u.skip(depth + 1)
+	}
+	return err
+}
+
 func (u *Unpacker) unpackList(v reflect.Value) error {
 	n, err := u.d.DecodeArrayLen()
 	if err != nil || n < 0 {
@@ -130,12 +169,20 @@
 	fixArrayLast  = 0x9f
 	array16Code   = 0xdc
 	array32Code   = 0xdd
+	fixMapFirst   = 0x80
+	fixMapLast    = 0x8f
+	map16Code     = 0xde
+	map32Code     = 0xdf
 )
 
 func isArray(code byte) bool {
 	return code >= fixArrayFirst && code <= fixArrayLast || code == array16Code || code == array32Code
 }
 
+func isMap(code byte) bool {
+	return code >= fixMapFirst && code <= fixMapLast || code == map16Code || code == map32Code
+}
+
 var fieldCache sync.Map // of reflect.Type to [][]int
 
 // fieldsOf returns the indexes of the encoded fields of a struct, those of embedded
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -133,6 +134,7 @@
 		"structs": "\x92\xa1n\x91" + many,
 		"words":   "\x95\xa1n\xc0\xc0\xc0" + many,
 		"numbers": "\x96\xa1n\xc0\xc0\xc0\xc0" + many,
+		"by name": "\x82\xa4Name\xa1n\xa7Numbers" + many,
 	} {
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
@@ -147,6 +149,35 @@
 	}
 }
 
+// Guards against a deeply nested message or entry of the store that exhausts the memory of
+// every node that reads it: the library skips what it doesn't know recursively.
+func TestDeeplyNestedMessagesAreRejected(t *testing.T) {
+	const levels = 1 << 20
+	arrays, maps := strings.Repeat("\x91", levels), strings.Repeat("\x81\xc0", levels)
+	for name, b := range map[string]string{
+		"additional field":       "\x9a\xc0\xc0\xc0\xc0\xc0\xc0\xc0\xc0\xc0" + arrays,
+		"additional field, maps": "\x9a\xc0\xc0\xc0\xc0\xc0\xc0\xc0\xc0\xc0" + maps,
+		"field of a list":        "\x92\xa1n\x91\x91\x93\x01\xa1b" + arrays,
+		"field of a pointer":     "\x93\xa1n\xc0\x93\x01\xa1b" + maps,
+		"unknown field by name":  "\x82\xa4Name\xa1n\xa1x" + arrays,
+		"unknown field, maps":    "\x82\xa4Name\xa1n\xa1x" + maps,
+		"by name, in a list":     "\x92\xa1n\x91\x91\x81\xa1x" + arrays,
+		"arrays":                 arrays,
+		"maps":                   maps,
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		var out message
+		if err := packer.New([]byte(b)).Unpack(&out); err == nil {
+			t.Errorf("%s: read as a message", name)
+		}
+		runtime.ReadMemStats(&after)
+		if grown := int64(after.StackSys) - int64(before.StackSys); grown > 4<<20 {
+			t.Errorf("%s: the stack grew by %d MB", name, grown>>20)
+		}
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	f.Add(pack(f, &message{Name: "n", Embedded: embedded{List: make([]inner, 2)}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -31,7 +32,7 @@
 // Decode decodes the registration of a node.
 func Decode(value []byte) (*traffic.Node, error) {
 	var n traffic.Node
-	if err := msgpack.Unmarshal(value, &n); err != nil {
+	if err := packer.New(value).Unpack(&n); err != nil {
 		return nil, errors.Annotate(err, "decode node registration")
 	}
 	return &n, nil
