fix(registrar): an odd registration names no node

Found beside the report of an odd entry among those of the engines: a node registration without a name or address, with a port out of range or a host name was taken as that of a node. Callers were directed to its address, a name was looked up at each message to it, and one with an enormous processor share became the placement coordinator and store reader of the fleet.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,9 @@
 // Prefix is the prefix of the keys under which nodes are registered.
 const Prefix = "auburnnotch/nodes/"
 
+// maxMilliCores bounds the processor share of a node, by which aggregators are selected.
+const maxMilliCores = 1 << 20
+
 const (
 	// leaseTTL is how long a crashed node stays registered. Callers are directed
 	// away from it sooner, since the other nodes no longer receive its messages.
@@ -35,9 +39,18 @@
 	if err := packer.New(value).Unpack(&n); err != nil {
 		return nil, errors.Annotate(err, "decode node registration")
 	}
+	if n.Name == "" || !isAddress(n.Entry) || !isAddress(n.Peer) || n.MilliCores < 0 || n.MilliCores > maxMilliCores {
+		return nil, errors.NotValidf("node registration without name or addresses, or with %d milli-cores", n.MilliCores)
+	}
 	return &n, nil
 }
 
+// isAddress reports whether s is an IP address and a port. A name would be looked up.
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
 // Registrar registers a node and renews its lease. It implements
 // supervisor.Service.
 type Registrar struct {
