fix(poller): an odd VM in the platform's list hides no others

The report of one odd entry among others, looked for on the product's own interface: a VM with a field of another type made the whole list unreadable, so that VMs that leave or are gone kept getting new requests until their declared time, or until attempts failed.

TestOddVMHidesNoOthers, red before for nine of twelve odd entries.

--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -60,6 +60,17 @@
 	cursor  int
 }
 
+// UnmarshalJSON implements json.Unmarshaler. An entry with a field of another type is left
+// empty, since an error would hide the rest of the list.
+func (v *VM) UnmarshalJSON(b []byte) error {
+	type plain VM // without this method
+	var p plain
+	if json.Unmarshal(b, &p) == nil {
+		*v = VM(p)
+	}
+	return nil
+}
+
 // New returns a Poller. current returns the configuration in force, or nil if
 // there is none.
 func New(clk clock.Clock, log logrus.FieldLogger, u *upstreamer.Upstreamer, s *scheduler.Scheduler, store *platform.Client, current func() *catalog.Catalog) *Poller {
@@ -153,7 +164,7 @@
 	}
 	notLive := map[string]bool{}
 	for _, v := range list.VMs {
-		if v.State != "live" {
+		if v.Name != "" && v.State != "live" {
 			notLive[v.Name] = true
 		}
 	}
