fix(orderer): unreadable announcements of weights are replaced

The list of announcements of a model that nodes read when they start was never written again once it couldn't be read, or named a version too large: the leader's write expected that there is none, and failed each time. A node that started while no other ran then didn't know how long ago weights were announced.

The decoder returns the revision with its error, and checks that versions rise and fit their type. TestOddAnnouncementsAreReplaced: four of its cases fail without the revision, the two on versions fail on the code before.

--- a/internal/orderer/announcements.go
+++ b/internal/orderer/announcements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 
 	"github.com/juju/errors"
@@ -23,12 +24,20 @@
 // allowed.
 const maxAnnouncements = 8
 
-// DecodeAnnouncements decodes the announcements of a model.
+// DecodeAnnouncements decodes the announcements of a model. With an error, it returns
+// none of them but their revision, so that they can be replaced.
 func DecodeAnnouncements(it platform.Item) (*traffic.Announcements, error) {
 	n := &traffic.Announcements{Model: strings.TrimPrefix(it.Key, AnnouncementsPrefix), Revision: it.Revision}
-	if err := packer.New(it.Value).Unpack(&n.Announcements); err != nil {
-		return nil, errors.Annotate(err, "decode announcements of weights")
+	var list []traffic.Announcement
+	if err := packer.New(it.Value).Unpack(&list); err != nil {
+		return n, errors.Annotate(err, "decode announcements of weights")
 	}
+	for i, a := range list {
+		if a.Version < 1 || a.Version > math.MaxInt32 || i > 0 && a.Version <= list[i-1].Version {
+			return n, errors.NotValidf("announcements of weights with version %d", a.Version)
+		}
+	}
+	n.Announcements = list
 	return n, nil
 }
 
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnnotch/auburnnotch/internal/observer"
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
@@ -197,6 +198,34 @@
 	}
 }
 
+// Guards against an unreadable list of announcements that stays in the store for ever,
+// since the leader's write expects that there is none.
+func TestOddAnnouncementsAreReplaced(t *testing.T) {
+	pack := func(v any) string {
+		b, err := msgpack.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
+	for name, odd := range map[string]string{
+		"empty": "", "text": "odd", "nested": strings.Repeat("\x91", 1000), "list without elements": "\xdd\xff\xff\xff\xff",
+		"version too large":  pack([]traffic.Announcement{{Version: 1 << 40}}),
+		"versions backwards": pack([]traffic.Announcement{{Version: 9}, {Version: 1}}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.store.Set(orderer.AnnouncementsPrefix+"m", odd)
+			f.start("a")
+			f.until("the replacement", func() bool {
+				it, _ := f.store.Item(orderer.AnnouncementsPrefix + "m")
+				n, err := orderer.DecodeAnnouncements(it)
+				return err == nil && len(n.Announcements) == 1 && n.Announcements[0].Version == 2
+			})
+		})
+	}
+}
+
 // slowGrantStore delays the responses to lease grants. The lease runs from the
 // arrival of the call.
 type slowGrantStore struct {
