fix(relayer): a request without an ID uses a connection of its own

Responses are matched to requests by the request ID that upstreams echo. A request that came without one matched any response without one: a late copy of an earlier refusal on a connection in use again told the caller of an unsafe request that it wasn't run, while the upstream ran it. Such a request is sent on a new connection now, as the retries of a request with an ID are.

TestLateCopyOfRefusalWithoutID, red before (503 'noUpstream' for an unsafe request that ran). Ruled out by TestCopiesOfEarlierRefusalsBelongToNoRequest, which passes on the code before: copies with another ID or none, in eleven forms, before the request, before its response and after it.

--- a/internal/relayer/operators_test.go
+++ b/internal/relayer/operators_test.go
@@ -1,7 +1,9 @@
 package relayer_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -54,6 +56,101 @@
 	}
 }
 
+// Guards against a late copy of an earlier refusal that is taken for the response to a
+// request without an ID: nothing in it tells whose response it is.
+func TestLateCopyOfRefusalWithoutID(t *testing.T) {
+	for _, path := range []string{"/unsafe/", "/once/", "/safe/"} {
+		var mu sync.Mutex
+		requests, ran := map[net.Conn]int{}, 0
+		b := newFixture(t, func(conn net.Conn, r testlib.Received) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if requests[conn]++; requests[conn] > 1 {
+				_ = refusing(conn, r)
+			}
+			ran++
+			return ok(conn, r)
+		})
+		for i := range 3 {
+			r := &reply{}
+			b.relay.Serve(t.Context(), &relayer.Request{Method: "POST", Target: path, Path: path, Host: "h", Key: "key", Timeout: 2 * time.Second, Arrived: time.Now()}, r)
+			if mu.Lock(); r.status != 200 || r.body.String() != "ok" || ran != i+1 {
+				t.Errorf("%s, request %d: status %d, kind %s, run %d times in all", path, i, r.status, r.kind, ran)
+			}
+			mu.Unlock()
+		}
+	}
+}
+
+// Guards against copies of earlier refusals, in any form and at any moment, that report a
+// request as not run which the upstream runs, or that send it to a second one.
+func TestCopiesOfEarlierRefusalsBelongToNoRequest(t *testing.T) {
+	const refusal = "Not-Run: 1\r\n"
+	for name, copies := range map[string]string{
+		"refused":                "HTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "Content-Length: 2\r\n\r\nno",
+		"other upstream":         "HTTP/1.1 421 Other\r\nId: first\r\n" + refusal + "By: u9\r\nContent-Length: 0\r\n\r\n",
+		"bad request, no ID":     "HTTP/1.1 400 Bad\r\n" + refusal + "Content-Length: 0\r\n\r\n",
+		"chunked":                "HTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"closing":                "HTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "Connection: close\r\nContent-Length: 0\r\n\r\n",
+		"without length":         "HTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "\r\n",
+		"longer than its length": "HTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "Content-Length: 2\r\n\r\nnothing",
+		"shorter":                "HTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "Content-Length: 40\r\n\r\nno",
+		"half a header":          "HTTP/1.1 503 Full\r\nId: first\r\nNot-Run: ",
+		"interim first":          "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 503 Full\r\nId: first\r\n" + refusal + "Content-Length: 0\r\n\r\n",
+		"five of them":           strings.Repeat("HTTP/1.1 503 Full\r\nId: first\r\n"+refusal+"Content-Length: 0\r\n\r\n", 5),
+	} {
+		for _, moment := range []string{"before the request", "before the response", "after the response"} {
+			for _, path := range []string{"/unsafe/", "/once/", "/safe/"} {
+				t.Run(strings.Join([]string{name, moment, path}, " "), func(t *testing.T) {
+					t.Parallel()
+					var mu sync.Mutex
+					ran := map[string]int{}
+					b := newFixture(t, func(conn net.Conn, r testlib.Received) bool {
+						id := r.Header.Get("Id")
+						mu.Lock()
+						ran[id]++
+						mu.Unlock()
+						switch {
+						case id == "first":
+							_ = refusing(conn, r)
+						case moment == "before the response":
+							_, _ = io.WriteString(conn, copies)
+							_ = ok(conn, r)
+						default:
+							_ = ok(conn, r)
+						}
+						if id == "first" && moment == "before the request" || id == "second" && moment == "after the response" {
+							_, _ = io.WriteString(conn, copies)
+						}
+						return true
+					})
+					serve := func(id string) *reply {
+						r := &reply{}
+						ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+						defer cancel()
+						b.relay.Serve(ctx, &relayer.Request{ID: id, Method: "POST", Target: path, Path: path, Host: "h", Key: "key", Timeout: 700 * time.Millisecond, Arrived: time.Now()}, r)
+						return r
+					}
+					if r := serve("first"); r.kind != failure.NoUpstream {
+						t.Fatalf("first request: status %d, kind %s", r.status, r.kind)
+					}
+					time.Sleep(200 * time.Millisecond) // the upstream is suspended after the refusal
+					for _, id := range []string{"second", "third"} {
+						r := serve(id)
+						mu.Lock()
+						n := ran[id]
+						mu.Unlock()
+						notRun := r.kind != failure.None && r.kind.Response().Verdict == failure.NotRun
+						if r.status != 0 && (r.status != 200 || r.body.String() != "ok") || notRun && n > 0 || n > 1 && path != "/safe/" {
+							t.Errorf("request %s: status %d, %q, kind %s, run %d times", id, r.status, r.body.String(), r.kind, n)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 func serveStream(t *testing.T, b *fixture, path string, timeout time.Duration) *reply {
 	t.Helper()
 	r := &reply{}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -166,7 +166,7 @@
 		Address: u.choice.Upstream.Address, Incarnation: u.choice.Incarnation(),
 		Method: u.req.Method, Target: u.req.Target, Host: u.req.Host,
 		Head: u.r.Dialect.AppendHeader(nil, u.req, &a), Body: u.req.Body,
-		Fresh: !u.route.Repeatable(), New: u.sends > 0, Permit: u.permit, FirstByteTimeout: min(u.firstByteTimeout(remaining), u.untilVersionCutoff(q)),
+		Fresh: !u.route.Repeatable(), New: u.sends > 0 || id == "", Permit: u.permit, FirstByteTimeout: min(u.firstByteTimeout(remaining), u.untilVersionCutoff(q)),
 		Matches: func(h connector.Header) bool { return u.r.Dialect.ParseResponse(0, h).RequestID == id },
 	})
 }
