fix(relayer): a resumed stream goes on only after the events that the caller has

Reported by another operator: a stream had begun and broke off, the next engine answered with an error, and callers found its text, at times its whole head, in the middle of their stream.

After a stream had begun, any 200 event stream of the next engine was joined to it unread: events that the caller had, the rest of an event, an error as an event, or a whole response in the body. The first event of a resumption must have an ID above that of the last one now. Otherwise the attempt counts as broken: another engine may resume, or the caller's connection is aborted.

Not detected: an engine that leaves events out, since IDs need only increase.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +35,7 @@
 	buffered := reservation{limit: &u.r.bufferLimit}
 	defer buffered.release()
 	buf := make([]byte, 0, readBufferBytes)
+	resumes := u.responseStarted // until the first event has been checked
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEventBytes {
@@ -50,9 +51,15 @@
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		end := lastEventEnd(buf)
-		sawEvent := hasEvent(buf[:end])
+		events := parseEvents(buf[:end])
+		if resumes && events.any {
+			if !follows(u.lastEventID, events.firstID) {
+				return u.handleBrokenStream(errors.NotValidf("resumption after event %q with event %.40q", u.lastEventID, events.firstID))
+			}
+			resumes = false
+		}
 		if end > 0 {
-			if werr := u.writeEvents(x, buf[:end]); werr != nil {
+			if werr := u.writeEvents(x, buf[:end], events); werr != nil {
 				return u.handleCallerGone(werr)
 			}
 			buf = buf[:copy(buf, buf[end:])]
@@ -69,7 +76,7 @@
 			return false
 		case err != nil:
 			return u.handleBrokenStream(err)
-		case end > 0 && sawEvent: // only complete events extend the timeout, and not comments
+		case events.any: // only complete events extend the timeout, and not comments
 			if err := x.SetReadTimeout(u.eventTimeout()); err != nil {
 				return u.handleBrokenStream(err)
 			}
@@ -86,7 +93,7 @@
 }
 
 // writeEvents forwards complete events to the caller.
-func (u *relay) writeEvents(x *connector.Exchange, events []byte) error {
+func (u *relay) writeEvents(x *connector.Exchange, b []byte, events eventSummary) error {
 	now := u.r.Clock.Now()
 	u.r.mu.Lock()
 	u.r.placer.RecordActivity(now, u.choice)
@@ -103,10 +110,10 @@
 		u.recorder().RecordFirstToken(u.r.Clock.Now().Sub(u.req.Arrived))
 		u.w.Begin(x.Status, x.Header, -1)
 	}
-	if id := lastID(events); id != "" {
-		u.lastEventID = id
+	if events.lastID != "" {
+		u.lastEventID = events.lastID
 	}
-	return u.w.Write(events)
+	return u.w.Write(b)
 }
 
 func (u *relay) finishStream(x *connector.Exchange) {
@@ -145,29 +152,50 @@
 	return end
 }
 
-// hasEvent reports whether b has a line that isn't a comment. An engine that has stalled
-// may go on sending comments.
-func hasEvent(b []byte) bool {
+// eventSummary describes complete events.
+type eventSummary struct {
+	// any is set if there is a line that isn't a comment. An engine that has stalled may
+	// go on sending comments.
+	any bool
+	// firstID is the ID of the first event, empty if it has none. lastID is that of the
+	// last event with an ID.
+	firstID, lastID string
+}
+
+func parseEvents(b []byte) eventSummary {
+	var s eventSummary
+	var id, lastID []byte
+	inEvent := false
 	for line := range bytes.Lines(b) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return true
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0 && inEvent:
+			if !s.any {
+				s.any, s.firstID = true, string(id)
+			}
+			if len(id) > 0 {
+				lastID = id
+			}
+			inEvent, id = false, nil
+		case len(line) == 0 || line[0] == ':':
+		default:
+			inEvent = true
+			if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				id = bytes.TrimSpace(v)
+			}
 		}
 	}
-	return false
+	s.lastID = string(lastID)
+	return s
 }
 
-// lastID returns the ID of the last event in b that has one, or an empty string.
-func lastID(b []byte) string {
-	for len(b) > 0 {
-		i := bytes.LastIndex(b, []byte("id:"))
-		if i < 0 {
-			return ""
-		}
-		if i == 0 || b[i-1] == '\n' {
-			line, _, _ := bytes.Cut(b[i+len("id:"):], []byte("\n"))
-			return strings.TrimSpace(string(line))
-		}
-		b = b[:i]
+// follows reports whether an event may be the first one of a resumption after another
+// event. IDs increase if they are numbers.
+func follows(last, next string) bool {
+	a, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return next != "" && next != last
 	}
-	return ""
+	b, err := strconv.ParseUint(next, 10, 64)
+	return err == nil && b > a
 }
