fix(relayer): a stream isn't resumed after an event without an ID

Found beside the report on broken streams: the next engine is asked to go on after the last event ID. If the events of a stream, or the last ones, have none, it began anew or after an earlier event, and callers got events twice, joined from two runs. Such a stream isn't resumed now; the caller's connection is aborted.

TestStreamWithoutEventIDsIsNotResumed, red before in four of five cases.

--- a/internal/relayer/resumption_test.go
+++ b/internal/relayer/resumption_test.go
@@ -103,3 +103,41 @@
 		})
 	}
 }
+
+// Guards against a stream that is resumed after an event without an ID: the next engine
+// would begin anew, or after an earlier event.
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	for name, begin := range map[string]string{
+		"no IDs":              "data: e1\n\ndata: e2\n\n",
+		"none on the last":    "id: 1\ndata: e1\n\ndata: e2\n\n",
+		"none in the middle":  "id: 1\ndata: e1\n\ndata: e2\n\nid: 3\ndata: e3\n\n",
+		"an empty one":        "id: 1\ndata: e1\n\nid:\ndata: e2\n\n",
+		"one within the data": "id: 1\ndata: e1\n\ndata: id: 2\ndata: \n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			attempts := make(chan string, 9)
+			script := func(conn net.Conn, r testlib.Received) bool {
+				attempts <- r.Header.Get("After")
+				streamHead(conn, r)
+				if len(attempts) > 1 {
+					_, _ = io.WriteString(conn, chunked("id: 9\ndata: e9\n\n"))
+					return false
+				}
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(begin), begin)
+				time.Sleep(10 * time.Millisecond)
+				testlib.Reset(conn)
+				return false
+			}
+			b := newFixture(t, script, script)
+			r := serveStream(t, b, "/stream/", 2*time.Second)
+			want, resumed := begin, strings.HasSuffix(begin, "id: 3\ndata: e3\n\n")
+			if resumed { // the last event has an ID
+				want += "id: 9\ndata: e9\n\n"
+			}
+			if r.aborted == resumed || r.body.String() != want {
+				t.Errorf("aborted %t after %q", r.aborted, r.body.String())
+			}
+		})
+	}
+}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -69,7 +69,8 @@
 	sends             int // attempts of which something was sent
 	runs              int // sends that may have been run
 	responseStarted   bool
-	lastEventID       string // ID of the last event forwarded
+	lastEventID       string // ID of the last event forwarded that has one
+	resumable         bool   // the last event forwarded has an ID
 	choice            placer.Choice
 	advised           bool   // the choice follows the advice of the placement coordinator
 	adviser           string // node that answered the last question, if any
@@ -240,7 +241,7 @@
 // mayRetry reports whether the request may be run again after the runs so far and
 // pending more.
 func (u *relay) mayRetry(pending int) bool {
-	return u.route.Repeatable() && u.runs+pending < max(1, u.route.MaxAttempts)
+	return u.route.Repeatable() && u.runs+pending < max(1, u.route.MaxAttempts) && (!u.responseStarted || u.resumable)
 }
 
 func (u *relay) endAttempt(f func(p *placer.Placer, c placer.Choice)) {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"strconv"
 	"time"
@@ -110,8 +111,8 @@
 		u.recorder().RecordFirstToken(u.r.Clock.Now().Sub(u.req.Arrived))
 		u.w.Begin(x.Status, x.Header, -1)
 	}
-	if events.lastID != "" {
-		u.lastEventID = events.lastID
+	if events.any {
+		u.lastEventID, u.resumable = cmp.Or(events.lastID, u.lastEventID), events.endsWithID
 	}
 	return u.w.Write(b)
 }
@@ -158,8 +159,9 @@
 	// go on sending comments.
 	any bool
 	// firstID is the ID of the first event, empty if it has none. lastID is that of the
-	// last event with an ID.
+	// last event with an ID, which is the last event if endsWithID is set.
 	firstID, lastID string
+	endsWithID      bool
 }
 
 func parseEvents(b []byte) eventSummary {
@@ -173,7 +175,7 @@
 			if !s.any {
 				s.any, s.firstID = true, string(id)
 			}
-			if len(id) > 0 {
+			if s.endsWithID = len(id) > 0; s.endsWithID {
 				lastID = id
 			}
 			inEvent, id = false, nil
