fix(relayer): a stream without events or framing has been broken off

An engine that closed its channel right after the header, with no event or with comments only, looked like one whose stream was complete: callers got an empty success, or a stream that ended as complete where it had broken off. Every stream has an event, so that the attempt counts as broken now, and another engine may resume.

TestStreamWithoutEventsOrFramingIsIncomplete and two cases in TestResponseOfNextEngineDoesNotCorruptStream, red before.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -24,6 +24,8 @@
 	Header Header
 	// Length is the length of the body; -1 if unknown.
 	Length int64
+	// EndsWithConnection is set if the body has neither a length nor chunks.
+	EndsWithConnection bool
 
 	connector  *Connector
 	conn       *conn
@@ -107,7 +109,8 @@
 		return nil, true, errors.Annotate(firstError(writeErr, err), "read response header")
 	}
 	return &Exchange{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, connector: c, conn: cn,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, connector: c, conn: cn,
 		body: resp.Body, closeAfter: resp.Close || writeErr != nil,
 	}, true, nil
 }
--- a/internal/relayer/resumption_test.go
+++ b/internal/relayer/resumption_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
 // chunked returns a body as chunks.
@@ -36,6 +37,8 @@
 		"the rest without length":          {"200 OK", events + "\r\n", rest, true},
 		"the rest after a comment":         {"200 OK", events + chunks, chunked(": on\n\n" + rest), true},
 		"nothing is left":                  {"200 OK", events + chunks, chunked(""), true},
+		"nothing, without length":          {"200 OK", events + "\r\n", "", false},
+		"comments, without length":         {"200 OK", events + "\r\n", ": on\n\n", false},
 		"ends within an event":             {"200 OK", events + "\r\n", "id: 4\ndata: e4\n\nid: 5\nda", false},
 		"ends within the first event":      {"200 OK", events + "\r\n", "id: 4\nda", false},
 		"chunks end within an event":       {"200 OK", events + chunks, chunked("id: 4\ndata: e4\n\nid: 5\nda"), false},
@@ -141,3 +144,24 @@
 		})
 	}
 }
+
+// Guards against a stream that broke off before its first event and looks complete, since
+// it has neither a length nor chunks.
+func TestStreamWithoutEventsOrFramingIsIncomplete(t *testing.T) {
+	for path, complete := range map[string]bool{"/stream/": true, "/once/": false} {
+		attempts := make(chan bool, 9)
+		script := func(conn net.Conn, r testlib.Received) bool {
+			attempts <- true
+			if len(attempts) > 1 {
+				return streaming(0)(conn, r)
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: x\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"))
+			return false
+		}
+		b := newFixture(t, script, script)
+		r := serveStream(t, b, path, 2*time.Second)
+		if got := r.body.String(); complete && (got != wholeStream || r.status != 200) || !complete && (got != "" || r.status != 0 || r.kind != failure.OutcomeUnknown) {
+			t.Errorf("%s: status %d, kind %s, aborted %t, %q", path, r.status, r.kind, r.aborted, got)
+		}
+	}
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -36,6 +36,7 @@
 	buffered := reservation{limit: &u.r.bufferLimit}
 	defer buffered.release()
 	buf := make([]byte, 0, readBufferBytes)
+	empty := true
 	resumes := u.responseStarted // until the first event has been checked
 	for {
 		if len(buf) == cap(buf) {
@@ -59,6 +60,7 @@
 			}
 			resumes = false
 		}
+		empty = empty && !events.any
 		if end > 0 {
 			if werr := u.writeEvents(x, buf[:end], events); werr != nil {
 				return u.handleCallerGone(werr)
@@ -72,6 +74,8 @@
 		switch {
 		case err == io.EOF && len(buf) > 0:
 			return u.handleBrokenStream(errors.New("stream ended within an event"))
+		case err == io.EOF && empty && x.EndsWithConnection:
+			return u.handleBrokenStream(errors.New("stream ended before its first event"))
 		case err == io.EOF:
 			u.finishStream(x)
 			return false
