fix(ingress): a broken stream is reset for callers without chunks

Reported by another operator: a stream that broke off ended as if it were complete.

For callers of HTTP/1.1 an aborted stream lacks its last chunk, also with 'Connection: close'. A caller of HTTP/1.0 gets no chunks: the end of the connection is the end of its stream, and the abort looked like it. Its connection is reset now.

The users' callers speak HTTP/1.1 and couldn't see it.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -102,6 +102,20 @@
 	return left
 }
 
+// ResetOnClose makes the end of a connection a reset, so that it isn't taken for the end
+// of a response. Bytes that the caller hasn't received by then may be lost.
+func (c *Closer) ResetOnClose(remoteAddr string) {
+	c.mu.Lock()
+	k := c.conns[remoteAddr]
+	c.mu.Unlock()
+	if k == nil {
+		return
+	}
+	if tcp, ok := k.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
 type listener struct {
 	net.Listener
 	closer  *Closer
