--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -70,7 +70,8 @@
 	sends             int // attempts of which something was sent
 	runs              int // sends that may have been run
 	responseStarted   bool
-	lastEventID       string // ID of the last event forwarded
+	lastEventID       string // ID of the last event forwarded that has one
+	resumable         bool   // the last event forwarded has an ID
 	choice            placer.Choice
 	advised           bool   // the choice follows the advice of the placement coordinator
 	adviser           string // node that answered the last question, if any
@@ -172,7 +173,7 @@
 		Address: u.choice.Upstream.Address, Incarnation: u.choice.Incarnation(),
 		Method: u.req.Method, Target: u.req.Target, Host: u.req.Host,
 		Head: u.r.Dialect.AppendHeader(nil, u.req, &a), Body: u.req.Body,
-		Fresh: !u.route.Repeatable(), New: u.sends > 0, Permit: u.beginSend, FirstByteTimeout: min(remaining, u.untilVersionCutoff(q)),
+		Fresh: !u.route.Repeatable(), New: u.sends > 0 || id == "", Permit: u.beginSend, FirstByteTimeout: min(remaining, u.untilVersionCutoff(q)),
 		Matches: func(h connector.Header) bool { return u.r.Dialect.ParseResponse(0, h).RequestID == id },
 	})
 }
@@ -256,7 +257,7 @@
 // mayRetry reports whether the request may be run again after the runs so far and
 // pending more.
 func (u *relay) mayRetry(pending int) bool {
-	return u.route.Repeatable() && u.runs+pending < max(1, u.route.MaxAttempts)
+	return u.route.Repeatable() && u.runs+pending < max(1, u.route.MaxAttempts) && (!u.responseStarted || u.resumable)
 }
 
 func (u *relay) endAttempt(f func(p *placer.Placer, c placer.Choice)) {
