fix(detector): a finding of a peer absolves the other parts of its requests

Cause: only an own finding absolved what was lost beside it. With the deadly part known, the next candidate was the part that all its requests have in common with sound ones, lost as often.

Now each rejection absolves, whoever found it, and a run that poison accounts for is no evidence against its other features at all. Runs of one request that was sent again stay evidence for its parts. TestFindingOfPeerAbsolvesOtherParts failed before, for both orders of the messages. Ruled out: lost reports that vouch for the part (it was vouched for; six crashes suffice against that).

--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -100,6 +100,7 @@
 	r := run{sentAt: sentAt, features: slices.Clone(features)}
 	for _, f := range features {
 		r.id = r.id*31 + uint64(f)
+		r.request = f
 	}
 	return r
 }
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -17,6 +17,7 @@
 	root    detector.Feature = iota + 1 // of every prompt
 	subject                             // of every tenth prompt, and of each one with the deadly part
 	deadly
+	smallRoot
 	firstSubject detector.Feature = 100
 	firstRequest detector.Feature = 1_000_000
 )
@@ -31,6 +32,9 @@
 	newSubjects bool
 	// deadlyFirst is set if the deadly part stands before the subject.
 	deadlyFirst bool
+	// smallWorkspace is set if the deadly part comes with a root of its own, which few sound
+	// prompts have.
+	smallWorkspace bool
 	// massCrash is the share of engines that crash together, as its inverse, every
 	// massCrashEvery.
 	massCrash      int
@@ -128,6 +132,9 @@
 		case rnd.IntN(10) == 0 && (!l.newSubjects || now.Sub(start) > 5*time.Second):
 			features[1] = subject
 		}
+		if l.smallWorkspace && (poison || rnd.IntN(40) == 0) {
+			features[0] = smallRoot
+		}
 		place(simulatedRun{node: rnd.IntN(l.nodes), poison: poison, features: features})
 	}
 	for tick := 0; now.Sub(start) < length; tick++ {
@@ -198,6 +205,8 @@
 		"subject unknown before":                    {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, newSubjects: true},
 		"subject unknown before, deadly part first": {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, newSubjects: true, deadlyFirst: true},
 		"many at once":                              {nodes: 9, engines: 60, soundPerSecond: 200, poisonPerSecond: 20},
+		"small workspace":                           {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, smallWorkspace: true},
+		"small workspace of a large fleet":          {nodes: 60, engines: 90, soundPerSecond: 300, poisonPerSecond: 13, aggregated: true, smallWorkspace: true},
 		"one node":                                  {nodes: 1, engines: 18, soundPerSecond: 70, poisonPerSecond: 2},
 		"sent again":                                {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, sends: 4},
 		"sent again, subject unknown before":        {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, sends: 4, newSubjects: true},
@@ -530,3 +539,34 @@
 		t.Errorf("found %+v at once", found)
 	}
 }
+
+// A peer found the deadly part first. The sound part that each of its requests has as well was
+// lost as often, and was rejected instead of left alone.
+func TestFindingOfPeerAbsolvesOtherParts(t *testing.T) {
+	for _, mergeFirst := range []bool{true, false} {
+		one, two := detector.New(), detector.New()
+		two.RecordSuccess(start, []detector.Feature{root})
+		now := start.Add(time.Second)
+		for i := range 9 {
+			sentAt := now
+			now = now.Add(100 * time.Millisecond)
+			for range 4 {
+				one.RecordSuccess(now, []detector.Feature{9_000})
+			}
+			one.RecordLoss(now, uint32(i), sentAt, []detector.Feature{root, deadly, detector.Feature(500 + i)})
+		}
+		one.RecordLoss(now, 20, now.Add(-50*time.Millisecond), []detector.Feature{root, 77, 700}) // of another cause
+		two.Merge(now, one.Evidence(now))
+		one.Merge(now, two.Evidence(now)) // vouches for the root
+		if mergeFirst {
+			one.Merge(now, detector.Evidence{Poisons: []detector.Poison{{Features: []detector.Feature{deadly}, RemainingMS: 60_000}}})
+		}
+		for range 5 {
+			now = now.Add(300 * time.Millisecond)
+			judge(one, now)
+		}
+		if !one.Rejects(now, []detector.Feature{root, deadly}) || one.Rejects(now, []detector.Feature{root, 5}) {
+			t.Errorf("peer first %t: rejects the deadly part %t, the root %t", mergeFirst, one.Rejects(now, []detector.Feature{deadly}), one.Rejects(now, []detector.Feature{root}))
+		}
+	}
+}
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -54,7 +54,8 @@
 
 // run is a lost run as the Detector keeps it.
 type run struct {
-	id       uint64 // identifies its reports
+	id       uint64  // identifies its reports
+	request  Feature // the most specific of its features
 	sentAt   time.Time
 	features []Feature
 }
@@ -105,6 +106,12 @@
 	until    time.Time
 }
 
+// accountsFor reports whether the loss of a run is no evidence against its other features. Of
+// a single request that was sent again, any feature may still be the cause.
+func (p *poison) accountsFor(r run) bool {
+	return p.matches(r.features) && !slices.Contains(p.features, r.request)
+}
+
 func (p *poison) matches(features []Feature) bool { return containsAll(features, p.features) }
 
 func containsAll(all, some []Feature) bool {
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -122,6 +122,9 @@
 		d.poisons = slices.Delete(d.poisons, 0, 1)
 	}
 	d.poisons = append(d.poisons, &poison{features: features, until: until})
+	for _, c := range d.crashes {
+		c.explain(features)
+	}
 	return true
 }
 
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -51,9 +51,6 @@
 		}
 		d.reject(now, features, now.Add(poisonTTL))
 		d.foundLately = append(d.foundLately, Finding{Features: features, Crashes: crashes})
-		for _, c := range d.crashes {
-			c.explain(features)
-		}
 	}
 	found := d.foundLately
 	d.foundLately = nil
@@ -111,6 +108,9 @@
 	tallies := map[Feature]*tally{}
 	for i, c := range crashes {
 		for _, r := range c.runs {
+			if d.isAccountedFor(r) {
+				continue
+			}
 			for _, f := range r.features {
 				t := tallies[f]
 				if t == nil {
@@ -132,6 +132,10 @@
 	return tallies
 }
 
+func (d *Detector) isAccountedFor(r run) bool {
+	return slices.ContainsFunc(d.poisons, func(p *poison) bool { return p.accountsFor(r) })
+}
+
 func (d *Detector) qualifies(now time.Time, t *tally, crashes []*crash) bool {
 	factor := 1
 	if t.vouched {
@@ -181,7 +185,7 @@
 	for _, c := range crashes {
 		for _, r := range c.runs {
 			switch {
-			case !slices.Contains(r.features, cause.feature):
+			case !slices.Contains(r.features, cause.feature), d.isAccountedFor(r):
 			case common == nil:
 				common = slices.Clone(r.features)
 			default:
