feat(relayer): upstreams that are leaving, or turn a node away for a time, are left alone

Since today an upstream that leaves says so in every response, and one that turns a request away with 503 may say for how long.

The placer skips such an upstream even as a last resort, the permit right before the send checks again, questions to the coordinator name it (at the end of the message, golden bytes of protocol 2, which hasn't been released), and a request that no upstream takes in time is refused at once with a Retry-After after the first of them. A leaving upstream is suspended on all nodes for 30 s. It stays leaving on this node while the registry doesn't list it for a while, and until another incarnation is there.

TestQuestionAndAnswerOfProtocolOne compared this release's bytes with those of protocol 1; it now encodes the earlier fields, and checks besides that the earlier release reads the new ones.

--- a/internal/adviser/golden_test.go
+++ b/internal/adviser/golden_test.go
@@ -11,16 +11,51 @@
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
-func TestQuestionAndAnswerOfProtocolOne(t *testing.T) {
-	q := question{Number: 1, From: "n", Query: placer.Query{
+// earlierQuery has the fields of protocol one, in their order.
+type earlierQuery struct {
+	Service        string
+	Prompt         *traffic.Prompt
+	CacheScope     string
+	DataCentre     string
+	Exclude        []string
+	Tripped        []uint32
+	Version        int
+	SinceAnnounced time.Duration
+	Cutoffs        []placer.VersionCutoff
+	Pinned         bool
+	CacheAddress   string
+	CacheTokens    int
+}
+
+type earlierQuestion struct {
+	Number uint64
+	From   string
+	Query  earlierQuery
+}
+
+func earlier(q question) earlierQuestion {
+	return earlierQuestion{q.Number, q.From, earlierQuery{
+		q.Query.Service, q.Query.Prompt, q.Query.CacheScope, q.Query.DataCentre, q.Query.Exclude, q.Query.Tripped, q.Query.Version,
+		q.Query.SinceAnnounced, q.Query.Cutoffs, q.Query.Pinned, q.Query.CacheAddress, q.Query.CacheTokens,
+	}}
+}
+
+func protocolOneQuestion() question {
+	return question{Number: 1, From: "n", Query: placer.Query{
 		Service: "s", Prompt: &traffic.Prompt{Model: "m", Parts: []traffic.Part{{ID: "p", Tokens: 2}}, Tokens: 3, MaxOutput: 4}, CacheScope: "w",
 		DataCentre: "a", Exclude: []string{"e"}, Tripped: []uint32{5}, Version: 6, SinceAnnounced: 7 * time.Second,
 		Cutoffs: []placer.VersionCutoff{{Version: 8, Remaining: 9}}, Pinned: true, CacheAddress: "c", CacheTokens: 10,
 	}}
+}
+
+// This release reads the questions of the earlier one, and that one reads those of this
+// release.
+func TestQuestionAndAnswerOfProtocolOne(t *testing.T) {
+	q := protocolOneQuestion()
 	a := answer{Number: 1, Verdict: placer.Placed, Advice: placer.Advice{
 		Upstream: 2, Version: 3, Misses: 4, MemoryTokens: 5, Running: 6, QueueingDelayMS: 7.5, Source: 8, Save: true,
 	}}
-	b, err := packer.Pack(&q)
+	b, err := packer.Pack(earlier(q))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,3 +71,20 @@
 		t.Errorf("got %+v, error %v", gotAnswer, err)
 	}
 }
+
+func TestQuestionOfProtocolTwo(t *testing.T) {
+	q := protocolOneQuestion()
+	q.Query.Unavailable = []uint32{11}
+	b, err := packer.Pack(&q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got question
+	if err := packer.New(testlib.Golden(t, "protocol-2-question", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, q) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old earlierQuestion
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, earlier(q)) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -20,6 +20,10 @@
 // its registration has ended.
 const leavingTTL = 15 * time.Second
 
+// leavingSuspension is how long peers send no new work to an upstream that has told this node
+// that it is leaving. By then the registry doesn't list it as ready any more.
+const leavingSuspension = 30 * time.Second
+
 // localState connects the broadcaster with the node's other services. It
 // implements broadcaster.LocalState, orderer.Traffic and adviser.Coordinator.
 type localState struct {
@@ -56,6 +60,9 @@
 	t := s.relay.TakeReport()
 	m.Report, m.Placements, m.Evidence = t.Report, t.Placements, t.Evidence
 	s.flushNewEvidence(t.Evidence)
+	for _, key := range t.Leaving {
+		s.broadcaster.AnnounceSuspension(key, s.clk.Now().Add(leavingSuspension))
+	}
 	d, fresh := s.obs.Digest()
 	m.Revision, m.Hash, m.LatestConfig = d.Revision, d.Hash, d.ConfigVersion
 	fleet := s.roster()
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -32,6 +32,11 @@
 			u.fail(failure.NoUpstream)
 			return q, false
 		}
+		if u.turnedAwayFor = u.allTurnedAway(&q, giveUpAt); u.turnedAwayFor > 0 {
+			u.reason = "all upstreams have turned this node away"
+			u.fail(failure.NoUpstream)
+			return q, false
+		}
 		clock.Sleep(u.ctx, u.r.Clock, pickInterval)
 	}
 }
@@ -127,6 +132,7 @@
 	id := u.r.lastQuestion
 	u.r.openQuestions[id] = struct{}{}
 	asked.Tripped = u.r.placer.Tripped(u.r.Clock.Now())
+	asked.Unavailable = u.r.placer.Unavailable(u.r.Clock.Now())
 	u.r.mu.Unlock()
 	advice, v = u.r.Adviser.Ask(u.ctx, id, &asked)
 	return advice, v, func() { delete(u.r.openQuestions, id) }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -70,6 +70,7 @@
 	// local loads yet.
 	lastQuestion  uint64
 	openQuestions map[uint64]struct{}
+	leaving       []uint32 // for the next report
 }
 
 // New returns a Relayer without upstreams.
@@ -106,6 +107,9 @@
 	Placements []placer.Placement
 	// Evidence is what the node knows of requests that crash upstreams.
 	Evidence detector.Evidence
+	// Leaving has the keys of the upstreams that have said since the last report that they
+	// are leaving.
+	Leaving []uint32
 }
 
 // TakeReport returns the load that this node has in flight at upstreams and the
@@ -118,7 +122,10 @@
 	for id := range r.openQuestions {
 		settled = min(settled, id-1)
 	}
+	leaving := r.leaving
+	r.leaving = nil
 	return TrafficReport{
+		Leaving:    leaving,
 		Report:     placer.Report{Loads: r.placer.LocalLoads(now), Settled: settled, Tripped: r.placer.Tripped(now)},
 		Placements: r.placer.TakePlacements(),
 		Evidence:   r.evidence(now),
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -39,7 +39,9 @@
 
 func (dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
 	version, _ := strconv.Atoi(h.Get("Version"))
+	turnAway, _ := strconv.Atoi(h.Get("Turn-Away"))
 	return relayer.ResponseInfo{
+		Leaving: h.Get("Leaving") != "", TurnAway: time.Duration(turnAway) * time.Second,
 		RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest, Stamped: h.Get("Mark") != "", Upstream: h.Get("By"), Version: version,
 	}
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -54,7 +54,7 @@
 	case failure.NoUpstream, failure.Overloaded:
 		u.r.mu.Lock()
 		defer u.r.mu.Unlock()
-		return minCapacityRetryAfter + time.Duration(u.r.Rand.Int64N(int64(capacityRetryJitter)))
+		return max(minCapacityRetryAfter, u.turnedAwayFor) + time.Duration(u.r.Rand.Int64N(int64(capacityRetryJitter)))
 	}
 	return 0
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -83,7 +83,10 @@
 	// long the request takes; 0 if unknown.
 	expectedDuration time.Duration
 	silence          *silenceWatch // of the current attempt
-	reason           string
+	// turnedAwayFor is how long all upstreams want no requests of this node, if that is why
+	// the request ends.
+	turnedAwayFor time.Duration
+	reason        string
 }
 
 func (u *relay) serve() {
@@ -132,6 +135,7 @@
 	defer x.Close()
 	u.recordActivity()
 	a := u.r.Dialect.ParseResponse(x.Status, x.Header)
+	u.recordAvailability(a)
 	switch {
 	case a.NotRun || a.Misdirected:
 		return u.handleRefusal(x, a)
@@ -191,7 +195,7 @@
 	}
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
-	if !u.r.placer.Eligible(u.choice.Incarnation()) {
+	if !u.r.placer.MaySend(u.r.Clock.Now(), u.choice.Incarnation()) {
 		return errNotPermitted
 	}
 	return nil
@@ -295,7 +299,7 @@
 // the request. It returns whether to make another attempt.
 func (u *relay) handleRefusal(x *connector.Exchange, a ResponseInfo) bool {
 	now := u.r.Clock.Now()
-	otherUpstream := a.Misdirected && a.Upstream != "" && a.Upstream != u.choice.Upstream.ID
+	otherUpstream := u.isOtherUpstream(a)
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		switch {
 		case otherUpstream:
@@ -310,7 +314,7 @@
 		u.logEntry("refusalUnread").WithError(err).Debug("refusal response could not be read to its end")
 	}
 	u.logEntry("attemptRefused").WithFields(logrus.Fields{
-		"status": x.Status, "misdirected": a.Misdirected, "answeredBy": a.Upstream, "answeredVersion": a.Version,
+		"status": x.Status, "misdirected": a.Misdirected, "answeredBy": a.Upstream, "answeredVersion": a.Version, "turnAwayMs": a.TurnAway.Milliseconds(),
 	}).Info("upstream refused the request without running it")
 	if u.sends >= maxSends {
 		u.reason = "all upstreams tried refused the request"
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -79,6 +79,11 @@
 	// Version is the version of the weights that produced the response; 0 if
 	// the upstream sent none.
 	Version int
+	// Leaving reports that the upstream is about to leave and wants no new requests.
+	Leaving bool
+	// TurnAway is for how long the upstream wants no requests of this node; 0 if it
+	// doesn't say.
+	TurnAway time.Duration
 }
 
 // Dialect encodes attempts and decodes response headers in the protocol of the
--- a/pkg/placer/eligible.go
+++ b/pkg/placer/eligible.go
@@ -8,7 +8,7 @@
 // eligible reports whether an upstream may be chosen for q at all, regardless of
 // its load.
 func (p *Placer) eligible(now time.Time, s *upstreamState, q *Query) bool {
-	if s.up.Draining || now.Before(s.suspendedUntil) {
+	if s.up.Draining || now.Before(s.suspendedUntil) || s.isUnavailable(now) || slices.Contains(q.Unavailable, s.key) {
 		return false
 	}
 	if !p.lastResort && (!s.breaker.Allows(now) || s.trippedPeers >= minTrippedPeers) {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -38,6 +38,9 @@
 	CacheAddress string
 	// CacheTokens is the capacity of all cache stores together.
 	CacheTokens int
+	// Unavailable lists the keys of the upstreams that want no request of the asking node:
+	// they are leaving, or have turned it away for a time.
+	Unavailable []uint32
 }
 
 // VersionCutoff limits how long requests may start on weights older than a
@@ -96,7 +99,11 @@
 	lastActivity time.Time
 	// suspendedUntil is the end of a suspension: while an order is carried out, or
 	// after the upstream refused a request for lack of capacity.
-	suspendedUntil   time.Time
+	suspendedUntil time.Time
+	// leaving is set once the upstream has said in a response that it is leaving.
+	leaving bool
+	// turnedAwayUntil is until when the upstream wants no request of this node.
+	turnedAwayUntil  time.Time
 	observedVersions map[string]int // weight versions reported in responses, by model
 	memoryTokens     int            // memory of the engine in tokens, 0 if unknown
 }
@@ -125,9 +132,11 @@
 	placingNodes  int
 	// lastResort lets Pick ignore the circuit breakers.
 	lastResort bool
-	saveRate   saveRate
-	hashes     []uint64      // scratch
-	matches    prefixMatches // scratch
+	// left has the incarnations that are leaving, also while the registry doesn't list them.
+	left     map[string]bool
+	saveRate saveRate
+	hashes   []uint64      // scratch
+	matches  prefixMatches // scratch
 }
 
 // peerReport is the last report of a peer, with the advice that the report doesn't
@@ -146,7 +155,7 @@
 func New(costs Costs, rnd *rand.Rand) *Placer {
 	return &Placer{
 		costs: costs, rnd: rnd, states: map[string]*upstreamState{}, byKey: map[uint32]*upstreamState{}, services: map[string][]*upstreamState{},
-		peers: map[string]peerReport{}, index: newPrefixIndex(),
+		peers: map[string]peerReport{}, index: newPrefixIndex(), left: map[string]bool{},
 	}
 }
 
@@ -161,7 +170,7 @@
 		inc := u.Incarnation()
 		s, ok := p.states[inc]
 		if !ok {
-			s = &upstreamState{incarnation: inc, key: Key(inc), breaker: breaker.New(), observedVersions: map[string]int{}}
+			s = &upstreamState{incarnation: inc, key: Key(inc), leaving: p.left[inc], breaker: breaker.New(), observedVersions: map[string]int{}}
 			p.states[inc] = s
 			p.byKey[s.key] = s
 		}
--- a/pkg/placer/status.go
+++ b/pkg/placer/status.go
@@ -10,7 +10,8 @@
 	// Utilization is the share of the slots, or of the memory for running requests, that
 	// is in use, whichever is greater.
 	Utilization float64
-	// Reachable is false while the circuit breaker is open.
+	// Reachable is false while the circuit breaker is open, and for an upstream that is
+	// leaving.
 	Reachable bool
 }
 
@@ -31,6 +32,6 @@
 	}
 	return UpstreamStatus{
 		Utilization: min(1, utilization),
-		Running:     s.local.Running + s.peers.Running, Pinned: s.local.Pinned + s.peers.Pinned, Reachable: s.breaker.Allows(now),
+		Running:     s.local.Running + s.peers.Running, Pinned: s.local.Pinned + s.peers.Pinned, Reachable: s.breaker.Allows(now) && !s.leaving,
 	}
 }
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -83,7 +83,8 @@
 	// ProtocolChanges is the first protocol with requests for changes of the store.
 	ProtocolChanges = 1
 	// ProtocolEvidence is the first protocol with evidence of requests that crash
-	// upstreams.
+	// upstreams, and with the upstreams that are unavailable to a node that asks for a
+	// placement.
 	ProtocolEvidence = 2
 	// CurrentProtocol is the protocol of this release.
 	CurrentProtocol = ProtocolEvidence
