fix(ingress): a caller that stops reading is given up after 10 s

What callers see: nothing at first. A caller that stops reading, or whose VM is gone while data is on its way, kept its request for as long as its connection lasted, beyond its deadline: with it the load that this node reports for the engine, so that the engine's slots look taken, and the share of the memory for buffered responses, without which other large responses are given up.

Cause: writes to callers had no time limit, and a cancellation doesn't end a write. The product's own interface limits the writes of a stream (writeSeconds).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,9 @@
 	// nodes.
 	proofAgeShare = 0.9
 	milliPerCore  = 1000
+	// writeTimeout bounds each write to a caller. A caller on a congested link takes
+	// some seconds for one.
+	writeTimeout = 10 * time.Second
 	// exitReserve is the part of the grace period that is left to the process to exit
 	// once it has abandoned a service that didn't stop.
 	exitReserve = 200 * time.Millisecond
@@ -130,7 +133,8 @@
 	in, err := ingress.New(ingress.Addresses{
 		Callers: s.CallerListen, Ready: s.ReadyListen, Directory: s.DirectoryListen, Metrics: s.MetricsListen,
 	}, ingress.Dependencies{
-		Clock: clk, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(), GracePeriod: config.Seconds(s.GraceSeconds), OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
+		Clock: clk, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(),
+		GracePeriod: config.Seconds(s.GraceSeconds), WriteTimeout: writeTimeout, OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
 		Ready: func() bool { return obs.View() != nil && obs.Proof().Fresh(boot.Elapsed(), maxProofAge) },
 		BodyLimit: func() int64 {
 			if v := obs.View(); v != nil && v.Matcher.Catalog().Limits.BodyBytes > 0 {
