fix(front): a pause before the end of a stream doesn't cut off its end

What callers see: on the product's own interface a stream without its end mark, if its upstream paused for longer than writeSeconds between the last chunk and the end. With the defaults (20 s) that takes a pause over several attempts; a setting below chunkSeconds was enough.

Cause: the time limit for writes starts with each chunk that is written. The end mark, and what net/http writes after it, fell under the limit of the last chunk.

Fix: the end mark has a limit of its own.

--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -8,6 +8,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
+	"github.com/auburnnotch/auburnnotch/pkg/config"
 	"github.com/auburnnotch/auburnnotch/pkg/dispatcher"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
@@ -75,19 +76,25 @@
 	if len(r.buf) == 0 {
 		return
 	}
-	_ = r.controller.SetWriteDeadline(r.f.clk.Now().Add(backoffTimeout(r.f.limits.WriteSeconds, 0)))
+	r.extendWriteDeadline()
 	if _, err := r.w.Write(r.buf); err == nil {
 		_ = r.controller.Flush()
 	}
 	r.buf = r.buf[:0]
 }
 
+// extendWriteDeadline starts the time limit for writes to the caller anew.
+func (r *runner) extendWriteDeadline() {
+	_ = r.controller.SetWriteDeadline(r.f.clk.Now().Add(config.Seconds(r.f.limits.WriteSeconds)))
+}
+
 // finishStream writes the end mark of a stream.
 func (r *runner) finishStream() {
 	if r.firstTokenAt.IsZero() {
 		r.startStream()
 	}
 	r.buf = append(r.buf, "data: [DONE]\n\n"...)
+	r.extendWriteDeadline() // the upstream may have paused since the last chunk
 	_, _ = r.w.Write(r.buf) // net/http flushes when the handler returns
 	r.log.WithFields(logrus.Fields{
 		"event": "requestDone", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream, "chunks": r.machine.NextOffset(),
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -57,6 +57,11 @@
 }
 
 func deploy(t testing.TB, engines, nodes int) *deployment {
+	t.Helper()
+	return deployWithLimits(t, engines, nodes, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1})
+}
+
+func deployWithLimits(t testing.TB, engines, nodes int, limits config.Limits) *deployment {
 	t.Helper()
 	clk := systemclock.New()
 	d := &deployment{t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
@@ -67,7 +72,7 @@
 	t.Cleanup(cancel)
 	d.ctx = ctx
 	d.Dir = t.TempDir()
-	d.Limits = config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1}
+	d.Limits = limits
 	d.Platform, d.Service = d.listen(d.store), d.listen(d.service)
 	for i := range engines {
 		e := engine.New(engine.Options{
@@ -406,6 +411,17 @@
 	}
 }
 
+// Guards against streams without an end: their end mark was written within the time
+// limit of their last chunk, which had passed after a pause.
+func TestStreamMayPauseBeforeItsEnd(t *testing.T) {
+	const writeSeconds = 0.2
+	d := deployWithLimits(t, 1, 1, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 5, FirstByteSeconds: 5, WriteSeconds: writeSeconds})
+	d.engines[0].SetFaults(engine.Faults{EndPause: 3 * config.Seconds(writeSeconds), Times: 1})
+	chat := testlib.NewChat("shared", "pause", 4)
+	r, err := d.caller(0).Chat(d.ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
 // Guards against a node that stands still as soon as nobody reads its log: each request
 // waited for its line to be written.
 func TestNodeWithBlockedLogServes(t *testing.T) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -46,6 +46,8 @@
 	// StallAfter stalls a stream after that many tokens, with comments as a sign of
 	// life; 0 means never.
 	StallAfter int `json:"stallAfter"`
+	// EndPause is a pause after the last token of a stream, before its end.
+	EndPause time.Duration `json:"endPause"`
 	// CutAfter closes the connection of a stream after that many tokens; 0 means
 	// never.
 	CutAfter int `json:"cutAfter"`
@@ -238,7 +240,7 @@
 	e.runs++
 	j.incarnation, j.crashed = e.incarnation, e.crashed
 	j.faults = e.faults // consumeFault may clear them
-	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.StallAfter > 0 || e.faults.Duplicate)
+	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.StallAfter > 0 || e.faults.EndPause > 0 || e.faults.Duplicate)
 	if raw := r.Header.Get(wire.HeaderResumeFrom); raw != "" {
 		if !e.attempts[j.attemptID] {
 			e.waiting--
@@ -338,7 +340,12 @@
 	last.Choices[0].FinishReason = &stop
 	last.Usage = e.usage(j)
 	data, _ := json.Marshal(last)
-	fmt.Fprintf(w, "id: %d\ndata: %s\n\ndata: [DONE]\n\n", j.maxTokens, data)
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", j.maxTokens, data)
+	if j.faults.EndPause > 0 {
+		_ = rc.Flush()
+		e.sleep(r, j, j.faults.EndPause)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
 // sendComments sends comments until the request is canceled.
