fix(front): a caller that doesn't read its answer is given up

What callers see: nothing. On the product's own interface an answer that isn't streamed stayed in memory, with its connection, for as long as a caller that didn't read it kept the connection open.

Cause: only the writes of a stream had the time limit of writeSeconds.

Fix: the answer is written in parts of 64 KB, each with that limit, so that a slow caller still gets a large answer.

An earlier form of the test, which looked for slots of the pool that stay taken, found no fault: the admitter takes the occupancy from the router.

--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,10 @@
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
+// answerPartBytes is the size of the parts in which an answer is written. Each part has
+// the write timeout, so that a slow caller still gets a large answer.
+const answerPartBytes = 64 << 10
+
 // recordToken records the time to the first token, or the time between tokens for
 // later chunks of a stream.
 func (r *runner) recordToken() {
@@ -116,7 +121,12 @@
 		h.Set(wire.HeaderUpstream, r.send.Target.Upstream)
 	}
 	r.w.WriteHeader(a.Status)
-	_, _ = r.w.Write(a.Body)
+	for part := range slices.Chunk(a.Body, answerPartBytes) {
+		r.extendWriteDeadline()
+		if _, err := r.w.Write(part); err != nil {
+			break
+		}
+	}
 	r.log.WithFields(logrus.Fields{
 		"event": "requestDone", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream, "status": a.Status,
 		"elapsed": r.f.clk.Now().Sub(r.job.acceptedAt),
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -422,6 +424,34 @@
 	d.requireComplete(r, err, chat)
 }
 
+// Guards against answers that stay in memory: a caller that didn't read its answer kept it
+// for as long as its connection lasted.
+func TestCallerThatDoesNotReadItsAnswerIsGivenUp(t *testing.T) {
+	const writeSeconds = 0.5
+	d := deployWithLimits(t, 1, 1, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 5, FirstByteSeconds: 5, WriteSeconds: writeSeconds, BodyBytes: 32 << 20})
+	conn, err := net.Dial("tcp4", d.Nodes[0].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("a", 16<<20) // more than sockets buffer; the service echoes it
+	_, err = fmt.Fprintf(conn, "POST /v1/services/orders/stock HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testlib.Key, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool { return len(d.service.Runs()) == 1 })
+	time.Sleep(6 * config.Seconds(writeSeconds))
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, conn); n >= int64(len(body)) || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("caller could still read %d bytes after 3 s, %v", n, err)
+	}
+}
+
 // Guards against a node that stands still as soon as nobody reads its log: each request
 // waited for its line to be written.
 func TestNodeWithBlockedLogServes(t *testing.T) {
