--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -57,6 +59,11 @@
 }
 
 func deploy(t testing.TB, engines, nodes int) *deployment {
+	t.Helper()
+	return deployWithLimits(t, engines, nodes, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1})
+}
+
+func deployWithLimits(t testing.TB, engines, nodes int, limits config.Limits) *deployment {
 	t.Helper()
 	clk := systemclock.New()
 	d := &deployment{t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
@@ -67,7 +74,7 @@
 	t.Cleanup(cancel)
 	d.ctx = ctx
 	d.Dir = t.TempDir()
-	d.Limits = config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1}
+	d.Limits = limits
 	d.Platform, d.Service = d.listen(d.store), d.listen(d.service)
 	for i := range engines {
 		e := engine.New(engine.Options{
@@ -406,6 +413,45 @@
 	}
 }
 
+// Guards against streams without an end: their end mark was written within the time
+// limit of their last chunk, which had passed after a pause.
+func TestStreamMayPauseBeforeItsEnd(t *testing.T) {
+	const writeSeconds = 0.2
+	d := deployWithLimits(t, 1, 1, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 5, FirstByteSeconds: 5, WriteSeconds: writeSeconds})
+	d.engines[0].SetFaults(engine.Faults{EndPause: 3 * config.Seconds(writeSeconds), Times: 1})
+	chat := testlib.NewChat("shared", "pause", 4)
+	r, err := d.caller(0).Chat(d.ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
+// Guards against answers that stay in memory: a caller that didn't read its answer kept it
+// for as long as its connection lasted.
+func TestCallerThatDoesNotReadItsAnswerIsGivenUp(t *testing.T) {
+	const writeSeconds = 0.5
+	d := deployWithLimits(t, 1, 1, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 5, FirstByteSeconds: 5, WriteSeconds: writeSeconds, BodyBytes: 32 << 20})
+	conn, err := net.Dial("tcp4", d.Nodes[0].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("a", 16<<20) // more than sockets buffer; the service echoes it
+	_, err = fmt.Fprintf(conn, "POST /v1/services/orders/stock HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testlib.Key, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool { return len(d.service.Runs()) == 1 })
+	time.Sleep(6 * config.Seconds(writeSeconds))
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, conn); n >= int64(len(body)) || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("caller could still read %d bytes after 3 s, %v", n, err)
+	}
+}
+
 // Guards against a node that stands still as soon as nobody reads its log: each request
 // waited for its line to be written.
 func TestNodeWithBlockedLogServes(t *testing.T) {
