fix(dispatcher): a response that isn't a stream doesn't end up within one

Reported by another operator: a stream had begun and broke off, the next engine answered with an error, and callers found the error's text in the middle of their stream. Looked for on the product's own interface.

The next engine's response was handed to the caller as the answer to its request if it wasn't a stream, a 4xx or a 200 of another content type, although chunks had been written: its body came after them, and the response ended. Such an attempt counts as broken now if a chunk has been written to this caller.

Ruled out by the matrix and by reading: a 5xx counts as broken already, and a stream that can't go on ends with an error event and without its end mark.

--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -113,7 +113,7 @@
 	case Ended:
 		d.handleEnded(now, e)
 	case FullAnswer:
-		d.handleFullAnswer(e)
+		d.handleFullAnswer(now, e)
 	case Broken:
 		d.handleBroken(now, e)
 	case Quarantined:
@@ -322,11 +322,16 @@
 	d.emit(Finish{})
 }
 
-func (d *Dispatcher) handleFullAnswer(e FullAnswer) {
+func (d *Dispatcher) handleFullAnswer(now time.Time, e FullAnswer) {
 	if !d.isCurrent(e.Attempt) {
 		d.emit(CountDrop{})
 		return
 	}
+	if d.stream.NextOffset() > d.req.FromOffset { // the caller has begun to receive a stream
+		d.emit(CountDrop{})
+		d.recoverAttempt(now, Broken{})
+		return
+	}
 	d.phase = done
 	if d.claimed {
 		d.emit(Record{Answer: e.Answer})
--- a/pkg/dispatcher/matrix_test.go
+++ b/pkg/dispatcher/matrix_test.go
@@ -45,6 +45,7 @@
 		sim.pushEvent(dispatcher.Chunk{Attempt: "r0-1", Offset: len(sim.written), Data: []byte("foreign")})
 		sim.pushEvent(dispatcher.Ended{Attempt: "r0-1", Total: len(sim.written)})
 	}},
+	{"response that isn't a stream", func(sim *simulation) { sim.wholeResponse = true }},
 	{"duplicate chunks", func(sim *simulation) { sim.duplicateChunks = true }},
 	{"truncated stream", func(sim *simulation) { sim.truncateStream = true }},
 	{"chunk lost", func(sim *simulation) { sim.loseChunk = true }},
--- a/pkg/dispatcher/simulation_test.go
+++ b/pkg/dispatcher/simulation_test.go
@@ -52,6 +52,7 @@
 	duplicateChunks  bool
 	addForeignChunks bool
 	truncateStream   bool
+	wholeResponse    bool // the next response isn't a stream
 	refuseAll        bool
 	callerGone       bool
 	routeToLeaving   bool
@@ -71,6 +72,9 @@
 
 const answerLength = 4
 
+// noStream is the body of a response to a streaming request that isn't a stream.
+const noStream = "no stream"
+
 func newSimulation(k kind) *simulation {
 	sim := &simulation{kind: k, now: time.Unix(1_800_000_000, 0), faults: map[step][]fault{}, holderAlive: true}
 	for i := range 3 {
@@ -188,6 +192,12 @@
 	if sim.activeSend != s || u.silent {
 		return
 	}
+	if sim.wholeResponse && sim.chunksSent == 0 {
+		sim.wholeResponse = false
+		sim.pushEvent(dispatcher.FullAnswer{Attempt: s.Attempt, Answer: claimer.Answer{Status: 400, Body: []byte(noStream)}})
+		sim.activeSend = nil
+		return
+	}
 	if sim.truncateStream {
 		sim.truncateStream = false
 		sim.breakAttempt(false)
@@ -243,6 +253,9 @@
 		sim.claimHeld = false
 	case dispatcher.Answer:
 		sim.answered = string(a.Answer.Body)
+		if len(sim.written) > 0 {
+			sim.problem("a whole response after %d chunks of a stream", len(sim.written))
+		}
 		sim.end()
 	case dispatcher.Finish:
 		sim.finished = true
@@ -345,7 +358,7 @@
 	if sim.finished && len(sim.written) != answerLength {
 		sim.problem("a stream of %d chunks was reported as complete", len(sim.written))
 	}
-	if sim.answered != "" && sim.answered != "whole answer" {
+	if sim.answered != "" && sim.answered != "whole answer" && (sim.answered != noStream || sim.kind != "stream") {
 		sim.problem("wrong response %q", sim.answered)
 	}
 	if sim.ended && !sim.callerGone && !sim.finished && sim.answered == "" && sim.failed == failure.None {
