fix(upstreamer): a late copy of an earlier response isn't taken for an attempt's

Reported by another operator: a faulty engine wrote an earlier refusal once more on a kept connection. Looked for on the product's own interface.

Attempts of idempotent requests may use a connection in use again, and net/http takes whatever arrives next as the response: a late refusal told that an attempt wasn't run, a late answer was forwarded to another caller. We send X-Attempt-Id; an upstream that repeats it in its response is checked now: one of another attempt counts as broken, and idle connections are closed, since the true response may still arrive.

TestLateCopyIsNotTakenForNextAttempt, red before. It also shows that requests that aren't idempotent can't meet a copy, since their connections are new. Open: a late copy from an engine that doesn't repeat the ID is still taken, for idempotent requests only; a new connection for each would cost a handshake at each of them.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -186,6 +186,7 @@
 	e.recordStart()
 	defer e.recordEnd()
 	e.sleep(r, j, time.Duration(j.pieces-j.cachedPieces)*e.opts.PieceTime)
+	w.Header().Set(wire.HeaderAttempt, j.attemptID)
 	w.Header().Set(wire.HeaderIncarnation, j.incarnation)
 	if j.stream {
 		e.writeStream(w, r, j)
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -69,6 +69,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	if id := r.Header.Get(wire.HeaderAttempt); id != "" {
+		w.Header().Set(wire.HeaderAttempt, id)
+	}
 	if r.URL.Path == "/runs" {
 		_ = json.NewEncoder(w).Encode(s.Runs())
 		return
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -135,6 +135,12 @@
 		return nil, Refused, err
 	}
 	a.timer.Reset(s.ChunkTimeout)
+	if named := resp.Header.Get(wire.HeaderAttempt); named != "" && named != s.Header.Get(wire.HeaderAttempt) {
+		a.Response = resp
+		a.Close()
+		u.pooled.CloseIdleConnections() // the response to this attempt may still arrive
+		return nil, Broken, errors.Errorf("response belongs to attempt %.40q", named)
+	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wire.HeaderNotRun) == "true" {
 		a.Response = resp
 		a.Close()
--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,3 +156,51 @@
 		a.Close()
 	}
 }
+
+// Guards against a late copy of an earlier response on a connection in use again that is
+// taken for the response to this attempt: a refusal of a request that runs, or the answer
+// to another request.
+func TestLateCopyIsNotTakenForNextAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		late, echo string // header of the copy, and of the responses
+		fresh      bool
+		want       upstreamer.Outcome
+	}{
+		"refusal":                     {"503 Full\r\nX-Not-Run: true\r\nX-Attempt-Id: a-0\r\n", "X-Attempt-Id: %s\r\n", false, upstreamer.Broken},
+		"answer":                      {"200 OK\r\nX-Attempt-Id: a-0\r\n", "X-Attempt-Id: %s\r\n", false, upstreamer.Broken},
+		"refusal, new connections":    {"503 Full\r\nX-Not-Run: true\r\n", "", true, upstreamer.Opened},
+		"answer, new connections":     {"200 OK\r\n", "", true, upstreamer.Opened},
+		"no copy":                     {"", "X-Attempt-Id: %s\r\n", false, upstreamer.Opened},
+		"no copy, attempts not named": {"", "", false, upstreamer.Opened},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			requests := map[net.Conn]int{}
+			server := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if requests[conn]++; requests[conn] == 2 && c.late != "" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+c.late+"Content-Length: 0\r\n\r\n")
+				}
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", strings.ReplaceAll(c.echo, "%s", r.Header.Get(wire.HeaderAttempt)))
+				return err == nil
+			})
+			u := upstreamer.New(systemclock.New())
+			for i, want := range []upstreamer.Outcome{upstreamer.Opened, c.want, upstreamer.Opened} {
+				s := spec("http://"+server.Addr, c.fresh)
+				s.Header.Set(wire.HeaderAttempt, fmt.Sprint("a-", i))
+				a, outcome, err := u.Open(t.Context(), s)
+				if outcome != want {
+					t.Errorf("attempt %d: outcome %d, %v, want %d", i, outcome, err, want)
+				}
+				if a == nil {
+					continue
+				}
+				if body, err := io.ReadAll(a); err != nil || string(body) != "ok" {
+					t.Errorf("attempt %d: body %q, %v", i, body, err)
+				}
+				a.Close()
+			}
+		})
+	}
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -7,6 +7,8 @@
 // The HTTP headers. Those without a comment are exchanged with upstreams;
 // HeaderRequest is also set on the responses to callers.
 const (
+	// HeaderAttempt names the attempt. An upstream that repeats it in its response lets
+	// the router detect late copies of earlier responses.
 	HeaderAttempt     = "X-Attempt-Id"
 	HeaderRequest     = "X-Request-Id"
 	HeaderSalt        = "X-Cache-Salt"
