fix(packer): a long list of short elements stays within memory

Changes of the store may have 4 MB, compressed to a few KB in a datagram. A list of empty structs of that size took 686 MB, at nodes of 134 MB. Lists have 65,536 elements at most now; those of the largest fleet have a few thousand.

A case of TestListsThatDoNotExistTakeNoMemory, red before.

--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -13,6 +13,10 @@
 // read. A message may claim any length.
 const maxInitialElements = 1024
 
+// maxElements bounds a list. An element takes a byte of the message at least, and up to a
+// hundred times as much in memory.
+const maxElements = 1 << 16
+
 // Pack encodes a message. Structs are encoded as arrays, since field names would triple
 // the size of a message.
 func Pack(v any) ([]byte, error) {
@@ -136,6 +140,9 @@
 		v.SetZero()
 		return err
 	}
+	if n > maxElements {
+		return errors.NotValidf("list of %d elements", n)
+	}
 	list := reflect.MakeSlice(v.Type(), 0, min(n, maxInitialElements))
 	element := reflect.New(v.Type().Elem()).Elem()
 	for range n {
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -131,15 +131,17 @@
 func TestListsThatDoNotExistTakeNoMemory(t *testing.T) {
 	const many = "\xdd\xff\xff\xff\xff" // the head of a list of 2^32-1 elements
 	for name, b := range map[string]string{
-		"structs": "\x92\xa1n\x91" + many,
-		"words":   "\x95\xa1n\xc0\xc0\xc0" + many,
-		"numbers": "\x96\xa1n\xc0\xc0\xc0\xc0" + many,
-		"by name": "\x82\xa4Name\xa1n\xa7Numbers" + many,
+		"structs":         "\x92\xa1n\x91" + many,
+		"words":           "\x95\xa1n\xc0\xc0\xc0" + many,
+		"numbers":         "\x96\xa1n\xc0\xc0\xc0\xc0" + many,
+		"a byte for each": "\x92\xa1n\x91\xdd\x00\x40\x00\x00" + strings.Repeat("\x90", 4<<20),
+		"by name":         "\x82\xa4Name\xa1n\xa7Numbers" + many,
 	} {
+		encoded := []byte(b)
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
 		var out message
-		if err := packer.New([]byte(b)).Unpack(&out); err == nil {
+		if err := packer.New(encoded).Unpack(&out); err == nil {
 			t.Errorf("%s: read as a message", name)
 		}
 		runtime.ReadMemStats(&after)
