--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -142,7 +142,8 @@
 	}
 	a.Response = resp
 	if id := resp.Header.Get(wire.HeaderAttempt); id != "" && id != s.Header.Get(wire.HeaderAttempt) {
-		a.Close() // a late copy of a response on a pooled connection
+		a.Close()
+		u.pooled.CloseIdleConnections() // the response to this attempt may still arrive
 		return nil, Broken, errOtherAttempt
 	}
 	a.Extend()
