test(relayer): a deadly part is found however its crashes end streams

Two cases beside the reset: a stream without a length or chunks that ends before its first event or within one.

--- a/internal/relayer/poison_test.go
+++ b/internal/relayer/poison_test.go
@@ -21,15 +21,13 @@
 	served int
 }
 
-func newPromptFixture(t *testing.T, engines int) *promptFixture {
+func newPromptFixture(t *testing.T, engines int, crash testlib.Script) *promptFixture {
 	t.Helper()
 	scripts := make([]testlib.Script, engines)
 	for i := range scripts {
 		scripts[i] = func(conn net.Conn, r testlib.Received) bool {
 			if strings.Contains(string(r.Bytes), "deadly") {
-				streamHead(conn, r)
-				testlib.Reset(conn)
-				return false
+				return crash(conn, r)
 			}
 			return streaming(0)(conn, r)
 		}
@@ -37,6 +35,22 @@
 	return &promptFixture{fixture: newFixture(t, scripts...)}
 }
 
+// resetAfterHead resets the connection after the head of a chunked stream.
+func resetAfterHead(conn net.Conn, r testlib.Received) bool {
+	streamHead(conn, r)
+	testlib.Reset(conn)
+	return false
+}
+
+// closeAfter returns a script that closes the connection after some text of a stream that has
+// neither a length nor chunks.
+func closeAfter(text string) testlib.Script {
+	return func(conn net.Conn, r testlib.Received) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: x\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), text)
+		return false
+	}
+}
+
 // serve sends a prompt with the given shared parts and a last part of its own.
 func (f *promptFixture) serve(shared ...string) *reply {
 	f.served++
@@ -57,8 +71,19 @@
 // alike, crashed one engine after the other. Requests that share their other parts must
 // be served throughout.
 func TestPoisonPartStopsReachingEngines(t *testing.T) {
+	for name, crash := range map[string]testlib.Script{
+		"reset":             resetAfterHead,
+		"end before events": closeAfter(""),
+		"end within event":  closeAfter("id: 1\nda"),
+	} {
+		t.Run(name, func(t *testing.T) { testPoisonPartStopsReachingEngines(t, crash) })
+	}
+}
+
+func testPoisonPartStopsReachingEngines(t *testing.T, crash testlib.Script) {
+	t.Helper()
 	const requests, soundEvery = 150, 5
-	f := newPromptFixture(t, 12)
+	f := newPromptFixture(t, 12, crash)
 	f.relay.SetJudge(true)
 	rejected, lastRun := 0, 0
 	for i := range requests {
