fix(detector): an aggregator without runs of its own finds poison

Only the aggregators judge there, and they judged only after a run of their own had succeeded since the first crash. While callers don't use them, before a shutdown or where traffic is low, nobody judged.

Cause: otherRunsSucceed counts the runs of the node itself.

Change: a suspect that a peer has cleared counts as a success too, since a run succeeded there.

Evidence: TestAggregatorWithoutRunsOfItsOwnFindsPoison failed before: nothing was found after four crashes, with 20 successes at the other node after each one.

Ruled out: counts of all runs in each message. They cost more in every message, for what clearings tell already.

--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -570,3 +570,28 @@
 		}
 	}
 }
+
+// An aggregator that callers don't use, as before its shutdown, learns from its peers that
+// other runs succeed.
+func TestAggregatorWithoutRunsOfItsOwnFindsPoison(t *testing.T) {
+	aggregator, node := detector.New(), detector.New()
+	aggregator.SetJudge(true)
+	now := start
+	for i := range 4 {
+		sentAt := now
+		now = now.Add(time.Second)
+		node.RecordLoss(now, uint32(i), sentAt, []detector.Feature{root, deadly, firstRequest + detector.Feature(i)})
+		for range 20 {
+			node.RecordSuccess(now, []detector.Feature{root, 9_000})
+		}
+		aggregator.Merge(now, node.Evidence(now))
+	}
+	now = now.Add(time.Second)
+	if found := aggregator.Judge(now); len(found) != 1 || !slices.Equal(found[0].Features, []detector.Feature{deadly}) {
+		t.Fatalf("found %+v, want the deadly part alone", found)
+	}
+	node.Merge(now, aggregator.Evidence(now).WithoutReports())
+	if !node.Rejects(now, []detector.Feature{root, deadly, 1}) {
+		t.Error("the node doesn't reject the part")
+	}
+}
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -75,6 +75,7 @@
 		if !suspected && !d.isPoison(f) {
 			continue
 		}
+		d.totals.succeeded++ // at a peer
 		d.clear(now, f)
 		if d.judges { // the nodes that don't send their evidence to each other learn it from here
 			d.clearings = appendReport(d.clearings, f, now)
