fix(detector): the outage of one service rejects no requests

Callers would see: requests of a whole workspace rejected for 10 minutes, after all upstreams of a service had reset their connections for less than a second while another service went on. What its lost runs had in common was taken for the cause, and nothing could run to clear it.

Cause: whether other runs succeed was asked over all services.

Change: runs are counted by service. LostRun has the service as its last field. Protocol 2 hasn't been released yet, so that its golden message changes instead of getting a successor; that of protocol 1 is as it was.

Evidence: TestOutageOfOneServiceRejectsNothing fails if both services count as one: the first part of all prompts was rejected after 0.75 s, and after 0.8 s where it had succeeded before. The patterns of load in the package's tests pass unchanged.

Ruled out: a higher number of crashes. An outage of some seconds reaches any number.

--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -81,7 +81,7 @@
 func protocolTwoMessage() broadcaster.Message {
 	m := protocolOneMessage()
 	m.Evidence = detector.Evidence{
-		LostRuns: []detector.LostRun{{Upstream: 28, AgeMS: 29, DurationMS: 30, Features: []detector.Feature{31, 32}}},
+		LostRuns: []detector.LostRun{{Upstream: 28, AgeMS: 29, DurationMS: 30, Features: []detector.Feature{31, 32}, Service: 38}},
 		Suspects: []detector.Feature{33}, Cleared: []detector.Feature{34}, Vouched: []detector.Feature{35},
 		Poisons: []detector.Poison{{Features: []detector.Feature{36}, RemainingMS: 37}},
 	}
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -49,7 +49,16 @@
 	if !connector.ClosedByUpstream(err) || u.firstEventSeen && now.Sub(u.sentAt)-u.timeToFirstEvent > crashSuspicionTime {
 		return
 	}
-	u.r.detector.RecordLoss(now, placer.Key(u.choice.Incarnation()), u.sentAt, u.features)
+	u.r.detector.RecordLoss(now, detectorService(u.service), placer.Key(u.choice.Incarnation()), u.sentAt, u.features)
+}
+
+// recordSuccess records a complete run. The relayer's lock must be held.
+func (u *relay) recordSuccess() {
+	u.r.detector.RecordSuccess(u.r.Clock.Now(), detectorService(u.service), u.features)
+}
+
+func detectorService(name string) detector.Service {
+	return detector.Service(xxhash.Sum64String(name))
 }
 
 // evidence returns what this node tells its peers about requests that crash upstreams.
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -366,7 +366,7 @@
 		p.RecordSuccess(c)
 		u.recordDuration()
 		if x.Status < http.StatusMultipleChoices {
-			u.r.detector.RecordSuccess(u.r.Clock.Now(), u.features)
+			u.recordSuccess()
 		}
 	})
 	if failed && !u.responseStarted && u.mayMove() {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -120,7 +120,7 @@
 		p.RecordSuccess(c)
 		u.recordDuration()
 		if u.firstEventSeen {
-			u.r.detector.RecordSuccess(u.r.Clock.Now(), u.features)
+			u.recordSuccess()
 		}
 	})
 	if !u.responseStarted {
--- a/pkg/detector/bench_test.go
+++ b/pkg/detector/bench_test.go
@@ -31,7 +31,7 @@
 	features := append([]detector.Feature(nil), benchmarkFeatures...)
 	for b.Loop() {
 		features[len(features)-1]++
-		d.RecordSuccess(start, features)
+		d.RecordSuccess(start, model, features)
 	}
 }
 
@@ -41,7 +41,7 @@
 	d.SetJudge(true)
 	for i := range 128 {
 		for j := range 8 {
-			d.RecordLoss(start.Add(time.Duration(i)*30*time.Millisecond), uint32(i), start, []detector.Feature{1, detector.Feature(100 + i%20), detector.Feature(1_000 + 8*i + j)})
+			d.RecordLoss(start.Add(time.Duration(i)*30*time.Millisecond), model, uint32(i), start, []detector.Feature{1, detector.Feature(100 + i%20), detector.Feature(1_000 + 8*i + j)})
 		}
 	}
 	now := start.Add(5 * time.Second)
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -44,7 +44,7 @@
 	poisons    []*poison
 	// succeeded and olderSucceeded are the features of runs that have succeeded here.
 	succeeded, olderSucceeded map[Feature]struct{}
-	totals                    runTotals
+	totals                    map[Service]runTotals
 
 	lostRuns    []report[lostRun]
 	clearings   []report[Feature]
@@ -63,7 +63,7 @@
 func New() *Detector {
 	return &Detector{
 		suspects: map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
-		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{},
+		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{},
 	}
 }
 
@@ -82,15 +82,20 @@
 }
 
 // RecordLoss records that a run was lost when its upstream ended the connection.
-func (d *Detector) RecordLoss(now time.Time, upstream uint32, sentAt time.Time, features []Feature) {
-	r := newRun(sentAt, features)
-	d.totals.lost++
-	d.addLostRun(now, upstream, now, r)
+func (d *Detector) RecordLoss(now time.Time, service Service, upstream uint32, sentAt time.Time, features []Feature) {
+	l := lostRun{service: service, upstream: upstream, run: newRun(sentAt, features)}
+	d.countRuns(service, runTotals{lost: 1})
+	d.addLostRun(now, now, l)
 	if len(d.lostRuns) < maxReports {
-		d.lostRuns = append(d.lostRuns, report[lostRun]{lostRun{upstream: upstream, run: r}, now})
+		d.lostRuns = append(d.lostRuns, report[lostRun]{l, now})
 	}
 }
 
+func (d *Detector) countRuns(service Service, n runTotals) {
+	t := d.totals[service]
+	d.totals[service] = runTotals{succeeded: t.succeeded + n.succeeded, lost: t.lost + n.lost}
+}
+
 // newRun returns a run with at most maxFeatures features. The last one identifies the
 // whole request.
 func newRun(sentAt time.Time, features []Feature) run {
@@ -106,8 +111,8 @@
 }
 
 // RecordSuccess records that a run with the given features succeeded.
-func (d *Detector) RecordSuccess(now time.Time, features []Feature) {
-	d.totals.succeeded++
+func (d *Detector) RecordSuccess(now time.Time, service Service, features []Feature) {
+	d.countRuns(service, runTotals{succeeded: 1})
 	for _, f := range features {
 		d.succeeded[f] = struct{}{}
 		if _, ok := d.suspects[f]; ok || d.isPoison(f) {
@@ -155,8 +160,8 @@
 }
 
 // addLostRun adds a run to the crash of its upstream, unless it is known already.
-func (d *Detector) addLostRun(now time.Time, upstream uint32, lostAt time.Time, r run) {
-	c := d.crashOf(now, upstream, lostAt)
+func (d *Detector) addLostRun(now, lostAt time.Time, l lostRun) {
+	c, r := d.crashOf(now, lostAt, &l), l.run
 	if c.has(r.id) || len(c.runs) >= maxRuns {
 		return
 	}
@@ -181,14 +186,14 @@
 	}
 }
 
-// crashOf returns the crash of an upstream at about the given time.
-func (d *Detector) crashOf(now time.Time, upstream uint32, at time.Time) *crash {
+// crashOf returns the crash at about the given time at which a run was lost.
+func (d *Detector) crashOf(now, at time.Time, l *lostRun) *crash {
 	for _, c := range d.crashes {
-		if c.upstream == upstream && c.at.Sub(at).Abs() < crashWindow {
+		if c.upstream == l.upstream && c.at.Sub(at).Abs() < crashWindow {
 			return c
 		}
 	}
-	c := &crash{upstream: upstream, at: at, reportedAt: now, before: d.totals}
+	c := &crash{service: l.service, upstream: l.upstream, at: at, reportedAt: now, before: d.totals[l.service]}
 	i := len(d.crashes)
 	for i > 0 && d.crashes[i-1].at.After(at) {
 		i--
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -22,6 +22,12 @@
 	firstRequest detector.Feature = 1_000_000
 )
 
+// The services of the simulated requests.
+const (
+	model detector.Service = iota + 1
+	plain
+)
+
 // load is a pattern of requests at a fleet with one engine that may crash.
 type load struct {
 	nodes, engines int
@@ -114,7 +120,7 @@
 		lost := running[e]
 		running[e], upAt[e] = nil, now.Add(downTime)
 		for _, r := range lost {
-			nodes[r.node].RecordLoss(now, uint32(e)<<16|incarnation[e], r.sentAt, r.features)
+			nodes[r.node].RecordLoss(now, model, uint32(e)<<16|incarnation[e], r.sentAt, r.features)
 			if r.sends < l.sends {
 				place(r)
 			}
@@ -166,7 +172,7 @@
 				if now.Before(r.endsAt) {
 					return false
 				}
-				nodes[r.node].RecordSuccess(now, r.features)
+				nodes[r.node].RecordSuccess(now, model, r.features)
 				out.servedSound++
 				return true
 			})
@@ -255,9 +261,9 @@
 		sentAt := now
 		now = now.Add(time.Second)
 		for range 3 {
-			d.RecordSuccess(now, []detector.Feature{9_000})
+			d.RecordSuccess(now, model, []detector.Feature{9_000})
 		}
-		d.RecordLoss(now, uint32(now.Unix())+uint32(i), sentAt, append(slices.Clone(features), detector.Feature(now.UnixNano())))
+		d.RecordLoss(now, model, uint32(now.Unix())+uint32(i), sentAt, append(slices.Clone(features), detector.Feature(now.UnixNano())))
 	}
 	return now.Add(time.Second)
 }
@@ -270,14 +276,14 @@
 func TestSuccessClearsSuspects(t *testing.T) {
 	d := detector.New()
 	now := crashSeries(d, start, 5, root, deadly)
-	d.RecordSuccess(now, []detector.Feature{root, 77})
+	d.RecordSuccess(now, model, []detector.Feature{root, 77})
 	if found := judge(d, now); len(found) != 1 || !slices.Equal(found[0].Features, []detector.Feature{deadly}) {
 		t.Fatalf("found %+v, want the deadly part alone", found)
 	}
 	if !d.Rejects(now, []detector.Feature{5, deadly, 6}) || d.Rejects(now, []detector.Feature{root, 6}) {
 		t.Error("rejects other requests than those with the deadly part")
 	}
-	d.RecordSuccess(now, []detector.Feature{deadly})
+	d.RecordSuccess(now, model, []detector.Feature{deadly})
 	if d.Rejects(now, []detector.Feature{deadly}) {
 		t.Error("a success didn't end the rejection")
 	}
@@ -292,7 +298,7 @@
 	if !d.Rejects(now, []detector.Feature{subject, deadly}) || d.Rejects(now, []detector.Feature{subject}) || d.Rejects(now, []detector.Feature{deadly}) {
 		t.Fatal("must reject exactly the requests with both parts")
 	}
-	d.RecordSuccess(now, []detector.Feature{subject, 5})
+	d.RecordSuccess(now, model, []detector.Feature{subject, 5})
 	if !d.Rejects(now, []detector.Feature{deadly}) {
 		t.Error("the part that is left isn't rejected")
 	}
@@ -302,9 +308,9 @@
 	d := detector.New()
 	now := start
 	for i := range 3 {
-		d.RecordLoss(now.Add(time.Second), uint32(i), now, []detector.Feature{42})
+		d.RecordLoss(now.Add(time.Second), model, uint32(i), now, []detector.Feature{42})
 		for range 3 {
-			d.RecordSuccess(now, []detector.Feature{7})
+			d.RecordSuccess(now, model, []detector.Feature{7})
 		}
 		now = now.Add(time.Second)
 	}
@@ -320,7 +326,7 @@
 	d := detector.New()
 	now := start
 	for i := range 8 {
-		d.RecordLoss(now.Add(time.Second), uint32(i), now, []detector.Feature{root, detector.Feature(100 + i)})
+		d.RecordLoss(now.Add(time.Second), model, uint32(i), now, []detector.Feature{root, detector.Feature(100 + i)})
 		now = now.Add(time.Second)
 	}
 	if found := judge(d, now.Add(time.Second)); len(found) > 0 {
@@ -337,7 +343,7 @@
 	if d.Rejects(later, []detector.Feature{deadly}) {
 		t.Fatal("the rejection has no end")
 	}
-	d.RecordLoss(later, 99, later.Add(-time.Second), []detector.Feature{deadly, 5})
+	d.RecordLoss(later, model, 99, later.Add(-time.Second), []detector.Feature{deadly, 5})
 	if !d.Rejects(later, []detector.Feature{deadly}) {
 		t.Error("one more crash must suffice")
 	}
@@ -352,8 +358,8 @@
 		for j := range 50 {
 			features = append(features, detector.Feature(i*50+j))
 		}
-		d.RecordLoss(now, uint32(i%500), now.Add(-time.Second), features)
-		d.RecordSuccess(now, []detector.Feature{detector.Feature(i)})
+		d.RecordLoss(now, model, uint32(i%500), now.Add(-time.Second), features)
+		d.RecordSuccess(now, model, []detector.Feature{detector.Feature(i)})
 		now = now.Add(time.Millisecond)
 	}
 	e := d.Evidence(now)
@@ -373,7 +379,7 @@
 	if !two.Rejects(now, []detector.Feature{deadly}) {
 		t.Fatal("the peer doesn't reject")
 	}
-	two.RecordSuccess(now, []detector.Feature{deadly})
+	two.RecordSuccess(now, model, []detector.Feature{deadly})
 	two.Merge(now, stale)
 	one.Merge(now, two.Evidence(now))
 	for i, d := range []*detector.Detector{one, two} {
@@ -390,11 +396,11 @@
 	for upstream := range uint32(3) { // three upstreams crash, other requests succeed meanwhile
 		sentAt := now
 		now = now.Add(time.Second)
-		d.RecordSuccess(now, []detector.Feature{1, 100})
-		d.RecordLoss(now, upstream, sentAt, []detector.Feature{1, 2, detector.Feature(200 + upstream)})
+		d.RecordSuccess(now, model, []detector.Feature{1, 100})
+		d.RecordLoss(now, model, upstream, sentAt, []detector.Feature{1, 2, detector.Feature(200 + upstream)})
 	}
 	now = now.Add(time.Second)
-	d.RecordSuccess(now, []detector.Feature{1, 101})
+	d.RecordSuccess(now, model, []detector.Feature{1, 101})
 	for _, f := range d.Judge(now) {
 		fmt.Println(f.Features, f.Crashes)
 	}
@@ -405,7 +411,7 @@
 // crash at the same moment.
 func loseRuns(d *detector.Detector, now time.Time, upstreams int, features ...detector.Feature) {
 	for i := range upstreams {
-		d.RecordLoss(now, uint32(now.UnixMilli())+uint32(i), now.Add(-200*time.Millisecond), append(slices.Clone(features), detector.Feature(now.UnixNano()+int64(i))))
+		d.RecordLoss(now, model, uint32(now.UnixMilli())+uint32(i), now.Add(-200*time.Millisecond), append(slices.Clone(features), detector.Feature(now.UnixNano()+int64(i))))
 	}
 }
 
@@ -415,7 +421,7 @@
 	loseRuns(d, start, 8, subject)
 	now := start.Add(2 * time.Second)
 	for range 20 {
-		d.RecordSuccess(now, []detector.Feature{7})
+		d.RecordSuccess(now, model, []detector.Feature{7})
 	}
 	if found := judge(d, now); len(found) > 0 {
 		t.Errorf("found %+v", found)
@@ -425,7 +431,7 @@
 // A peer has served the sound part before, so the part that came with it is the cause.
 func TestPeerVouchesForSoundPart(t *testing.T) {
 	one, two := detector.New(), detector.New()
-	two.RecordSuccess(start, []detector.Feature{subject})
+	two.RecordSuccess(start, model, []detector.Feature{subject})
 	now := crashSeries(one, start.Add(time.Second), 4, deadly, subject)
 	two.Merge(now, one.Evidence(now))
 	one.Merge(now, two.Evidence(now))
@@ -442,18 +448,18 @@
 		sentAt := now
 		now = now.Add(time.Second)
 		for range 4 {
-			d.RecordSuccess(now, []detector.Feature{9_000})
+			d.RecordSuccess(now, model, []detector.Feature{9_000})
 		}
-		d.RecordLoss(now, uint32(i), sentAt, []detector.Feature{deadly, detector.Feature(500 + i)})
+		d.RecordLoss(now, model, uint32(i), sentAt, []detector.Feature{deadly, detector.Feature(500 + i)})
 		if i > 0 {
-			d.RecordLoss(now, uint32(i), sentAt, []detector.Feature{subject, detector.Feature(600 + i)})
+			d.RecordLoss(now, model, uint32(i), sentAt, []detector.Feature{subject, detector.Feature(600 + i)})
 		}
 	}
 	now = now.Add(time.Second)
 	if found := judge(d, now); len(found) != 1 || !slices.Equal(found[0].Features, []detector.Feature{deadly}) {
 		t.Fatalf("found %+v, want the deadly part alone", found)
 	}
-	d.RecordLoss(now, 50, now.Add(-time.Second), []detector.Feature{subject, 700})
+	d.RecordLoss(now, model, 50, now.Add(-time.Second), []detector.Feature{subject, 700})
 	if found := judge(d, now.Add(time.Second)); len(found) > 0 {
 		t.Errorf("found %+v after one crash of another cause", found)
 	}
@@ -470,12 +476,12 @@
 			now = now.Add(time.Second)
 		}
 		for range 4 {
-			one.RecordSuccess(now, []detector.Feature{9_000})
+			one.RecordSuccess(now, model, []detector.Feature{9_000})
 		}
 		if i > 0 {
-			one.RecordLoss(now, uint32(i), sentAt, []detector.Feature{subject, detector.Feature(500 + i)})
+			one.RecordLoss(now, model, uint32(i), sentAt, []detector.Feature{subject, detector.Feature(500 + i)})
 		}
-		two.RecordLoss(now, uint32(i), sentAt, []detector.Feature{deadly, detector.Feature(600 + i)})
+		two.RecordLoss(now, model, uint32(i), sentAt, []detector.Feature{deadly, detector.Feature(600 + i)})
 		if i < 2 {
 			one.Merge(now, two.Evidence(now))
 		}
@@ -494,12 +500,12 @@
 	d := detector.New()
 	now := start
 	crash := func(i int, features ...detector.Feature) {
-		d.RecordLoss(now, uint32(i), now.Add(-500*time.Millisecond), append(features, detector.Feature(500+10*i)+features[0]))
+		d.RecordLoss(now, model, uint32(i), now.Add(-500*time.Millisecond), append(features, detector.Feature(500+10*i)+features[0]))
 	}
 	for i := range 4 {
 		now = now.Add(time.Second)
 		for range 4 {
-			d.RecordSuccess(now, []detector.Feature{9_000})
+			d.RecordSuccess(now, model, []detector.Feature{9_000})
 		}
 		crash(i, deadly)
 		crash(i, subject)
@@ -520,7 +526,7 @@
 	aggregator.SetJudge(true)
 	now := crashSeries(aggregator, start, 2, root)
 	node.Merge(now, aggregator.Evidence(now).WithoutReports())
-	node.RecordSuccess(now, []detector.Feature{root})
+	node.RecordSuccess(now, model, []detector.Feature{root})
 	if cleared := node.Evidence(now).Cleared; !slices.Contains(cleared, root) {
 		t.Errorf("cleared %v", cleared)
 	}
@@ -531,8 +537,8 @@
 	d := detector.New()
 	now := start
 	for i := range 6 {
-		d.RecordSuccess(now, []detector.Feature{9_000})
-		d.RecordLoss(now, uint32(i), now.Add(-20*time.Millisecond), []detector.Feature{subject, detector.Feature(500 + i)})
+		d.RecordSuccess(now, model, []detector.Feature{9_000})
+		d.RecordLoss(now, model, uint32(i), now.Add(-20*time.Millisecond), []detector.Feature{subject, detector.Feature(500 + i)})
 		now = now.Add(30 * time.Millisecond)
 	}
 	if found := judge(d, now.Add(450*time.Millisecond)); len(found) > 0 {
@@ -545,17 +551,17 @@
 func TestFindingOfPeerAbsolvesOtherParts(t *testing.T) {
 	for _, mergeFirst := range []bool{true, false} {
 		one, two := detector.New(), detector.New()
-		two.RecordSuccess(start, []detector.Feature{root})
+		two.RecordSuccess(start, model, []detector.Feature{root})
 		now := start.Add(time.Second)
 		for i := range 9 {
 			sentAt := now
 			now = now.Add(100 * time.Millisecond)
 			for range 4 {
-				one.RecordSuccess(now, []detector.Feature{9_000})
+				one.RecordSuccess(now, model, []detector.Feature{9_000})
 			}
-			one.RecordLoss(now, uint32(i), sentAt, []detector.Feature{root, deadly, detector.Feature(500 + i)})
+			one.RecordLoss(now, model, uint32(i), sentAt, []detector.Feature{root, deadly, detector.Feature(500 + i)})
 		}
-		one.RecordLoss(now, 20, now.Add(-50*time.Millisecond), []detector.Feature{root, 77, 700}) // of another cause
+		one.RecordLoss(now, model, 20, now.Add(-50*time.Millisecond), []detector.Feature{root, 77, 700}) // of another cause
 		two.Merge(now, one.Evidence(now))
 		one.Merge(now, two.Evidence(now)) // vouches for the root
 		if mergeFirst {
@@ -580,9 +586,9 @@
 	for i := range 4 {
 		sentAt := now
 		now = now.Add(time.Second)
-		node.RecordLoss(now, uint32(i), sentAt, []detector.Feature{root, deadly, firstRequest + detector.Feature(i)})
+		node.RecordLoss(now, model, uint32(i), sentAt, []detector.Feature{root, deadly, firstRequest + detector.Feature(i)})
 		for range 20 {
-			node.RecordSuccess(now, []detector.Feature{root, 9_000})
+			node.RecordSuccess(now, model, []detector.Feature{root, 9_000})
 		}
 		aggregator.Merge(now, node.Evidence(now))
 	}
@@ -595,3 +601,31 @@
 		t.Error("the node doesn't reject the part")
 	}
 }
+
+// All upstreams of a service reset their connections for a while, and another service goes on.
+func TestOutageOfOneServiceRejectsNothing(t *testing.T) {
+	const perSecond = 20
+	for name, before := range map[string]int{"served before": 100, "never served": 0} {
+		t.Run(name, func(t *testing.T) {
+			d := detector.New()
+			d.SetJudge(true)
+			now := start
+			request := firstRequest
+			features := func() []detector.Feature {
+				request++
+				return []detector.Feature{root, firstSubject + request%40, request}
+			}
+			for range before {
+				d.RecordSuccess(now, model, features())
+			}
+			for i := range 5 * perSecond {
+				now = now.Add(time.Second / perSecond)
+				d.RecordSuccess(now, plain, []detector.Feature{9_000})
+				d.RecordLoss(now, model, uint32(i%18), now.Add(-200*time.Millisecond), features())
+				if found := d.Judge(now); len(found) > 0 {
+					t.Fatalf("found %+v after %v", found, now.Sub(start))
+				}
+			}
+		})
+	}
+}
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -8,6 +8,9 @@
 // Feature is a hash of something that requests may have in common.
 type Feature uint64
 
+// Service is a hash of the name of a service.
+type Service uint32
+
 // LostRun is a run whose upstream ended the connection before the response was complete.
 type LostRun struct {
 	// Upstream is a hash of the incarnation.
@@ -17,6 +20,7 @@
 	AgeMS, DurationMS int64
 	// Features are those of the request, the most general first.
 	Features []Feature
+	Service  Service
 }
 
 // Poison describes requests that crash upstreams: those that have all of its features.
@@ -62,19 +66,21 @@
 
 // lostRun is a run with the upstream that lost it.
 type lostRun struct {
+	service  Service
 	upstream uint32
 	run
 }
 
-// runTotals counts the runs of a node by their end.
+// runTotals counts the runs of a node at a service by their end.
 type runTotals struct{ succeeded, lost uint64 }
 
 // crash holds the runs that were lost at one crash of an upstream.
 type crash struct {
+	service    Service
 	upstream   uint32
 	at         time.Time
 	reportedAt time.Time // when this node learned of it
-	// before counts the runs of this node until then.
+	// before counts the runs of this node at the service until then.
 	before runTotals
 	// explained is set if a run lost there was poison: then the others are innocent.
 	explained bool
@@ -100,6 +106,10 @@
 	return slices.ContainsFunc(c.runs, func(r run) bool { return r.id == id })
 }
 
+func (c *crash) hasFeature(f Feature) bool {
+	return slices.ContainsFunc(c.runs, func(r run) bool { return slices.Contains(r.features, f) })
+}
+
 // poison is a Poison as the Detector keeps it.
 type poison struct {
 	features []Feature // sorted
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -11,7 +11,7 @@
 	e := Evidence{Suspects: d.repeatedSuspects(now), Cleared: items(d.clearings), Vouched: items(d.vouchings)}
 	for _, r := range d.lostRuns {
 		e.LostRuns = append(e.LostRuns, LostRun{
-			Upstream: r.item.upstream, AgeMS: now.Sub(r.at).Milliseconds(), DurationMS: r.at.Sub(r.item.sentAt).Milliseconds(), Features: r.item.features,
+			Upstream: r.item.upstream, AgeMS: now.Sub(r.at).Milliseconds(), DurationMS: r.at.Sub(r.item.sentAt).Milliseconds(), Features: r.item.features, Service: r.item.service,
 		})
 	}
 	for _, p := range d.poisons {
@@ -62,7 +62,8 @@
 func (d *Detector) Merge(now time.Time, e Evidence) {
 	for _, l := range e.LostRuns {
 		lostAt := now.Add(-time.Duration(l.AgeMS) * time.Millisecond)
-		d.addLostRun(now, l.Upstream, lostAt, newRun(lostAt.Add(-time.Duration(l.DurationMS)*time.Millisecond), l.Features))
+		sentAt := lostAt.Add(-time.Duration(l.DurationMS) * time.Millisecond)
+		d.addLostRun(now, lostAt, lostRun{service: l.Service, upstream: l.Upstream, run: newRun(sentAt, l.Features)})
 	}
 	for _, f := range e.Suspects {
 		d.suspect(now, f)
@@ -75,7 +76,7 @@
 		if !suspected && !d.isPoison(f) {
 			continue
 		}
-		d.totals.succeeded++ // at a peer
+		d.recordPeerSuccess(f)
 		d.clear(now, f)
 		if d.judges { // the nodes that don't send their evidence to each other learn it from here
 			d.clearings = appendReport(d.clearings, f, now)
@@ -86,6 +87,19 @@
 	}
 }
 
+// recordPeerSuccess counts a success at a peer, at the services where runs with the feature
+// were lost.
+func (d *Detector) recordPeerSuccess(f Feature) {
+	seen := map[Service]bool{}
+	for _, c := range d.crashes {
+		if seen[c.service] || !c.hasFeature(f) {
+			continue
+		}
+		seen[c.service] = true
+		d.countRuns(c.service, runTotals{succeeded: 1})
+	}
+}
+
 // renewalSlack is by how much a peer's end of a rejection must be later to count. It covers
 // the time that messages take, which would otherwise add up.
 const renewalSlack = 5 * time.Second
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -148,11 +148,13 @@
 		d.otherRunsSucceed(first)
 }
 
-// otherRunsSucceed reports whether a fair share of this node's runs has succeeded since a
-// crash. While upstreams lose almost all that they run, the requests aren't the cause.
+// otherRunsSucceed reports whether a fair share of this node's runs at the service has
+// succeeded since a crash. While upstreams lose almost all that they run, the requests aren't
+// the cause.
 func (d *Detector) otherRunsSucceed(since *crash) bool {
-	succeeded := d.totals.succeeded - since.before.succeeded
-	lost := d.totals.lost - since.before.lost
+	total := d.totals[since.service]
+	succeeded := total.succeeded - since.before.succeeded
+	lost := total.lost - since.before.lost
 	return succeeded > 0 && succeeded*maxLossRatio >= lost
 }
 
