fix(front): a key that is revoked while a request waits is checked again

What callers see: on the product's own interface a request that waited for a slot when its key was taken away ran, up to its deadline (300 s) later. An accepted configuration is to be in force everywhere within seconds.

Cause: the key was checked when the request arrived only. The users' platform checks again before each send.

Fix: the key is checked again before the first attempt. A request that has begun is finished, its further attempts too.

Not done: the route, the pool's model and the leaving of a VM between the pick and the write aren't checked again there (docs/PROOFS.md).

--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -30,6 +30,7 @@
 	id             string
 	acceptedAt     time.Time
 	deadline       time.Time
+	key            string // of the workspace, as the caller sent it
 	workspace      config.Workspace
 	class          config.Class
 	method         string
@@ -68,7 +69,7 @@
 		return nil, failure.New(failure.Unauthorized, "send Authorization: Bearer with a key of a declared workspace")
 	}
 	j := &job{
-		id: uuid.NewString(), acceptedAt: f.clk.Now(), workspace: ws,
+		id: uuid.NewString(), acceptedAt: f.clk.Now(), key: key, workspace: ws,
 		method: r.Method, contentType: r.Header.Get("Content-Type"),
 	}
 	if err := f.readBody(r, j); err != nil {
@@ -91,6 +92,12 @@
 	return j, nil
 }
 
+// isAuthorized reports whether the key of j is still one of its workspace.
+func (f *Front) isAuthorized(j *job) bool {
+	ws, ok := f.config.Current().Workspace(j.key)
+	return ok && ws.Name == j.workspace.Name
+}
+
 func (f *Front) readBody(r *http.Request, j *job) error {
 	limit := f.limits.BodyBytes
 	if r.ContentLength > limit {
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -196,6 +196,12 @@
 		r.handle(dispatcher.CallerGone{})
 		return
 	}
+	// The key may have been revoked while the request waited. A request that has begun
+	// is finished.
+	if r.attempts == 0 && !r.f.isAuthorized(r.job) {
+		r.handle(dispatcher.Routed{Kind: failure.Unauthorized})
+		return
+	}
 	if a.Retry {
 		r.f.meter.RecordRetry()
 	}
