fix(node): a hangup doesn't end a node of serve

What callers would see: their requests cut off at once, without the graceful shutdown, if a node's terminal closes, or if the shell that had started it ends while the node is paused: the kernel then sends SIGHUP to the orphaned process group.

Cause: only serve-platform handled SIGHUP. The handler moves to internal/reloader, and both paths use it.

Evidence: TestHangupDoesNotEndNode failed before (os: process already finished).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/prober"
 	"github.com/auburnnotch/auburnnotch/internal/registrar"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/internal/reloader"
 	"github.com/auburnnotch/auburnnotch/internal/supervisor"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
@@ -146,7 +147,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	sup, err := supervisor.New(lines, reloader{log: log}, obs, bcast, cache, ord, in, registrar.New(clk, log, st, self))
+	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, in, registrar.New(clk, log, st, self))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -534,6 +534,21 @@
 	})
 }
 
+// Guards against a node that a hangup ended without its graceful shutdown, for instance when
+// the shell that had started it ended while the node was paused.
+func TestHangupDoesNotEndNode(t *testing.T) {
+	d := deploy(t, 1, 1)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGHUP, syscall.SIGCONT} {
+		if err := d.Nodes[0].Signal(s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	chat := testlib.NewChat("shared", "after the hangup", 5)
+	r, err := d.caller(0).Chat(d.ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
 func TestPoisonRequestCrashesAtMostTwoEngines(t *testing.T) {
 	d := deploy(t, 4, 3)
 	harmless := testlib.NewChat("shared", "innocent", 60)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/poller"
+	"github.com/auburnnotch/auburnnotch/internal/reloader"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/selector"
 	"github.com/auburnnotch/auburnnotch/internal/supervisor"
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	sup, err := supervisor.New(link, sched, keeper, gossip, configkeeper.PlatformWatch{Keeper: keeper}, claims, polls, hints, orders, f)
+	sup, err := supervisor.New(reloader.New(log), link, sched, keeper, gossip, configkeeper.PlatformWatch{Keeper: keeper}, claims, polls, hints, orders, f)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
