fix(detector): upstreams that go on after a loss haven't crashed

Cause: each run that lost its connection counted as a crash of its upstream. The deadly part then accounts for less than a quarter of the crashes, and the memory of 128 crashes is full within seconds.

Change: when the reports of a crash have settled, the judge asks whether any node still runs requests at that upstream, as the load reports say. If so, only connections were lost, and the crash is forgotten.

Ruled out: a lower minShare (sound parts of small workspaces would be rejected beside resets), and responses as a sign of life (they take longer than the reports, and most nodes of a large fleet don't know what to look for).

--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -64,7 +64,8 @@
 // evidence returns what this node tells its peers about requests that crash upstreams.
 // The relayer's lock must be held.
 func (r *Relayer) evidence(now time.Time) detector.Evidence {
-	r.logFindings(r.detector.Judge(now))
+	runs := func(upstream uint32) bool { return r.placer.Status(now, r.placer.Incarnation(upstream)).Running > 0 }
+	r.logFindings(r.detector.Judge(now, runs))
 	return r.detector.Evidence(now)
 }
 
--- a/pkg/detector/bench_test.go
+++ b/pkg/detector/bench_test.go
@@ -47,6 +47,6 @@
 	now := start.Add(5 * time.Second)
 	b.ReportAllocs()
 	for b.Loop() {
-		d.Judge(now)
+		d.Judge(now, noRuns)
 	}
 }
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -36,11 +36,12 @@
 // Detector holds the evidence known to a node. It is not safe for concurrent use.
 type Detector struct {
 	judges     bool
-	crashes    []*crash              // by time
-	reportedAt time.Time             // when the last lost run was reported
-	suspects   map[Feature]time.Time // when the suspicion ends
-	vouched    map[Feature]time.Time // when a report of an earlier success ends
-	cleared    map[Feature]time.Time // until when reports of poison with the feature are void
+	crashes    []*crash               // by time
+	reportedAt time.Time              // when the last lost run was reported
+	survivors  map[uint32][]time.Time // when upstreams lost runs and went on
+	suspects   map[Feature]time.Time  // when the suspicion ends
+	vouched    map[Feature]time.Time  // when a report of an earlier success ends
+	cleared    map[Feature]time.Time  // until when reports of poison with the feature are void
 	poisons    []*poison
 	// succeeded and olderSucceeded are the features of runs that have succeeded here.
 	succeeded, olderSucceeded map[Feature]struct{}
@@ -62,7 +63,8 @@
 // New returns a Detector without evidence.
 func New() *Detector {
 	return &Detector{
-		suspects: map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
+		survivors: map[uint32][]time.Time{},
+		suspects:  map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
 		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{},
 	}
 }
@@ -161,6 +163,9 @@
 
 // addLostRun adds a run to the crash of its upstream, unless it is known already.
 func (d *Detector) addLostRun(now, lostAt time.Time, l lostRun) {
+	if d.survived(l.upstream, lostAt) {
+		return
+	}
 	c, r := d.crashOf(now, lostAt, &l), l.run
 	if c.has(r.id) || len(c.runs) >= maxRuns {
 		return
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -28,6 +28,9 @@
 	plain
 )
 
+// noRuns is for upstreams that have crashed.
+func noRuns(uint32) bool { return false }
+
 // load is a pattern of requests at a fleet with one engine that may crash.
 type load struct {
 	nodes, engines int
@@ -45,6 +48,8 @@
 	// massCrashEvery.
 	massCrash      int
 	massCrashEvery time.Duration
+	// resetShare is the share of the runs whose connections are reset, at upstreams that go on.
+	resetShare float64
 	// aggregated is set if only the first two nodes receive the evidence of all others.
 	aggregated bool
 	// sends is how often a request that was lost is sent in all, 0 for once.
@@ -96,6 +101,10 @@
 	request := firstRequest
 	var out outcome
 	now := start
+	runs := func(upstream uint32) bool {
+		e := upstream >> 16
+		return uint32(upstream&0xffff) == incarnation[e] && len(running[e]) > 0
+	}
 	place := func(r simulatedRun) {
 		if nodes[r.node].Rejects(now, r.features) {
 			if r.poison {
@@ -172,13 +181,17 @@
 				if now.Before(r.endsAt) {
 					return false
 				}
+				if rnd.Float64() < l.resetShare {
+					nodes[r.node].RecordLoss(now, model, uint32(e)<<16|incarnation[e], r.sentAt, r.features)
+					return true
+				}
 				nodes[r.node].RecordSuccess(now, model, r.features)
 				out.servedSound++
 				return true
 			})
 		}
 		if tick%rounds == 0 {
-			exchange(now, nodes, l.aggregated, tick/rounds)
+			exchange(now, nodes, l.aggregated, tick/rounds, runs)
 		}
 	}
 	return out
@@ -186,9 +199,9 @@
 
 // exchange sends the evidence of each node to the others, or, if aggregated, to the first two
 // and from these to a fifth of the others in turn.
-func exchange(now time.Time, nodes []*detector.Detector, aggregated bool, round int) {
+func exchange(now time.Time, nodes []*detector.Detector, aggregated bool, round int, runs func(uint32) bool) {
 	for i, d := range nodes {
-		d.Judge(now)
+		d.Judge(now, runs)
 		e := d.Evidence(now)
 		for j, o := range nodes {
 			switch {
@@ -217,6 +230,8 @@
 		"sent again":                                {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, sends: 4},
 		"sent again, subject unknown before":        {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, sends: 4, newSubjects: true},
 		"large fleet":                               {nodes: 60, engines: 90, soundPerSecond: 300, poisonPerSecond: 13, aggregated: true},
+		"beside reset connections":                  {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, resetShare: 0.1},
+		"beside reset connections of a large fleet": {nodes: 60, engines: 90, soundPerSecond: 300, poisonPerSecond: 6, resetShare: 0.3, aggregated: true},
 		"beside crashes of other causes":            {nodes: 9, engines: 30, soundPerSecond: 100, poisonPerSecond: 3, massCrash: 6, massCrashEvery: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -241,6 +256,8 @@
 		"a sixth every two seconds":     {nodes: 9, engines: 30, soundPerSecond: 100, massCrash: 6, massCrashEvery: 2 * time.Second},
 		"half every four seconds":       {nodes: 9, engines: 30, soundPerSecond: 100, massCrash: 2, massCrashEvery: 4 * time.Second},
 		"a third of a large fleet":      {nodes: 60, engines: 90, soundPerSecond: 300, massCrash: 3, massCrashEvery: 4 * time.Second, aggregated: true},
+		"reset connections":             {nodes: 9, engines: 18, soundPerSecond: 70, resetShare: 0.3},
+		"reset, in a large fleet":       {nodes: 60, engines: 90, soundPerSecond: 300, resetShare: 0.3, aggregated: true},
 		"single engines, one at a time": {nodes: 9, engines: 18, soundPerSecond: 70, massCrash: 18, massCrashEvery: 400 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -270,7 +287,7 @@
 
 func judge(d *detector.Detector, now time.Time) []detector.Finding {
 	d.SetJudge(true)
-	return d.Judge(now)
+	return d.Judge(now, noRuns)
 }
 
 func TestSuccessClearsSuspects(t *testing.T) {
@@ -401,7 +418,7 @@
 	}
 	now = now.Add(time.Second)
 	d.RecordSuccess(now, model, []detector.Feature{1, 101})
-	for _, f := range d.Judge(now) {
+	for _, f := range d.Judge(now, noRuns) {
 		fmt.Println(f.Features, f.Crashes)
 	}
 	// Output: [2] 3
@@ -593,7 +610,7 @@
 		aggregator.Merge(now, node.Evidence(now))
 	}
 	now = now.Add(time.Second)
-	if found := aggregator.Judge(now); len(found) != 1 || !slices.Equal(found[0].Features, []detector.Feature{deadly}) {
+	if found := aggregator.Judge(now, noRuns); len(found) != 1 || !slices.Equal(found[0].Features, []detector.Feature{deadly}) {
 		t.Fatalf("found %+v, want the deadly part alone", found)
 	}
 	node.Merge(now, aggregator.Evidence(now).WithoutReports())
@@ -622,10 +639,34 @@
 				now = now.Add(time.Second / perSecond)
 				d.RecordSuccess(now, plain, []detector.Feature{9_000})
 				d.RecordLoss(now, model, uint32(i%18), now.Add(-200*time.Millisecond), features())
-				if found := d.Judge(now); len(found) > 0 {
+				if found := d.Judge(now, noRuns); len(found) > 0 {
 					t.Fatalf("found %+v after %v", found, now.Sub(start))
 				}
 			}
 		})
 	}
 }
+
+// Connections are reset again and again, but the upstreams go on. What was lost there says
+// nothing about the requests.
+func TestUpstreamsThatSurviveHaveNotCrashed(t *testing.T) {
+	d := detector.New()
+	d.SetJudge(true)
+	now := start
+	survives := func(upstream uint32) bool { return upstream >= 1000 }
+	for i := range uint32(8) {
+		sentAt := now
+		for range 20 {
+			now = now.Add(50 * time.Millisecond)
+			d.RecordSuccess(now, model, []detector.Feature{9_000})
+			d.RecordLoss(now, model, 1000+uint32(now.UnixMilli()%60), sentAt, []detector.Feature{subject, detector.Feature(now.UnixNano())})
+		}
+		if i < 5 {
+			d.RecordLoss(now, model, i, sentAt, []detector.Feature{deadly, detector.Feature(500 + i)})
+		}
+		d.Judge(now.Add(500*time.Millisecond), survives)
+	}
+	if !d.Rejects(now, []detector.Feature{deadly}) || d.Rejects(now, []detector.Feature{subject}) {
+		t.Error("must reject the part that crashed upstreams and no other")
+	}
+}
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -82,6 +82,8 @@
 	reportedAt time.Time // when this node learned of it
 	// before counts the runs of this node at the service until then.
 	before runTotals
+	// checked is set once it is known that the upstream hasn't survived.
+	checked bool
 	// explained is set if a run lost there was poison: then the others are innocent.
 	explained bool
 	runs      []run
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -148,6 +148,12 @@
 	d.lostRuns, d.clearings, d.vouchings = dropOld(d.lostRuns, now), dropOld(d.clearings, now), dropOld(d.vouchings, now)
 	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) >= suspicionTTL })
 	d.poisons = slices.DeleteFunc(d.poisons, func(p *poison) bool { return now.Sub(p.until) >= paroleTTL })
+	for upstream, times := range d.survivors {
+		times = slices.DeleteFunc(times, func(t time.Time) bool { return now.Sub(t) >= crashWindow+reportTime })
+		if d.survivors[upstream] = times; len(times) == 0 {
+			delete(d.survivors, upstream)
+		}
+	}
 	dropExpired(d.suspects, now)
 	dropExpired(d.vouched, now)
 	dropExpired(d.cleared, now)
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -42,8 +42,10 @@
 }
 
 // Judge decides which features are poison and returns what this node started to reject
-// since the last call, by its own decision or by a peer's.
-func (d *Detector) Judge(now time.Time) []Finding {
+// since the last call, by its own decision or by a peer's. runs reports whether requests of
+// any node run at an upstream.
+func (d *Detector) Judge(now time.Time, runs func(upstream uint32) bool) []Finding {
+	d.checkSurvivors(now, runs)
 	for range maxPoisons {
 		features, crashes := d.findPoison(now)
 		if len(features) == 0 {
@@ -57,6 +59,31 @@
 	return found
 }
 
+// checkSurvivors forgets the runs lost at upstreams that still run others: these have lost
+// connections only.
+func (d *Detector) checkSurvivors(now time.Time, runs func(upstream uint32) bool) {
+	if !d.judges {
+		return
+	}
+	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool {
+		if c.checked || now.Sub(c.reportedAt) < settleTime {
+			return false
+		}
+		c.checked = true
+		if !runs(c.upstream) {
+			return false
+		}
+		d.survivors[c.upstream] = append(d.survivors[c.upstream], c.at)
+		return true
+	})
+}
+
+// survived reports whether an upstream is known to have gone on after it lost runs at about the
+// given time.
+func (d *Detector) survived(upstream uint32, at time.Time) bool {
+	return slices.ContainsFunc(d.survivors[upstream], func(t time.Time) bool { return t.Sub(at).Abs() < settleTime })
+}
+
 // findPoison returns the features of the most probable cause of the crashes that isn't
 // rejected yet, none if no suspect qualifies.
 func (d *Detector) findPoison(now time.Time) (features []Feature, crashes int) {
@@ -65,7 +92,7 @@
 	}
 	var settled []*crash
 	for _, c := range d.crashes {
-		if now.Sub(c.reportedAt) >= settleTime {
+		if c.checked {
 			settled = append(settled, c)
 		}
 	}
