--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -75,9 +75,7 @@
 		Pinned: !u.route.Repeatable() || u.route.MaxAttempts < 2 || u.runs > 0,
 	}
 	if q.Prompt != nil {
-		if u.workspace != nil && u.workspace.Isolated {
-			q.CacheScope = u.workspace.Name
-		}
+		q.CacheScope = u.cacheScope()
 		if addr := u.view.Matcher.CacheStores().Pick(q.SharedPrefix()); addr != "" && !u.r.CacheDown(addr) {
 			q.CacheAddress, q.CacheTokens = addr, u.view.Matcher.CacheTokens()
 		}
@@ -90,6 +88,15 @@
 	return q
 }
 
+// cacheScope returns the name of an isolated workspace, which shares no cached parts with
+// others, or an empty string.
+func (u *relay) cacheScope() string {
+	if u.workspace != nil && u.workspace.Isolated {
+		return u.workspace.Name
+	}
+	return ""
+}
+
 // reserveUpstream selects an upstream and counts the send there. budget is false
 // if the retry budget is exhausted.
 func (u *relay) reserveUpstream(q *placer.Query) (c placer.Choice, ok, budget bool) {
