fix(ingress): the grace period goes on while the VM is suspended

What callers see: a request without any response, if the VM of a stopping node is suspended within its grace period: the platform kills the process while the node still means to have time.

Cause: the shutdown counted on the steady clock, which stands still during a suspension; the platform's clock doesn't. Leases and proofs use the boot time already.

Fix: what the boot time is ahead of the steady clock since the signal is taken off each time of the shutdown, and the requests that may still start are chosen by that.

Not covered: the limit of the whole process, which is past the end of the requests.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -133,7 +133,7 @@
 	in, err := ingress.New(ingress.Addresses{
 		Callers: s.CallerListen, Ready: s.ReadyListen, Directory: s.DirectoryListen, Metrics: s.MetricsListen,
 	}, ingress.Dependencies{
-		Clock: clk, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(),
+		Clock: clk, Boot: boot, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(),
 		GracePeriod: config.Seconds(s.GraceSeconds), WriteTimeout: writeTimeout, OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
 		Ready: func() bool { return obs.View() != nil && obs.Proof().Fresh(boot.Elapsed(), maxProofAge) },
 		BodyLimit: func() int64 {
