fix(relayer): the last report of a lost peer is no sign of life of an upstream

Callers would see: more engines crash before a deadly part is found, when a node is killed, frozen or cut off at that time. Its last report counted for 2 s, and said that it still had runs at the upstream, so that the crash was taken for lost connections and forgotten. Advice that the placement coordinator had just given counted, too.

Cause: the judge asked placer.Status, which is meant for placement and errs towards more load.

Change: placer.RunsRequests counts this node's runs, and those in reports of at most 300 ms: a crash is looked at 400 ms after its first report.

Status counts pending advice, as its comment says.

Ruled out: a longer settleTime. It would delay each finding.

--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -16,6 +16,10 @@
 // crashSuspicionTime is how long after its first event a run may still crash its engine.
 const crashSuspicionTime = time.Second
 
+// maxLoadAge is the age up to which a peer's load report shows that an upstream is alive. A
+// report may be lost.
+const maxLoadAge = 300 * time.Millisecond
+
 // requestFeatures returns what a request may have in common with others that crash
 // upstreams: the parts of its prompt but the last, which belongs to it alone, and the
 // whole request. Workspaces that share no cached parts share no features either.
@@ -64,7 +68,7 @@
 // evidence returns what this node tells its peers about requests that crash upstreams.
 // The relayer's lock must be held.
 func (r *Relayer) evidence(now time.Time) detector.Evidence {
-	runs := func(upstream uint32) bool { return r.placer.Status(now, r.placer.Incarnation(upstream)).Running > 0 }
+	runs := func(upstream uint32) bool { return r.placer.RunsRequests(now, upstream, maxLoadAge) }
 	r.logFindings(r.detector.Judge(now, runs))
 	return r.detector.Evidence(now)
 }
--- a/pkg/placer/status.go
+++ b/pkg/placer/status.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // UpstreamStatus is the state of an upstream at one moment, as far as known.
 type UpstreamStatus struct {
@@ -35,3 +38,18 @@
 		Running:     s.local.Running + s.peers.Running, Pinned: s.local.Pinned + s.peers.Pinned, Reachable: s.breaker.Allows(now) && !s.leaving,
 	}
 }
+
+// RunsRequests reports whether requests of this node run at an upstream, or requests of a peer
+// by a report of at most the given age.
+func (p *Placer) RunsRequests(now time.Time, upstream uint32, maxAge time.Duration) bool {
+	if s, ok := p.byKey[upstream]; ok && s.local.Running > 0 {
+		return true
+	}
+	runs := func(l Load) bool { return l.Upstream == upstream && l.Running > 0 }
+	for _, r := range p.peers {
+		if now.Sub(r.receivedAt) <= maxAge && slices.ContainsFunc(r.Loads, runs) {
+			return true
+		}
+	}
+	return false
+}
