fix(relayer): a request that has run isn't sent again if either of its routes forbids it

What callers saw: nothing by themselves; an unsafe request whose upstream answered with a server error ran a second time, at another upstream, if a change of the configuration in the meantime had given its path a safe route. So did a request that began on a safe route, or on one with two attempts, and whose path now has an unsafe route or one with a single attempt.

Cause: since the retry after a server error asks only the route that applies now. The retry after a broken attempt asked only the one that applied when the attempt was sent. Both have to allow it: mayMove asks the route of the attempt first, and checkSend asks the present one once the request may have run.

Ruled out: streams that are given up for silence, whose watch starts only if the attempt's route allows a retry.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -53,6 +53,10 @@
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
+	if u.runs > 0 && !u.mayRetry(0) {
+		u.reason = "another route applies, which doesn't allow a further attempt"
+		return failure.UpstreamFailed
+	}
 	if u.isPoison() {
 		u.reason = "such requests have crashed upstreams"
 		return failure.Quarantined
@@ -71,7 +75,8 @@
 // its current attempt, for which it must have counted a send and a run. It works on a copy,
 // since the checks change the request's state.
 func (u relay) mayMove() bool {
-	return u.checkSend() == failure.None && u.mayRetry(0) && u.sends < maxSends && u.canRetry()
+	// The route of the attempt has to allow the move, and the present one, which checkSend asks.
+	return u.mayRetry(0) && u.checkSend() == failure.None && u.sends < maxSends && u.canRetry()
 }
 
 func (u *relay) placementQuery() placer.Query {
