fix(relayer): a silent engine is kept after an event without an ID

What callers saw: a resumable stream whose engine was silent for 1.5 s after an event without an ID was cut, although the engine lived and no other one could resume: LOST, without any change of the configuration.

Cause: the watch asks a copy of the request's state whether it may move. The copy was taken when the stream's head had arrived, when nothing had been forwarded and the whole stream could still be asked for again. Each event now renews the copy, and ends the watch if no other engine could go on after it. A pending timer is left alone, as its check adapts to the latest sign.

Evidence: TestSilentEngineIsWaitedForAfterEventWithoutID failed before (aborted after 1.5 s).

--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -40,23 +40,18 @@
 }
 
 // arm starts to watch the current attempt of u, whose upstream may be silent for the
-// given time.
+// given time from now on. It is called again when the state of u has changed.
 func (w *silenceWatch) arm(u *relay, patience time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	pending := w.patience == patience // the check that is due finds the new time
 	w.probe, w.patience, w.lastSign = *u, patience, w.clk.Now()
-	if w.timer == nil {
+	switch {
+	case w.timer == nil:
 		w.timer = w.clk.AfterFunc(patience, w.check)
-		return
+	case !pending:
+		w.timer.Reset(patience)
 	}
-	w.timer.Reset(patience)
-}
-
-// recordSign records that the upstream has sent something.
-func (w *silenceWatch) recordSign() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lastSign = w.clk.Now()
 }
 
 // disarm ends the watch until the next call of arm.
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -127,3 +127,30 @@
 		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
 	}
 }
+
+// eventWithoutID sends an event after which a stream can't be resumed.
+func eventWithoutID(conn net.Conn) {
+	const s = "data: x\n\n"
+	fmt.Fprintf(conn, "%x\r\n%s\r\n", len(s), s)
+}
+
+// Guards against LOST: the node gave up a stream whose engine was silent after an event
+// after which no other engine could resume.
+func TestSilentEngineIsWaitedForAfterEventWithoutID(t *testing.T) {
+	t.Parallel()
+	script := func(conn net.Conn, r testlib.Received) bool {
+		streamHead(conn, r)
+		event(conn, 1)
+		eventWithoutID(conn)
+		time.Sleep(1900 * time.Millisecond)
+		event(conn, 2)
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	}
+	b := newFixture(t, script, script)
+	b.setUnlimited()
+	r := b.serveWithin(t.Context(), "/stream/", unlimited)
+	if want := "id: 1\ndata: e1\n\ndata: x\n\nid: 2\ndata: e2\n\n"; r.aborted || r.body.String() != want || b.sent() != 1 {
+		t.Errorf("aborted %t after %q and %d sends", r.aborted, r.body.String(), b.sent())
+	}
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -34,9 +34,7 @@
 	if err := x.SetReadTimeout(max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
 		return u.handleBrokenStream(err)
 	}
-	if u.mayRetry(0) {
-		u.silence.arm(u, max(minEventPatience, eventPauseObjectives*u.route.PauseObjective))
-	}
+	u.watchStream()
 	buffered := reservation{limit: &u.r.bufferLimit}
 	defer buffered.release()
 	buf := make([]byte, 0, readBufferBytes)
@@ -86,11 +84,21 @@
 		case err != nil:
 			return u.handleBrokenStream(err)
 		case events.any: // comments are no sign of progress, nor are incomplete events
-			u.silence.recordSign()
+			u.watchStream()
 		}
 	}
 }
 
+// watchStream watches the engine for silence from now on, unless no other engine could
+// resume the stream after the last event.
+func (u *relay) watchStream() {
+	if !u.mayRetry(0) {
+		u.silence.disarm()
+		return
+	}
+	u.silence.arm(u, max(minEventPatience, eventPauseObjectives*u.route.PauseObjective))
+}
+
 // writeEvents forwards complete events to the caller.
 func (u *relay) writeEvents(x *connector.Exchange, b []byte, events eventSummary) error {
 	now := u.r.Clock.Now()
