fix(relayer): the pause of a caller doesn't count as silence of its engine

What callers saw: a caller that didn't read for 1.5 s, as on a squeezed link, had its stream's engine taken away and the stream resumed elsewhere, which took from the retry budget and counted as a failure of the engine. If the key, the route or the other engine was gone by then, the stream was cut: LOST.

Cause: since the silence runs on while the node waits for the caller within a write. The read timeout that it replaced started only with each read. The watch now stands still during a write.

Evidence: TestEngineOfStalledCallerIsKept failed before (2 sends). Measured: go test ./internal/relayer passes, and the race detector finds nothing in the tests of silence, streams and configurations.

--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -30,6 +30,7 @@
 	probe    relay         // copy of the request's state, to find out whether it may move
 	patience time.Duration // 0 unless armed
 	lastSign time.Time     // of the upstream
+	pausedAt time.Time     // zero unless paused
 	timer    clock.Timer   // nil until the watch is first armed
 }
 
@@ -54,6 +55,21 @@
 	}
 }
 
+// pause stops the time of the watch while the node can't read what the upstream sends.
+func (w *silenceWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pausedAt = w.clk.Now()
+}
+
+// resume goes on after pause.
+func (w *silenceWatch) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastSign = w.lastSign.Add(w.clk.Now().Sub(w.pausedAt))
+	w.pausedAt = time.Time{}
+}
+
 // disarm ends the watch until the next call of arm.
 func (w *silenceWatch) disarm() {
 	w.mu.Lock()
@@ -81,7 +97,7 @@
 	}
 	left := w.patience - w.clk.Now().Sub(w.lastSign)
 	if left <= 0 {
-		if w.probe.mayMove() {
+		if w.pausedAt.IsZero() && w.probe.mayMove() {
 			w.cancel(errSilent)
 			return
 		}
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
@@ -154,3 +155,30 @@
 		t.Errorf("aborted %t after %q and %d sends", r.aborted, r.body.String(), b.sent())
 	}
 }
+
+// stallingReply is a caller that stops reading for a while after its first piece.
+type stallingReply struct {
+	reply
+	stall time.Duration
+}
+
+func (r *stallingReply) Write(p []byte) error {
+	time.Sleep(r.stall)
+	r.stall = 0
+	return r.reply.Write(p)
+}
+
+// Guards against giving up an engine for the silence of a caller that doesn't read.
+func TestEngineOfStalledCallerIsKept(t *testing.T) {
+	t.Parallel()
+	script := pausing(50*time.Millisecond, func() {}) // the caller stalls before the whole stream has arrived
+	b := newFixture(t, script, script)
+	b.setUnlimited()
+	r := &stallingReply{stall: 1900 * time.Millisecond}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: "key", Timeout: unlimited, Arrived: time.Now(),
+	}, r)
+	if r.aborted || r.body.String() != wholeStream || b.sent() != 1 {
+		t.Errorf("aborted %t after %q and %d sends", r.aborted, r.body.String(), b.sent())
+	}
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -120,6 +120,8 @@
 	if events.any {
 		u.lastEventID, u.resumable = cmp.Or(events.lastID, u.lastEventID), events.endsWithID
 	}
+	u.silence.pause()
+	defer u.silence.resume()
 	return u.w.Write(b)
 }
 
