fix(relayer): a process that was suspended reads before it gives up an upstream

What callers saw: after a pause of the node's process, requests whose answers had arrived meanwhile were sent once more, to other upstreams, and streams that other engines couldn't resume after all (a key gone in the meantime) were at risk of a cut.

Cause: the watch takes its own absence for silence. Its timer fires first when the process goes on, before the response in the socket is read. A check that comes more than 100 ms late now gives up nothing; the next one, 100 ms later, does.

Evidence: TestSuspendedProcessReadsBeforeItGivesUpAnUpstream failed before (2 sends, 3 of 3 runs); TestSuspendedProcessGivesUpASilentUpstream guards that an upstream which stays silent is still given up. Measured: 20 runs of both and go test ./internal/relayer pass; the race detector finds nothing in the tests of silence, streams and configurations. Not played with a real SIGSTOP. A node whose timers are always late by more than 100 ms gives up silent upstreams only at the deadline.

--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -32,6 +32,7 @@
 	lastSign time.Time     // of the upstream
 	pausedAt time.Time     // zero unless paused
 	timer    clock.Timer   // nil until the watch is first armed
+	due      time.Time     // when the timer fires
 }
 
 func newSilenceWatch(ctx context.Context, clk clock.Clock) *silenceWatch {
@@ -47,14 +48,21 @@
 	defer w.mu.Unlock()
 	pending := w.patience == patience // the check that is due finds the new time
 	w.probe, w.patience, w.lastSign = *u, patience, w.clk.Now()
-	switch {
-	case w.timer == nil:
-		w.timer = w.clk.AfterFunc(patience, w.check)
-	case !pending:
-		w.timer.Reset(patience)
+	if !pending {
+		w.checkAfter(patience)
 	}
 }
 
+// checkAfter sets the timer. w.mu must be held.
+func (w *silenceWatch) checkAfter(d time.Duration) {
+	w.due = w.clk.Now().Add(d)
+	if w.timer == nil {
+		w.timer = w.clk.AfterFunc(d, w.check)
+		return
+	}
+	w.timer.Reset(d)
+}
+
 // pause stops the time of the watch while the node can't read what the upstream sends.
 func (w *silenceWatch) pause() {
 	w.mu.Lock()
@@ -95,13 +103,16 @@
 	if w.patience == 0 {
 		return
 	}
-	left := w.patience - w.clk.Now().Sub(w.lastSign)
+	now := w.clk.Now()
+	// After a suspension of the process, what has arrived meanwhile has to be read first.
+	late := now.Sub(w.due) > silenceRecheck
+	left := w.patience - now.Sub(w.lastSign)
 	if left <= 0 {
-		if w.pausedAt.IsZero() && w.probe.mayMove() {
+		if !late && w.pausedAt.IsZero() && w.probe.mayMove() {
 			w.cancel(errSilent)
 			return
 		}
 		left = silenceRecheck
 	}
-	w.timer.Reset(left)
+	w.checkAfter(left)
 }
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -182,3 +183,58 @@
 		t.Errorf("aborted %t after %q and %d sends", r.aborted, r.body.String(), b.sent())
 	}
 }
+
+// Guards against giving up upstreams whose responses arrived while the process was suspended.
+func TestSuspendedProcessReadsBeforeItGivesUpAnUpstream(t *testing.T) {
+	clk := testlib.NewClock(time.Now())
+	b := newFixtureWith(t, clk, budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100}, nil, nil)
+	arrived, answer := make(chan struct{}, 2), make(chan struct{})
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			arrived <- struct{}{}
+			<-answer
+			return ok(conn, r)
+		})
+	}
+	b.setUnlimited()
+	var r *reply
+	var wg sync.WaitGroup
+	wg.Go(func() { r = b.serveWithin(t.Context(), "/safe/", unlimited) })
+	<-arrived
+	clk.Step(3 * time.Second) // the timer is late by more than two seconds
+	close(answer)
+	wg.Wait()
+	if r.status != 200 || b.sent() != 1 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
+	}
+}
+
+// Guards against waiting for ever for an upstream that is silent after a suspension, too.
+func TestSuspendedProcessGivesUpASilentUpstream(t *testing.T) {
+	clk := testlib.NewClock(time.Now())
+	b := newFixtureWith(t, clk, budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100}, nil, nil)
+	arrived, moved := make(chan struct{}, 2), make(chan struct{})
+	var asked atomic.Bool
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			arrived <- struct{}{}
+			if asked.CompareAndSwap(false, true) {
+				<-moved
+				return false
+			}
+			close(moved)
+			return ok(conn, r)
+		})
+	}
+	b.setUnlimited()
+	var r *reply
+	var wg sync.WaitGroup
+	wg.Go(func() { r = b.serveWithin(t.Context(), "/safe/", unlimited) })
+	<-arrived
+	clk.Step(3 * time.Second)
+	clk.Step(100 * time.Millisecond)
+	wg.Wait()
+	if r.status != 200 || b.sent() != 2 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
+	}
+}
