--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -30,7 +30,9 @@
 	probe    relay         // copy of the request's state, to find out whether it may move
 	patience time.Duration // 0 unless armed
 	lastSign time.Time     // of the upstream
+	pausedAt time.Time     // zero unless paused
 	timer    clock.Timer   // nil until the watch is first armed
+	due      time.Time     // when the timer fires
 }
 
 func newSilenceWatch(ctx context.Context, clk clock.Clock) *silenceWatch {
@@ -40,23 +42,40 @@
 }
 
 // arm starts to watch the current attempt of u, whose upstream may be silent for the
-// given time.
+// given time from now on. It is called again when the state of u has changed.
 func (w *silenceWatch) arm(u *relay, patience time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	pending := w.patience == patience // the check that is due finds the new time
 	w.probe, w.patience, w.lastSign = *u, patience, w.clk.Now()
+	if !pending {
+		w.checkAfter(patience)
+	}
+}
+
+// checkAfter sets the timer. w.mu must be held.
+func (w *silenceWatch) checkAfter(d time.Duration) {
+	w.due = w.clk.Now().Add(d)
 	if w.timer == nil {
-		w.timer = w.clk.AfterFunc(patience, w.check)
+		w.timer = w.clk.AfterFunc(d, w.check)
 		return
 	}
-	w.timer.Reset(patience)
+	w.timer.Reset(d)
+}
+
+// pause stops the time of the watch while the node can't read what the upstream sends.
+func (w *silenceWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pausedAt = w.clk.Now()
 }
 
-// recordSign records that the upstream has sent something.
-func (w *silenceWatch) recordSign() {
+// resume goes on after pause.
+func (w *silenceWatch) resume() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastSign = w.clk.Now()
+	w.lastSign = w.lastSign.Add(w.clk.Now().Sub(w.pausedAt))
+	w.pausedAt = time.Time{}
 }
 
 // disarm ends the watch until the next call of arm.
@@ -84,13 +103,16 @@
 	if w.patience == 0 {
 		return
 	}
-	left := w.patience - w.clk.Now().Sub(w.lastSign)
+	now := w.clk.Now()
+	// After a suspension of the process, what has arrived meanwhile has to be read first.
+	late := now.Sub(w.due) > silenceRecheck
+	left := w.patience - now.Sub(w.lastSign)
 	if left <= 0 {
-		if w.probe.mayMove() {
+		if !late && w.pausedAt.IsZero() && w.probe.mayMove() {
 			w.cancel(errSilent)
 			return
 		}
 		left = silenceRecheck
 	}
-	w.timer.Reset(left)
+	w.checkAfter(left)
 }
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
@@ -127,3 +129,112 @@
 		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
 	}
 }
+
+// eventWithoutID sends an event after which a stream can't be resumed.
+func eventWithoutID(conn net.Conn) {
+	const s = "data: x\n\n"
+	fmt.Fprintf(conn, "%x\r\n%s\r\n", len(s), s)
+}
+
+// Guards against LOST: the node gave up a stream whose engine was silent after an event
+// after which no other engine could resume.
+func TestSilentEngineIsWaitedForAfterEventWithoutID(t *testing.T) {
+	t.Parallel()
+	script := func(conn net.Conn, r testlib.Received) bool {
+		streamHead(conn, r)
+		event(conn, 1)
+		eventWithoutID(conn)
+		time.Sleep(1900 * time.Millisecond)
+		event(conn, 2)
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	}
+	b := newFixture(t, script, script)
+	b.setUnlimited()
+	r := b.serveWithin(t.Context(), "/stream/", unlimited)
+	if want := "id: 1\ndata: e1\n\ndata: x\n\nid: 2\ndata: e2\n\n"; r.aborted || r.body.String() != want || b.sent() != 1 {
+		t.Errorf("aborted %t after %q and %d sends", r.aborted, r.body.String(), b.sent())
+	}
+}
+
+// stallingReply is a caller that stops reading for a while after its first piece.
+type stallingReply struct {
+	reply
+	stall time.Duration
+}
+
+func (r *stallingReply) Write(p []byte) error {
+	time.Sleep(r.stall)
+	r.stall = 0
+	return r.reply.Write(p)
+}
+
+// Guards against giving up an engine for the silence of a caller that doesn't read.
+func TestEngineOfStalledCallerIsKept(t *testing.T) {
+	t.Parallel()
+	script := pausing(50*time.Millisecond, func() {}) // the caller stalls before the whole stream has arrived
+	b := newFixture(t, script, script)
+	b.setUnlimited()
+	r := &stallingReply{stall: 1900 * time.Millisecond}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: "key", Timeout: unlimited, Arrived: time.Now(),
+	}, r)
+	if r.aborted || r.body.String() != wholeStream || b.sent() != 1 {
+		t.Errorf("aborted %t after %q and %d sends", r.aborted, r.body.String(), b.sent())
+	}
+}
+
+// Guards against giving up upstreams whose responses arrived while the process was suspended.
+func TestSuspendedProcessReadsBeforeItGivesUpAnUpstream(t *testing.T) {
+	clk := testlib.NewClock(time.Now())
+	b := newFixtureWith(t, clk, budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100}, nil, nil)
+	arrived, answer := make(chan struct{}, 2), make(chan struct{})
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			arrived <- struct{}{}
+			<-answer
+			return ok(conn, r)
+		})
+	}
+	b.setUnlimited()
+	var r *reply
+	var wg sync.WaitGroup
+	wg.Go(func() { r = b.serveWithin(t.Context(), "/safe/", unlimited) })
+	<-arrived
+	clk.Step(3 * time.Second) // the timer is late by more than two seconds
+	close(answer)
+	wg.Wait()
+	if r.status != 200 || b.sent() != 1 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
+	}
+}
+
+// Guards against waiting for ever for an upstream that is silent after a suspension, too.
+func TestSuspendedProcessGivesUpASilentUpstream(t *testing.T) {
+	clk := testlib.NewClock(time.Now())
+	b := newFixtureWith(t, clk, budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100}, nil, nil)
+	arrived, moved := make(chan struct{}, 2), make(chan struct{})
+	var asked atomic.Bool
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			arrived <- struct{}{}
+			if asked.CompareAndSwap(false, true) {
+				<-moved
+				return false
+			}
+			close(moved)
+			return ok(conn, r)
+		})
+	}
+	b.setUnlimited()
+	var r *reply
+	var wg sync.WaitGroup
+	wg.Go(func() { r = b.serveWithin(t.Context(), "/safe/", unlimited) })
+	<-arrived
+	clk.Step(3 * time.Second)
+	clk.Step(100 * time.Millisecond)
+	wg.Wait()
+	if r.status != 200 || b.sent() != 2 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
+	}
+}
