test(soak): requests that crash each upstream that starts to respond

Cause: operators saw one part of a prompt crash one engine after the other. The soak's upstreams crash at random only, so that no request is to blame, and its checker has no bound on such requests.

Change: half of the seeds (the even ones, two in three of them) draw poison: a part of the prompt, second or third of four, in a tenth of the requests of one stream route, or one request that comes again and again under new IDs (same path, key and body) on any short route, plain services included. The upstream crashes when it starts to respond, in half of the cases after the first event, and is back after 2 s as a new incarnation.

Ruled out: a second stream of draws for all seeds. The faults of seeds 9, 69 and 119 guard against old failures, and poison on top excuses runs as ended by their upstream. Their plans are compared with a hash of those before this change. Also ruled out: callers of their own for the poison requests, which took twice the code.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -43,24 +43,24 @@
 type validation struct {
 	bounds     Bounds
 	history    *History
+	requests   map[string]*Request
 	runs       map[string][]Run
 	violations []Violation
 }
 
 // Check returns all violations in a history.
 func (c *Checker) Check(h *History) []Violation {
-	v := &validation{bounds: c.bounds, history: h, runs: map[string][]Run{}}
-	byID := make(map[string]*Request, len(h.Requests))
+	v := &validation{bounds: c.bounds, history: h, requests: map[string]*Request{}, runs: map[string][]Run{}}
 	for _, r := range h.Runs {
 		v.runs[r.ID] = append(v.runs[r.ID], r)
 	}
 	for i := range h.Requests {
 		r := &h.Requests[i]
-		byID[r.ID] = r
+		v.requests[r.ID] = r
 		v.checkRequest(r, v.runs[r.ID])
 	}
 	for _, run := range h.Runs {
-		if r := byID[run.ID]; r == nil {
+		if r := v.requests[run.ID]; r == nil {
 			v.add("unasked", run.ID, "an upstream ran a request that no caller sent")
 		} else {
 			v.checkRun(r, &run)
@@ -68,6 +68,9 @@
 	}
 	v.checkConfigOrder()
 	v.checkOrders()
+	for i := range h.Poisons {
+		v.checkPoison(&h.Poisons[i])
+	}
 	v.checkRecovery()
 	return v.violations
 }
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -19,6 +19,8 @@
 	Node, Incarnation int
 	Method            string
 	Target            string
+	Route             string // path prefix; streams of a route share their first part
+	Poison            string // name of its Poison; empty for a sound request
 	BodyHash          uint64
 	Workspace         string // owner of Key
 	Key               string
@@ -76,6 +78,19 @@
 	FencingToken     uint64
 }
 
+// Poison is the cause for which requests crash the upstreams that start to respond to
+// them: a part of their prompt or, if Part is not set, the whole request.
+type Poison struct {
+	Name, Route string
+	Part        bool
+}
+
+// Crash is the crash of an upstream by a poison request.
+type Crash struct {
+	At        time.Time
+	RequestID string
+}
+
 // Disturbance is a period in which the bounds don't apply to a node, or to any
 // node if Node is -1.
 type Disturbance struct {
@@ -100,6 +115,8 @@
 	// MovingPrefix is the path prefix of the moving route, whose service changes
 	// during the soak.
 	MovingPrefix string
+	Poisons      []Poison
+	Crashes      []Crash
 	Disturbances []Disturbance
 	// Shutdowns lists the graceful shutdowns of nodes.
 	Shutdowns []Shutdown
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -16,6 +16,9 @@
 	Nodes     int
 	Upstreams int
 	Keys      int // number of keys that may be revoked
+	// PlainRoutes and StreamRoutes are the numbers of routes that poison requests may
+	// use. Those of plain services come first.
+	PlainRoutes, StreamRoutes int
 	// Length is the duration of the traffic. Faults end some seconds earlier.
 	Length time.Duration
 }
@@ -117,6 +120,14 @@
 	}
 	// UpstreamLeaves drains an upstream, which another one replaces at its address.
 	UpstreamLeaves struct{ Upstream int }
+	// Poison sends requests that crash each upstream that starts to respond to them:
+	// different ones with a part of the prompt in common if Part is set, otherwise one
+	// request again and again.
+	Poison struct {
+		Part  bool
+		Route int
+		For   time.Duration
+	}
 	// KeyTaken revokes a key.
 	KeyTaken struct{ Key int }
 	// RouteMoved directs the moving route to the other service.
@@ -140,6 +151,7 @@
 func (UpstreamRepeats) fault() {}
 func (UpstreamStalls) fault()  {}
 func (UpstreamLeaves) fault()  {}
+func (Poison) fault()          {}
 func (KeyTaken) fault()        {}
 func (RouteMoved) fault()      {}
 func (WeightsNamed) fault()    {}
@@ -164,6 +176,11 @@
 	faultsPerSecond = 0.8
 	// maxLaterFaults is the largest number of faults of the kinds that were added later.
 	maxLaterFaults = 3
+	// poisonStartSpan is the time in which poison requests start, poisonOverrun how
+	// long they continue after the length of the soak. The fleet is undisturbed by
+	// other faults by then, so that the bounds apply.
+	poisonStartSpan = 2 * time.Second
+	poisonOverrun   = 6 * time.Second
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
 	// in which a revoked key must be rejected, so that some faults last longer.
 	maxDuration = 7 * time.Second
@@ -176,12 +193,20 @@
 	// more draws the kinds of faults that were added later, so that a seed draws the
 	// same other faults as before.
 	more *rand.Rand
-	opts Options
+	// newest draws the kinds added after those. It is nil for odd seeds, so that those
+	// that failed before draw no other faults than then.
+	newest *rand.Rand
+	opts   Options
 }
 
 // New returns a Planner for a seed.
 func New(seed uint64, opts Options) *Planner {
-	return &Planner{rnd: rand.New(rand.NewPCG(seed, 0x50a4)), more: rand.New(rand.NewPCG(seed, 0x50a5)), opts: opts}
+	source := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+	p := &Planner{rnd: source(0x50a4), more: source(0x50a5), opts: opts}
+	if seed%2 == 0 {
+		p.newest = source(0x50a6)
+	}
+	return p
 }
 
 // Plan returns the faults in the order of their start.
@@ -200,6 +225,9 @@
 	for range 1 + p.more.IntN(maxLaterFaults) {
 		out = append(out, Step{At: startupTime + time.Duration(p.more.Int64N(int64(span))), Fault: p.drawLater()})
 	}
+	if p.newest != nil && p.newest.IntN(3) > 0 {
+		out = append(out, p.drawPoison())
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -272,6 +300,16 @@
 	return UpstreamStalls{Upstream: up, For: d}
 }
 
+// drawPoison draws the start of poison requests and their kind.
+func (p *Planner) drawPoison() Step {
+	at := startupTime + time.Duration(p.newest.Int64N(int64(poisonStartSpan)))
+	f := Poison{Part: p.newest.IntN(3) > 0, Route: p.newest.IntN(p.opts.PlainRoutes + p.opts.StreamRoutes), For: p.opts.Length + poisonOverrun - at}
+	if f.Part {
+		f.Route = p.opts.PlainRoutes + f.Route%p.opts.StreamRoutes
+	}
+	return Step{At: at, Fault: f}
+}
+
 // someNodes draws one node or more.
 func (p *Planner) someNodes() []int {
 	nodes := p.rnd.Perm(p.opts.Nodes)
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/auburnnotch/auburnnotch/internal/soak/planner"
 )
 
-var opts = planner.Options{Nodes: 5, Upstreams: 11, Keys: 6, Length: 16 * time.Second}
+var opts = planner.Options{Nodes: 5, Upstreams: 11, Keys: 6, PlainRoutes: 3, StreamRoutes: 2, Length: 16 * time.Second}
 
 func TestPlanIsDeterministic(t *testing.T) {
 	a, b := planner.New(7, opts).Plan(), planner.New(7, opts).Plan()
@@ -41,10 +43,23 @@
 			}
 		}
 	}
-	if len(kinds) != 18 {
-		t.Errorf("%d types of faults, want 18: %v", len(kinds), kinds)
+	if len(kinds) != 19 {
+		t.Errorf("%d types of faults, want 19: %v", len(kinds), kinds)
 	}
 	if overlapping < 50 {
 		t.Errorf("only %d faults start within 400 ms of the previous one", overlapping)
 	}
 }
+
+// The seeds that failed before must keep drawing the faults under which they failed.
+func TestRegressionSeedsKeepTheirFaults(t *testing.T) {
+	for seed, want := range map[uint64]uint64{9: 0x4068078b1e5bf77f, 69: 0x3ae010dec23ae1ac, 119: 0x19e88554fb020105} {
+		var plan string
+		for _, s := range planner.New(seed, opts).Plan() {
+			plan += fmt.Sprintf("%v %T%+v\n", s.At, s.Fault, s.Fault)
+		}
+		if got := xxhash.Sum64String(plan); got != want {
+			t.Errorf("seed %d: hash %#x of the plan, want %#x:\n%s", seed, got, want, plan)
+		}
+	}
+}
--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +38,8 @@
 	failedAddressBackoff = time.Second
 	// sessions is the number of prompt parts that are shared between requests.
 	sessions = 20
+	// firstPart is the first part of all prompts.
+	firstPart = "a1:200"
 )
 
 // caller is a simulated caller. It keeps its connection until the node closes it
@@ -122,7 +125,10 @@
 		r, wait = all[last], longStreamTimeout+time.Duration(c.rnd.Int64N(int64(longStreamTimeoutSpread)))
 		defer context.AfterFunc(ctx, c.conn.Close)() // don't wait for the last long streams at the end
 	}
-	k := c.rnd.IntN(KeyCount)
+	k, poison := c.rnd.IntN(KeyCount), c.drawPoison(r.Prefix)
+	if poison != nil && !poison.Part {
+		k = 0 // the same caller each time
+	}
 	c.sent++
 	id := fmt.Sprintf("%d-%d-%d", c.s.settings.Seed, c.index, c.sent)
 	req := &client.Request{
@@ -131,16 +137,25 @@
 	if r.method != http.MethodGet {
 		req.Body = []byte(strings.Repeat(id, 1+c.rnd.IntN(8)))
 	}
-	wantBody := upstream.Body(id, req.Target)
 	if r.Kind == traffic.Streaming {
 		session := c.rnd.IntN(sessions)
 		req.Model, req.Tokens = model, 500
-		req.Parts = []string{"a1:200", fmt.Sprintf("b%d:200", session), fmt.Sprintf("c%d%d:100", c.index, c.sent)}
+		req.Parts = []string{firstPart, fmt.Sprintf("b%d:200", session), fmt.Sprintf("c%d%d:100", c.index, c.sent)}
+	}
+	if poison != nil {
+		c.applyPoison(poison, req)
+	}
+	wantBody := upstream.Body(id, req.Target)
+	if r.Kind == traffic.Streaming {
 		wantBody = streamBody(id)
 	}
 	record := checker.Request{
 		ID: id, Kind: r.Kind, Resumable: r.Resumable, MaxAttempts: r.MaxAttempts, Node: c.node.index, Incarnation: c.incarnation,
-		Method: req.Method, Target: req.Target, BodyHash: xxhash.Sum64(req.Body), Workspace: workspace(k), Key: req.APIKey, Timeout: min(wait, r.Timeout), WantBody: wantBody,
+		Method: req.Method, Target: req.Target, Route: r.Prefix, BodyHash: xxhash.Sum64(req.Body), Workspace: workspace(k), Key: req.APIKey,
+		Timeout: min(wait, r.Timeout), WantBody: wantBody,
+	}
+	if poison != nil {
+		record.Poison = poison.Name
 	}
 	err := c.conn.Send(req)
 	record.SentAt = c.s.clk.Now()
@@ -164,6 +179,32 @@
 	c.s.mu.Unlock()
 }
 
+// poisonShare is the share of poison requests on their route.
+const poisonShare = 0.1
+
+// drawPoison returns the poison of the next request on a route, nil for a sound one.
+func (c *caller) drawPoison(route string) *checker.Poison {
+	if p := c.s.poison.Load(); p != nil && p.Route == route && c.rnd.Float64() < poisonShare {
+		return p
+	}
+	return nil
+}
+
+// applyPoison makes a request a poison request.
+func (c *caller) applyPoison(p *checker.Poison, req *client.Request) {
+	if p.Part {
+		req.Parts = slices.Insert(req.Parts, 1+c.rnd.IntN(2), p.Name+":150")
+		return
+	}
+	req.Target = p.Route + p.Name
+	if req.Body != nil {
+		req.Body = []byte(p.Name)
+	}
+	if req.Parts != nil {
+		req.Parts = []string{firstPart, "b0:200", "c0:100"}
+	}
+}
+
 // streamBody returns the expected body of a complete stream.
 func streamBody(id string) string {
 	var b strings.Builder
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -18,6 +19,8 @@
 	graceMargin = time.Second
 	// drainTime is how long a draining upstream keeps running.
 	drainTime = 4 * time.Second
+	// poisonRestartTime is how long an upstream is down after a crash by poison.
+	poisonRestartTime = 2 * time.Second
 )
 
 // errorRates are the probabilities of each fault of an upstream during
@@ -60,7 +63,8 @@
 	case planner.Link:
 		s.runAsync(func() { s.injectLinkFault(ctx, f) })
 	case planner.UpstreamCrash:
-		s.runAsync(func() { s.crashUpstream(ctx, s.endpoints[f.Upstream], f.For) })
+		ep := s.endpoints[f.Upstream]
+		s.runAsync(func() { s.crashUpstream(ctx, ep, ep.current.Load(), f.For, "") })
 	case planner.UpstreamErrs:
 		s.injectUpstreamFault(ctx, f.Upstream, errorRates, f.For)
 	case planner.UpstreamRepeats:
@@ -69,6 +73,8 @@
 		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{StallStream: 0.3}, f.For)
 	case planner.UpstreamLeaves:
 		s.runAsync(func() { s.drainUpstream(ctx, s.endpoints[f.Upstream]) })
+	case planner.Poison:
+		s.runAsync(func() { s.injectPoison(ctx, f) })
 	case planner.KeyTaken:
 		s.revokeKey(key(f.Key))
 	case planner.RouteMoved:
@@ -262,22 +268,25 @@
 }
 
 // crashUpstream makes an upstream unreachable at once and, after a duration, starts
-// a new incarnation with the same ID.
-func (s *Soaker) crashUpstream(ctx context.Context, ep *endpoint, d time.Duration) {
-	inc := ep.current.Load()
+// a new incarnation with the same ID. The ID of a poison request that causes the crash
+// is recorded.
+func (s *Soaker) crashUpstream(ctx context.Context, ep *endpoint, inc *incarnation, d time.Duration, poisonID string) {
 	s.mu.Lock()
 	unavailable := inc.stopped || inc.registration.Draining
 	inc.stopped = true
 	if !unavailable {
 		s.markAborted(inc.registration.ID)
 	}
+	if !unavailable && poisonID != "" {
+		s.history.Crashes = append(s.history.Crashes, checker.Crash{At: s.clk.Now(), RequestID: poisonID})
+	}
 	s.mu.Unlock()
 	if unavailable {
 		return
 	}
 	ep.proxy.SetFault(planner.Unreached)
 	clock.Sleep(ctx, s.clk, d)
-	s.startIncarnation(ep, inc.registration.ID, inc.server.Version())
+	s.startIncarnation(ctx, ep, inc.registration.ID, inc.server.Version())
 	ep.proxy.SetFault("")
 }
 
@@ -293,6 +302,19 @@
 	}
 }
 
+// injectPoison lets the callers send poison requests for a duration, and waits until
+// the upstreams have restarted.
+func (s *Soaker) injectPoison(ctx context.Context, f planner.Poison) {
+	s.mu.Lock()
+	p := checker.Poison{Name: fmt.Sprint(upstream.Poison, len(s.history.Poisons)), Part: f.Part, Route: routes(false)[f.Route].Prefix}
+	s.history.Poisons = append(s.history.Poisons, p)
+	s.mu.Unlock()
+	s.poison.Store(&p)
+	clock.Sleep(ctx, s.clk, f.For)
+	s.poison.Store(nil)
+	clock.Sleep(ctx, s.clk, poisonRestartTime)
+}
+
 // drainUpstream drains an upstream, then starts another one of the same service at
 // its address.
 func (s *Soaker) drainUpstream(ctx context.Context, ep *endpoint) {
@@ -313,5 +335,5 @@
 	inc.stopped = true
 	s.mu.Unlock()
 	s.ops.Remove(inc.registration.ID)
-	s.startUpstream(ep)
+	s.startUpstream(ctx, ep)
 }
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -79,6 +80,7 @@
 	nodes      []*node
 	endpoints  []*endpoint
 	faultGroup *errgroup.Group // asynchronous parts of faults
+	poison     atomic.Pointer[checker.Poison]
 
 	mu               sync.Mutex
 	history          checker.History
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -31,6 +31,9 @@
 	prefixLong   = "/long/"
 	// KeyCount is the number of workspaces, each of which has one key.
 	KeyCount = 6
+	// PlainRoutes and StreamRoutes are the numbers of routes to plain services and of
+	// routes for short streams.
+	PlainRoutes, StreamRoutes = 3, 2
 )
 
 const (
@@ -155,7 +158,7 @@
 		return nil, errors.Trace(err)
 	}
 	g.Go(func() error { return ep.proxy.Run(ctx) })
-	s.startUpstream(ep)
+	s.startUpstream(ctx, ep)
 	return ep, nil
 }
 
@@ -178,17 +181,17 @@
 }
 
 // startUpstream starts an upstream with a new ID at an endpoint.
-func (s *Soaker) startUpstream(ep *endpoint) {
+func (s *Soaker) startUpstream(ctx context.Context, ep *endpoint) {
 	s.mu.Lock()
 	s.upstreamsStarted++
 	id, version := fmt.Sprint("up-", s.upstreamsStarted), s.weightsVersion
 	s.mu.Unlock()
-	s.startIncarnation(ep, id, version)
+	s.startIncarnation(ctx, ep, id, version)
 }
 
 // startIncarnation replaces the upstream at an endpoint by a new incarnation with
 // the given ID and version of the weights.
-func (s *Soaker) startIncarnation(ep *endpoint, id string, version int) {
+func (s *Soaker) startIncarnation(ctx context.Context, ep *endpoint, id string, version int) {
 	o := upstream.Options{ID: id, Slots: plainSlots, WorkTime: plainResponseTime}
 	up := traffic.Upstream{
 		ID: id, StartedMS: s.clk.Now().UnixMilli(), Service: ep.service, Address: ep.proxy.Addr(), DataCentre: dataCentre, Slots: o.Slots,
@@ -197,8 +200,11 @@
 		o = upstream.Options{ID: id, Slots: engineSlots, WorkTime: eventInterval, LongPrefix: prefixLong, Model: model, Version: version, LoadTime: weightsLoadTime}
 		up.Slots = o.Slots
 	}
+	inc := &incarnation{registration: up}
+	o.Crash = func(requestID string) { s.crashUpstream(ctx, ep, inc, poisonRestartTime, requestID) }
 	seed := s.settings.Seed ^ uint64(ep.index)<<32
-	ep.current.Store(&incarnation{registration: up, server: upstream.New(o, s.clk, recorder{s: s, service: ep.service}, rand.New(rand.NewPCG(seed, uint64(len(id)))))})
+	inc.server = upstream.New(o, s.clk, recorder{s: s, service: ep.service}, rand.New(rand.NewPCG(seed, uint64(len(id)))))
+	ep.current.Store(inc)
 }
 
 // sendHeartbeats registers the running upstreams periodically and removes those
