test(soak): sound upstreams that pause, and responses without framing

Cause: users now say that a sound upstream may be silent for a second, and that a response, a stream too, may have neither a length nor chunks and end with its connection. The soak played neither, and its checker asked for a response only around shutdowns.

A new check asks for the whole response to a request that ran at sound upstreams only, at an undisturbed node, before its timeout. It covers pauses and complete unframed responses. What is broken off and looks complete was checked before.

In TestFindsEachViolation the runs of the history for "recover" are those of faulty upstreams now: a 502 after a run at a sound one is a violation of its own. Three histories that violate and three that don't are new.

Ruled out: a pause as a link fault, since the end of one ends any other on the same link.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -106,6 +106,7 @@
 	}
 	v.checkResponse(r, runs)
 	v.checkShutdown(r, runs)
+	v.checkDelivery(r, runs)
 	if (r.Status == 401 || r.Status == 404) && v.undisturbed(r.Node, r.SentAt, r.EndedAt) && v.keyInForce(r) {
 		v.add("denied", r.ID, "got status %d, although the route of %s and the key are in force", r.Status, r.Target)
 	}
@@ -218,6 +219,22 @@
 	}
 }
 
+// checkDelivery checks that a response reached the caller if its upstreams were sound,
+// even those that paused or sent it without framing.
+func (v *validation) checkDelivery(r *Request, runs []Run) {
+	failed := r.ConnectionLost || r.Complete && r.Status >= 500 && !r.Stamped && !r.guaranteesNotRun()
+	elapsed := r.EndedAt.Sub(r.SentAt)
+	if !failed || len(runs) == 0 || elapsed+closeDetectionDelay >= r.Timeout || !v.undisturbed(r.Node, r.SentAt, r.EndedAt) {
+		return
+	}
+	for _, run := range runs {
+		if run.Faulty || run.Aborted {
+			return
+		}
+	}
+	v.add("lost", r.ID, "status %d after %v, connection lost: %t; %s ran only at sound upstreams, %s", r.Status, elapsed, r.ConnectionLost, r.Target, upstreamNames(runs))
+}
+
 // checkRun checks the request that an upstream received, and whether the upstream
 // was permitted to receive it at that time.
 func (v *validation) checkRun(r *Request, run *Run) {
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -107,9 +107,20 @@
 		}},
 		{"recover", "no request served after the faults", func(h *checker.History) {
 			for i := range h.Requests {
-				h.Requests[i].Status, h.Requests[i].Stamped = 502, false
+				h.Requests[i].Status, h.Requests[i].Stamped, h.Runs[i].Faulty = 502, false, true
 			}
 		}},
+		{"lost", "unsafe request fails at a sound upstream", func(h *checker.History) {
+			h.Requests[unsafe].Status, h.Requests[unsafe].Stamped = 502, false
+		}},
+		{"lost", "stream of a sound upstream is cut off", func(h *checker.History) {
+			r := &h.Requests[stream]
+			r.Complete, r.ConnectionLost, r.Body = false, true, events[:len(events)/2]
+		}},
+		{"mixed", "a stream that ends inside an event looks complete", func(h *checker.History) {
+			h.Requests[stream].Body = events[:len(events)-1]
+			h.Runs[stream].Faulty = true
+		}},
 		{"lost", "response cut off by a graceful shutdown", func(h *checker.History) {
 			h.Requests[unsafe].Complete, h.Requests[unsafe].ConnectionLost, h.Requests[unsafe].Body = false, true, "ans"
 			h.Shutdowns = []checker.Shutdown{{Incarnation: 1, From: at(29), To: at(31)}}
@@ -167,6 +178,18 @@
 			h.Runs[2].Service = "a"
 			h.Disturbances = []checker.Disturbance{{Node: -1, From: at(9), To: at(28)}}
 		},
+		"stream cut off after its upstream broke it off": func(h *checker.History) {
+			r := &h.Requests[1]
+			r.Complete, r.ConnectionLost, r.Body, h.Runs[1].Faulty = false, true, events[:len(events)/2], true
+		},
+		"stream given up at the caller's timeout": func(h *checker.History) {
+			r := &h.Requests[1]
+			r.Complete, r.ConnectionLost, r.Body, r.EndedAt = false, true, events[:len(events)/2], r.SentAt.Add(r.Timeout)
+		},
+		"unsafe request fails at a disturbed node": func(h *checker.History) {
+			h.Requests[0].Status, h.Requests[0].Stamped = 502, false
+			h.Disturbances = []checker.Disturbance{{Node: 0, From: at(26), To: at(28)}}
+		},
 		"request crosses with the closing of its connection": func(h *checker.History) {
 			r := &h.Requests[0]
 			r.Status, r.Complete, r.Stamped, r.ConnectionLost, r.Body = 0, false, false, true, ""
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -69,6 +69,8 @@
 	EndedAt               time.Time
 	// Aborted is set if the upstream ended the run early, not the node.
 	Aborted bool
+	// Faulty is set if the upstream had faults.
+	Faulty bool
 }
 
 // Order is an order that an engine received from a leader.
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -120,6 +120,18 @@
 	}
 	// UpstreamLeaves drains an upstream, which another one replaces at its address.
 	UpstreamLeaves struct{ Upstream int }
+	// UpstreamPauses holds all bytes to and from an upstream back.
+	UpstreamPauses struct {
+		Upstream int
+		For      time.Duration
+	}
+	// UpstreamUnframed makes an upstream send responses that end with their connection
+	// and, if Broken is set, break some of them off.
+	UpstreamUnframed struct {
+		Upstream int
+		Broken   bool
+		For      time.Duration
+	}
 	// Poison sends requests that crash each upstream that starts to respond to them:
 	// different ones with a part of the prompt in common if Part is set, otherwise one
 	// request again and again.
@@ -136,25 +148,27 @@
 	WeightsNamed struct{}
 )
 
-func (Stop) fault()            {}
-func (StopAll) fault()         {}
-func (Kill) fault()            {}
-func (Freeze) fault()          {}
-func (StoreDown) fault()       {}
-func (StoreSlow) fault()       {}
-func (StoreLoses) fault()      {}
-func (StoreRefuses) fault()    {}
-func (StoreForgets) fault()    {}
-func (Link) fault()            {}
-func (UpstreamCrash) fault()   {}
-func (UpstreamErrs) fault()    {}
-func (UpstreamRepeats) fault() {}
-func (UpstreamStalls) fault()  {}
-func (UpstreamLeaves) fault()  {}
-func (Poison) fault()          {}
-func (KeyTaken) fault()        {}
-func (RouteMoved) fault()      {}
-func (WeightsNamed) fault()    {}
+func (Stop) fault()             {}
+func (StopAll) fault()          {}
+func (Kill) fault()             {}
+func (Freeze) fault()           {}
+func (StoreDown) fault()        {}
+func (StoreSlow) fault()        {}
+func (StoreLoses) fault()       {}
+func (StoreRefuses) fault()     {}
+func (StoreForgets) fault()     {}
+func (Link) fault()             {}
+func (UpstreamCrash) fault()    {}
+func (UpstreamErrs) fault()     {}
+func (UpstreamRepeats) fault()  {}
+func (UpstreamStalls) fault()   {}
+func (UpstreamLeaves) fault()   {}
+func (UpstreamPauses) fault()   {}
+func (UpstreamUnframed) fault() {}
+func (Poison) fault()           {}
+func (KeyTaken) fault()         {}
+func (RouteMoved) fault()       {}
+func (WeightsNamed) fault()     {}
 
 // Step is a fault and the time at which it starts, counted from the start of the
 // traffic.
@@ -176,6 +190,11 @@
 	faultsPerSecond = 0.8
 	// maxLaterFaults is the largest number of faults of the kinds that were added later.
 	maxLaterFaults = 3
+	// maxNewestFaults is the largest number of faults of the newest kinds but poison.
+	// They also start while the fleet recovers, so that the bounds apply to some.
+	maxNewestFaults = 8
+	// minPause and pauseSpread bound the pauses of a sound upstream.
+	minPause, pauseSpread = 700 * time.Millisecond, 600 * time.Millisecond
 	// poisonStartSpan is the time in which poison requests start, poisonOverrun how
 	// long they continue after the length of the soak. The fleet is undisturbed by
 	// other faults by then, so that the bounds apply.
@@ -225,8 +244,14 @@
 	for range 1 + p.more.IntN(maxLaterFaults) {
 		out = append(out, Step{At: startupTime + time.Duration(p.more.Int64N(int64(span))), Fault: p.drawLater()})
 	}
-	if p.newest != nil && p.newest.IntN(3) > 0 {
-		out = append(out, p.drawPoison())
+	if p.newest != nil {
+		if p.newest.IntN(3) > 0 {
+			out = append(out, p.drawPoison())
+		}
+		for range 1 + p.newest.IntN(maxNewestFaults) {
+			at := startupTime + time.Duration(p.newest.Int64N(int64(p.opts.Length-startupTime)))
+			out = append(out, Step{At: at, Fault: p.drawNewest()})
+		}
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
@@ -300,6 +325,18 @@
 	return UpstreamStalls{Upstream: up, For: d}
 }
 
+// drawNewest draws a fault of the newest kinds but poison.
+func (p *Planner) drawNewest() Fault {
+	up, d := p.newest.IntN(p.opts.Upstreams), p.newest.Int64N(int64(maxDuration))
+	switch p.newest.IntN(4) {
+	case 0, 1:
+		return UpstreamPauses{Upstream: up, For: minPause + time.Duration(d%int64(pauseSpread))}
+	case 2:
+		return UpstreamUnframed{Upstream: up, For: time.Second + time.Duration(d)}
+	}
+	return UpstreamUnframed{Upstream: up, Broken: true, For: time.Second + time.Duration(d)}
+}
+
 // drawPoison draws the start of poison requests and their kind.
 func (p *Planner) drawPoison() Step {
 	at := startupTime + time.Duration(p.newest.Int64N(int64(poisonStartSpan)))
--- a/internal/soak/proxier/proxier.go
+++ b/internal/soak/proxier/proxier.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,8 @@
 	// linkDelay is the delay of a delayed link. It is longer than most latency
 	// objectives.
 	linkDelay = 250 * time.Millisecond
+	// pausePollInterval is the time between two checks for the end of a pause.
+	pausePollInterval = 10 * time.Millisecond
 	// bufferBytes is the maximum number of bytes read at once.
 	bufferBytes = 16 << 10
 )
@@ -41,6 +44,8 @@
 	mu    sync.Mutex
 	fault planner.LinkTrouble // empty for none
 	links map[*link]struct{}
+
+	paused atomic.Bool
 }
 
 // New returns a Proxier that listens on addr and forwards to target.
@@ -55,6 +60,9 @@
 // Addr returns the address on which the Proxier listens.
 func (p *Proxier) Addr() string { return p.listener.Addr().String() }
 
+// SetPaused holds all bytes back, until it is called again with false.
+func (p *Proxier) SetPaused(paused bool) { p.paused.Store(paused) }
+
 // SetFault starts a link fault, or ends the current one if f is empty.
 func (p *Proxier) SetFault(f planner.LinkTrouble) {
 	p.mu.Lock()
@@ -149,6 +157,9 @@
 	dropping := false
 	for {
 		n, err := src.Read(buf)
+		for p.paused.Load() {
+			<-p.clk.After(pausePollInterval)
+		}
 		fault := p.faultOf(l)
 		if fault == planner.Delayed {
 			<-p.clk.After(linkDelay)
--- a/internal/soak/proxier/proxier_test.go
+++ b/internal/soak/proxier/proxier_test.go
@@ -135,3 +135,28 @@
 		})
 	}
 }
+
+// A pause delays bytes and loses none.
+func TestPauseHoldsBytesBack(t *testing.T) {
+	p := startProxier(t)
+	conn, err := net.Dial("tcp4", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for _, paused := range []bool{false, true, false} {
+		p.SetPaused(paused)
+		if _, err := io.WriteString(conn, "x\n"); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		if line, err := in.ReadString('\n'); (err != nil) != paused {
+			t.Errorf("paused %t: line %q, error %v", paused, line, err)
+		}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	if line, err := in.ReadString('\n'); err != nil || line != "x\n" {
+		t.Errorf("after the pause: line %q, error %v", line, err)
+	}
+}
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -27,6 +27,9 @@
 // planner.UpstreamErrs.
 var errorRates = upstream.Faults{DropResponse: 0.1, CutResponse: 0.1, ServerError: 0.1, OmitStamp: 0.05}
 
+// unframedCutRate is the share of broken responses of planner.UpstreamUnframed.
+const unframedCutRate = 0.3
+
 // inject injects a fault. The parts that take time run in the background.
 func (s *Soaker) inject(ctx context.Context, f planner.Fault) {
 	switch f := f.(type) {
@@ -73,6 +76,19 @@
 		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{StallStream: 0.3}, f.For)
 	case planner.UpstreamLeaves:
 		s.runAsync(func() { s.drainUpstream(ctx, s.endpoints[f.Upstream]) })
+	case planner.UpstreamPauses:
+		proxy := s.endpoints[f.Upstream].proxy
+		proxy.SetPaused(true)
+		s.runAsync(func() {
+			clock.Sleep(ctx, s.clk, f.For)
+			proxy.SetPaused(false)
+		})
+	case planner.UpstreamUnframed:
+		faults := upstream.Faults{Unframed: true}
+		if f.Broken {
+			faults.CutResponse = unframedCutRate
+		}
+		s.injectUpstreamFault(ctx, f.Upstream, faults, f.For)
 	case planner.Poison:
 		s.runAsync(func() { s.injectPoison(ctx, f) })
 	case planner.KeyTaken:
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -203,7 +203,7 @@
 	inc := &incarnation{registration: up}
 	o.Crash = func(requestID string) { s.crashUpstream(ctx, ep, inc, poisonRestartTime, requestID) }
 	seed := s.settings.Seed ^ uint64(ep.index)<<32
-	inc.server = upstream.New(o, s.clk, recorder{s: s, service: ep.service}, rand.New(rand.NewPCG(seed, uint64(len(id)))))
+	inc.server = upstream.New(o, s.clk, recorder{s: s, service: ep.service, inc: inc}, rand.New(rand.NewPCG(seed, uint64(len(id)))))
 	ep.current.Store(inc)
 }
 
@@ -253,6 +253,7 @@
 type recorder struct {
 	s       *Soaker
 	service string
+	inc     *incarnation
 }
 
 func (r recorder) RecordRun(run upstream.Run) {
@@ -262,6 +263,7 @@
 	r.s.history.Runs = append(r.s.history.Runs, checker.Run{
 		ID: run.ID, Upstream: run.Upstream, Service: r.service, StartedAt: run.At, Workspace: run.Workspace, Method: run.Method, Target: run.Target,
 		BodyHash: run.BodyHash, Key: run.APIKey, ResumedAfter: run.LastEventID,
+		Faulty: run.Faulty, Aborted: r.inc.stopped,
 	})
 }
 
