test(soak): odd registrations, copies of refusals, errors on resumption

Cause: other operators reported an odd entry among the registrations that ended nodes, a refusal that a faulty engine wrote once more on a kept connection, and streams that broke off and met an error on resumption. The soak had copies of plain responses only, and no errors on resumption.

A node that ended by itself is a problem now.

--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -132,6 +132,17 @@
 		Broken   bool
 		For      time.Duration
 	}
+	// UpstreamCopiesRefusals makes an upstream reject requests and send the rejections
+	// once more, late.
+	UpstreamCopiesRefusals struct {
+		Upstream int
+		For      time.Duration
+	}
+	// ResumptionsFail makes all upstreams break off streams and respond to resumed ones
+	// with errors.
+	ResumptionsFail struct{ For time.Duration }
+	// OddRegistration leaves a registration of an engine with an odd value.
+	OddRegistration struct{ Shape int }
 	// Poison sends requests that crash each upstream that starts to respond to them:
 	// different ones with a part of the prompt in common if Part is set, otherwise one
 	// request again and again.
@@ -148,27 +159,30 @@
 	WeightsNamed struct{}
 )
 
-func (Stop) fault()             {}
-func (StopAll) fault()          {}
-func (Kill) fault()             {}
-func (Freeze) fault()           {}
-func (StoreDown) fault()        {}
-func (StoreSlow) fault()        {}
-func (StoreLoses) fault()       {}
-func (StoreRefuses) fault()     {}
-func (StoreForgets) fault()     {}
-func (Link) fault()             {}
-func (UpstreamCrash) fault()    {}
-func (UpstreamErrs) fault()     {}
-func (UpstreamRepeats) fault()  {}
-func (UpstreamStalls) fault()   {}
-func (UpstreamLeaves) fault()   {}
-func (UpstreamPauses) fault()   {}
-func (UpstreamUnframed) fault() {}
-func (Poison) fault()           {}
-func (KeyTaken) fault()         {}
-func (RouteMoved) fault()       {}
-func (WeightsNamed) fault()     {}
+func (Stop) fault()                   {}
+func (StopAll) fault()                {}
+func (Kill) fault()                   {}
+func (Freeze) fault()                 {}
+func (StoreDown) fault()              {}
+func (StoreSlow) fault()              {}
+func (StoreLoses) fault()             {}
+func (StoreRefuses) fault()           {}
+func (StoreForgets) fault()           {}
+func (Link) fault()                   {}
+func (UpstreamCrash) fault()          {}
+func (UpstreamErrs) fault()           {}
+func (UpstreamRepeats) fault()        {}
+func (UpstreamStalls) fault()         {}
+func (UpstreamLeaves) fault()         {}
+func (UpstreamPauses) fault()         {}
+func (UpstreamUnframed) fault()       {}
+func (UpstreamCopiesRefusals) fault() {}
+func (ResumptionsFail) fault()        {}
+func (OddRegistration) fault()        {}
+func (Poison) fault()                 {}
+func (KeyTaken) fault()               {}
+func (RouteMoved) fault()             {}
+func (WeightsNamed) fault()           {}
 
 // Step is a fault and the time at which it starts, counted from the start of the
 // traffic.
@@ -328,13 +342,19 @@
 // drawNewest draws a fault of the newest kinds but poison.
 func (p *Planner) drawNewest() Fault {
 	up, d := p.newest.IntN(p.opts.Upstreams), p.newest.Int64N(int64(maxDuration))
-	switch p.newest.IntN(4) {
+	switch p.newest.IntN(7) {
 	case 0, 1:
 		return UpstreamPauses{Upstream: up, For: minPause + time.Duration(d%int64(pauseSpread))}
 	case 2:
 		return UpstreamUnframed{Upstream: up, For: time.Second + time.Duration(d)}
+	case 3:
+		return UpstreamUnframed{Upstream: up, Broken: true, For: time.Second + time.Duration(d)}
+	case 4:
+		return UpstreamCopiesRefusals{Upstream: up, For: time.Second + time.Duration(d)}
+	case 5:
+		return ResumptionsFail{For: time.Second + time.Duration(d)}
 	}
-	return UpstreamUnframed{Upstream: up, Broken: true, For: time.Second + time.Duration(d)}
+	return OddRegistration{Shape: up}
 }
 
 // drawPoison draws the start of poison requests and their kind.
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -89,6 +89,14 @@
 			faults.CutResponse = unframedCutRate
 		}
 		s.injectUpstreamFault(ctx, f.Upstream, faults, f.For)
+	case planner.UpstreamCopiesRefusals:
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{Refuse: 0.3, RepeatResponse: 0.3}, f.For)
+	case planner.ResumptionsFail:
+		for i := range s.endpoints {
+			s.injectUpstreamFault(ctx, i, upstream.Faults{CutResponse: 0.1, FailResumption: 0.5}, f.For)
+		}
+	case planner.OddRegistration:
+		s.ops.RegisterOdd(fmt.Sprint("odd-", f.Shape), engines, f.Shape)
 	case planner.Poison:
 		s.runAsync(func() { s.injectPoison(ctx, f) })
 	case planner.KeyTaken:
@@ -168,6 +176,7 @@
 		return
 	}
 	defer n.restarting.Store(false)
+	s.checkRunning(n)
 	from := s.clk.Now()
 	incarnation := int(n.incarnation.Load())
 	s.signal(n, syscall.SIGTERM)
@@ -221,6 +230,13 @@
 	return true
 }
 
+// checkRunning records a node that no fault has stopped and that doesn't run as a problem.
+func (s *Soaker) checkRunning(n *node) {
+	if !n.process.Running() {
+		s.addProblem("exit: %s ended by itself", n.name)
+	}
+}
+
 func (s *Soaker) signal(n *node, sig syscall.Signal) {
 	if err := n.process.Signal(sig); err != nil {
 		s.addProblem("failed to signal %s: %v", n.name, err)
@@ -238,6 +254,7 @@
 		return
 	}
 	defer n.restarting.Store(false)
+	s.checkRunning(n)
 	disturbance := s.beginDisturbance(checker.Disturbance{Node: n.index})
 	s.signal(n, syscall.SIGKILL)
 	<-n.process.Done()
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -142,6 +142,9 @@
 	stopTraffic()
 	_ = callers.Wait() // the goroutines return no errors
 	clock.Sleep(ctx, s.clk, finalWait)
+	for _, n := range s.nodes {
+		s.checkRunning(n)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.EndedAt = s.clk.Now()
