--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,8 @@
 	Header Header
 	// Length is the length of the body; -1 if unknown.
 	Length int64
+	// EndsWithConnection is set if the body has neither a length nor chunks.
+	EndsWithConnection bool
 
 	connector  *Connector
 	conn       *conn
@@ -52,6 +55,12 @@
 // errStrayResponse reports a response that belongs to another request.
 const errStrayResponse = errors.ConstError("response belongs to another request")
 
+// ClosedByUpstream reports whether an exchange failed because the upstream, or the VM it runs
+// on, ended the connection.
+func ClosedByUpstream(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Open sends a call and waits for the header of its response. It returns an
 // Exchange only with Opened. The connection is closed when ctx is done.
 func (c *Connector) Open(ctx context.Context, call *Call) (*Exchange, Outcome, error) {
@@ -107,7 +116,8 @@
 		return nil, true, errors.Annotate(firstError(writeErr, err), "read response header")
 	}
 	return &Exchange{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, connector: c, conn: cn,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, connector: c, conn: cn,
 		body: resp.Body, closeAfter: resp.Close || writeErr != nil,
 	}, true, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/prober"
 	"github.com/auburnnotch/auburnnotch/internal/registrar"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/internal/reloader"
 	"github.com/auburnnotch/auburnnotch/internal/supervisor"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
@@ -47,6 +48,12 @@
 	// nodes.
 	proofAgeShare = 0.9
 	milliPerCore  = 1000
+	// writeTimeout bounds each write to a caller. A caller on a congested link takes
+	// some seconds for one.
+	writeTimeout = 10 * time.Second
+	// exitReserve is the part of the grace period that is left to the process to exit
+	// once it has abandoned a service that didn't stop.
+	exitReserve = 200 * time.Millisecond
 	// defaultBodyBytes bounds request bodies until a configuration is known.
 	defaultBodyBytes = 4 << 20
 )
@@ -127,7 +134,8 @@
 	in, err := ingress.New(ingress.Addresses{
 		Callers: s.CallerListen, Ready: s.ReadyListen, Directory: s.DirectoryListen, Metrics: s.MetricsListen,
 	}, ingress.Dependencies{
-		Clock: clk, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(), GracePeriod: config.Seconds(s.GraceSeconds), OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
+		Clock: clk, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(), Scope: metrics.Scope(),
+		GracePeriod: config.Seconds(s.GraceSeconds), WriteTimeout: writeTimeout, OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
 		Ready: func() bool { return obs.View() != nil && obs.Proof().Fresh(boot.Elapsed(), maxProofAge) },
 		BodyLimit: func() int64 {
 			if v := obs.View(); v != nil && v.Matcher.Catalog().Limits.BodyBytes > 0 {
@@ -139,18 +147,27 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	sup, err := supervisor.New(lines, reloader{log: log}, obs, bcast, cache, ord, in, registrar.New(clk, log, st, self))
+	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, in, registrar.New(clk, log, st, self))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	grace := config.Seconds(s.GraceSeconds)
+	sup = sup.WithStopTimeout(clk, max(grace-exitReserve, grace/2), func(service string) {
+		log.WithFields(logrus.Fields{"event": "serviceAbandoned", "service": service}).Error("service didn't stop within the grace period; ending the process without it")
+	})
 	return &Entry{supervisor: sup, beginShutdown: func() { ord.StopCampaigning(); in.BeginShutdown() }, meter: metrics, log: log}, nil
 }
 
-// Run serves until ctx ends and every accepted request has its response.
+// Run serves until ctx ends and every accepted request has its response. It returns
+// within the grace period, even if a service doesn't stop.
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.meter.Close()
 	e.log.WithField("event", "started").Info("node started")
 	stop := context.AfterFunc(ctx, e.beginShutdown)
 	defer stop()
-	return errors.Trace(e.supervisor.Run(ctx))
+	err := e.supervisor.Run(ctx)
+	if errors.Is(err, errors.Timeout) {
+		return nil // logged already; writing it to standard error may block too
+	}
+	return errors.Trace(err)
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -53,20 +55,26 @@
 	store   *kvstore.Store
 	engines []*engine.Engine
 	service *plainservice.Service
+	output  *raceLog
 }
 
 func deploy(t testing.TB, engines, nodes int) *deployment {
+	t.Helper()
+	return deployWithLimits(t, engines, nodes, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1})
+}
+
+func deployWithLimits(t testing.TB, engines, nodes int, limits config.Limits) *deployment {
 	t.Helper()
 	clk := systemclock.New()
 	d := &deployment{t: t, store: kvstore.New(clk), service: plainservice.New(clk)}
 	races := &raceLog{t: t}
 	t.Cleanup(races.check)
-	d.Fleet = testlib.NewFleet(binDir, races)
+	d.Fleet, d.output = testlib.NewFleet(binDir, races), races
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
 	d.ctx = ctx
 	d.Dir = t.TempDir()
-	d.Limits = config.Limits{EntrySeconds: 0.5, ChunkSeconds: 0.5, FirstByteSeconds: 1}
+	d.Limits = limits
 	d.Platform, d.Service = d.listen(d.store), d.listen(d.service)
 	for i := range engines {
 		e := engine.New(engine.Options{
@@ -320,13 +328,13 @@
 		})
 	}
 	t.Run("refused by one", func(t *testing.T) {
+		d := deploy(t, 2, 1) // no circuit breaker is open because of the faults above
 		d.engines[0].SetFaults(engine.Faults{Refuse: true})
 		for i := range 6 {
 			chat := testlib.NewChat(fmt.Sprint("prefix ", i), "refused", 4)
 			r, err := d.caller(0).Chat(d.ctx, chat, nil)
 			d.requireComplete(r, err, chat)
 		}
-		d.engines[0].SetFaults(engine.Faults{})
 	})
 	t.Run("crash mid-stream", func(t *testing.T) {
 		chat := testlib.NewChat("shared", "crash", 30)
@@ -346,6 +354,20 @@
 
 var errStop = errors.New("stop reading")
 
+// Guards against callers that wait for ever: an engine that had stalled kept its stream
+// open with comments, so that no other engine went on with it.
+func TestStalledStreamOfCommentsIsContinuedElsewhere(t *testing.T) {
+	d := deploy(t, 2, 1)
+	for _, e := range d.engines {
+		e.SetFaults(engine.Faults{StallAfter: 3, Times: 1})
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, 15*time.Second)
+	defer cancel()
+	chat := testlib.NewChat("shared", "stalled", 12)
+	r, err := d.caller(0).Chat(ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
 func TestCallerResumesAtAnotherEntry(t *testing.T) {
 	d := deploy(t, 2, 2)
 	chat := testlib.NewChat("shared", "resume", 40)
@@ -391,6 +413,104 @@
 	}
 }
 
+// Guards against streams without an end: their end mark was written within the time
+// limit of their last chunk, which had passed after a pause.
+func TestStreamMayPauseBeforeItsEnd(t *testing.T) {
+	const writeSeconds = 0.2
+	d := deployWithLimits(t, 1, 1, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 5, FirstByteSeconds: 5, WriteSeconds: writeSeconds})
+	d.engines[0].SetFaults(engine.Faults{EndPause: 3 * config.Seconds(writeSeconds), Times: 1})
+	chat := testlib.NewChat("shared", "pause", 4)
+	r, err := d.caller(0).Chat(d.ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
+// Guards against answers that stay in memory: a caller that didn't read its answer kept it
+// for as long as its connection lasted.
+func TestCallerThatDoesNotReadItsAnswerIsGivenUp(t *testing.T) {
+	const writeSeconds = 0.5
+	d := deployWithLimits(t, 1, 1, config.Limits{EntrySeconds: 0.5, ChunkSeconds: 5, FirstByteSeconds: 5, WriteSeconds: writeSeconds, BodyBytes: 32 << 20})
+	conn, err := net.Dial("tcp4", d.Nodes[0].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("a", 16<<20) // more than sockets buffer; the service echoes it
+	_, err = fmt.Fprintf(conn, "POST /v1/services/orders/stock HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testlib.Key, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(func() bool { return len(d.service.Runs()) == 1 })
+	time.Sleep(6 * config.Seconds(writeSeconds))
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, conn); n >= int64(len(body)) || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("caller could still read %d bytes after 3 s, %v", n, err)
+	}
+}
+
+// Guards against requests of a revoked key: a request that waited for a slot while its key
+// was taken away ran all the same.
+func TestKeyRevokedWhileRequestWaits(t *testing.T) {
+	const slots = 16 // of the engine
+	d := deploy(t, 1, 1)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for i := range slots {
+		callers.Go(func() { _, _ = d.caller(0).Chat(d.ctx, testlib.NewChat("shared", fmt.Sprint(i), 400), nil) })
+	}
+	d.eventually(func() bool { return d.engines[0].Runs() == slots })
+	waiting := make(chan testlib.Response, 1)
+	callers.Go(func() {
+		r, err := d.caller(0).Chat(d.ctx, testlib.NewChat("shared", "waiting", 2), http.Header{wire.HeaderClass: {"batch"}})
+		if err != nil {
+			t.Error(err)
+		}
+		waiting <- r
+	})
+	var text strings.Builder
+	if err := d.Declaration().Print(&text); err != nil {
+		t.Fatal(err)
+	}
+	path := d.Dir + "/revoked.json"
+	revoked := strings.ReplaceAll(text.String(), declare.HashKey(testlib.Key), declare.HashKey("another key"))
+	if err := os.WriteFile(path, []byte(revoked), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := d.RunCommand("apply", "--node", d.Nodes[0].Addr, path); err != nil {
+		t.Fatal(err, out)
+	}
+	if n := d.engines[0].Runs(); n != slots {
+		t.Fatalf("%d runs before the key was revoked, want %d: no request waited", n, slots)
+	}
+	if r := <-waiting; r.Status != http.StatusUnauthorized || !r.Error.NotRun || d.engines[0].Runs() != slots {
+		t.Errorf("status %d, not run %t, %d runs; want 401 and %d runs", r.Status, r.Error.NotRun, d.engines[0].Runs(), slots)
+	}
+}
+
+// Guards against a node that stands still as soon as nobody reads its log: each request
+// waited for its line to be written.
+func TestNodeWithBlockedLogServes(t *testing.T) {
+	d := deploy(t, 1, 1)
+	const requests = 2000 // their lines take several times what a pipe holds
+	d.output.mu.Lock()    // blocks the reader of the node's pipe
+	defer d.output.mu.Unlock()
+	c := &http.Client{Timeout: 5 * time.Second}
+	for i := range requests {
+		resp, err := c.Get("http://" + d.Nodes[0].Addr + "/none")
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusNotFound {
+			t.Fatalf("request %d: status %d", i, resp.StatusCode)
+		}
+	}
+}
+
 func TestEntryServesAfterProcessPause(t *testing.T) {
 	d := deploy(t, 1, 2)
 	if err := d.Nodes[0].Signal(syscall.SIGSTOP); err != nil {
@@ -414,6 +534,21 @@
 	})
 }
 
+// Guards against a node that a hangup ended without its graceful shutdown, for instance when
+// the shell that had started it ended while the node was paused.
+func TestHangupDoesNotEndNode(t *testing.T) {
+	d := deploy(t, 1, 1)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGHUP, syscall.SIGCONT} {
+		if err := d.Nodes[0].Signal(s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	chat := testlib.NewChat("shared", "after the hangup", 5)
+	r, err := d.caller(0).Chat(d.ctx, chat, nil)
+	d.requireComplete(r, err, chat)
+}
+
 func TestPoisonRequestCrashesAtMostTwoEngines(t *testing.T) {
 	d := deploy(t, 4, 3)
 	harmless := testlib.NewChat("shared", "innocent", 60)
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -32,6 +32,11 @@
 			u.fail(failure.NoUpstream)
 			return q, false
 		}
+		if u.turnedAwayFor = u.allTurnedAway(&q, giveUpAt); u.turnedAwayFor > 0 {
+			u.reason = "all upstreams have turned this node away"
+			u.fail(failure.NoUpstream)
+			return q, false
+		}
 		clock.Sleep(u.ctx, u.r.Clock, pickInterval)
 	}
 }
@@ -39,15 +44,19 @@
 // checkSend returns why the request must not be sent now, or failure.None.
 func (u *relay) checkSend() failure.Kind {
 	now := u.r.Clock.Now()
-	if u.ctx.Err() != nil && now.Before(u.deadline) {
+	if u.callerGone() {
 		return failure.CallerGone
 	}
-	if u.deadline.Sub(now) < minRemaining {
+	if u.ctx.Err() != nil || u.deadline.Sub(now) < minRemaining {
 		return failure.DeadlinePassed
 	}
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
+	if u.isPoison() {
+		u.reason = "such requests have crashed upstreams"
+		return failure.Quarantined
+	}
 	if u.runs == 0 && !u.mayStart(now) {
 		u.reason = "request may not finish before the node shuts down"
 		return failure.Draining
@@ -58,6 +67,13 @@
 	return failure.None
 }
 
+// mayMove reports whether the request could be sent to another upstream now, in place of
+// its current attempt, for which it must have counted a send and a run. It works on a copy,
+// since the checks change the request's state.
+func (u relay) mayMove() bool {
+	return u.checkSend() == failure.None && u.mayRetry(0) && u.sends < maxSends && u.canRetry()
+}
+
 func (u *relay) placementQuery() placer.Query {
 	q := placer.Query{
 		Service: u.service, Prompt: u.req.Prompt, DataCentre: u.r.settings.DataCentre, Exclude: u.exclude,
@@ -116,6 +132,7 @@
 	id := u.r.lastQuestion
 	u.r.openQuestions[id] = struct{}{}
 	asked.Tripped = u.r.placer.Tripped(u.r.Clock.Now())
+	asked.Unavailable = u.r.placer.Unavailable(u.r.Clock.Now())
 	u.r.mu.Unlock()
 	advice, v = u.r.Adviser.Ask(u.ctx, id, &asked)
 	return advice, v, func() { delete(u.r.openQuestions, id) }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
@@ -38,7 +39,9 @@
 
 func (dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
 	version, _ := strconv.Atoi(h.Get("Version"))
+	turnAway, _ := strconv.Atoi(h.Get("Turn-Away"))
 	return relayer.ResponseInfo{
+		Leaving: h.Get("Leaving") != "", TurnAway: time.Duration(turnAway) * time.Second,
 		RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest, Stamped: h.Get("Mark") != "", Upstream: h.Get("By"), Version: version,
 	}
@@ -123,17 +126,21 @@
 
 // newFixture returns a relayer with one upstream for each script.
 func newFixture(t *testing.T, scripts ...testlib.Script) *fixture {
+	t.Helper()
+	return newFixtureWith(t, systemclock.New(), budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100}, scripts...)
+}
+
+func newFixtureWith(t *testing.T, clk clock.Clock, retryBudget budgeter.Limits, scripts ...testlib.Script) *fixture {
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
-	clk := systemclock.New()
 	b := &fixture{fleet: &fleet{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook}
 	conns := connector.New(clk)
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
 	b.relay = relayer.New(relayer.Settings{
 		DataCentre: "a", MaxProofAge: maxProofAge, VersionCutoff: time.Hour,
-		RetryBudget: budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100},
+		RetryBudget: retryBudget,
 	}, relayer.Dependencies{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
 		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
@@ -376,6 +383,26 @@
 	}
 }
 
+// slowClock is behind the clock of the contexts' timers.
+type slowClock struct{ systemclock.SystemClock }
+
+func (slowClock) Now() time.Time { return time.Now().Add(-100 * time.Millisecond) }
+
+// Guards against LOST: a request whose time was over by its context, but not yet by the
+// node's clock, was taken for one whose caller had left, and got no answer.
+func TestPassedDeadlineIsNotTakenForCallerGone(t *testing.T) {
+	hold := make(chan struct{})
+	b := newFixtureWith(t, slowClock{}, budgeter.Limits{}, func(net.Conn, testlib.Received) bool { <-hold; return false })
+	defer close(hold)
+	r := &reply{}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/unsafe/", Path: "/unsafe/", Host: "h", Key: "key", Timeout: 300 * time.Millisecond, Arrived: slowClock{}.Now(),
+	}, r)
+	if r.kind == failure.None || r.kind == failure.CallerGone || r.starts != 1 {
+		t.Errorf("kind %s after %d starts of a response", r.kind, r.starts)
+	}
+}
+
 func TestEveryRequestLogsOneFinalLine(t *testing.T) {
 	b := newFixture(t, ok)
 	b.serve(t.Context(), "/safe/")
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,7 +29,7 @@
 	switch {
 	case u.pastShutdownDeadline():
 		k, u.reason = failure.Draining, ErrShutdownDeadline.Error()
-	case u.ctx.Err() != nil && u.r.Clock.Now().Before(u.deadline):
+	case u.callerGone():
 		k = failure.CallerGone
 	}
 	if u.responseStarted {
@@ -53,7 +54,7 @@
 	case failure.NoUpstream, failure.Overloaded:
 		u.r.mu.Lock()
 		defer u.r.mu.Unlock()
-		return minCapacityRetryAfter + time.Duration(u.r.Rand.Int64N(int64(capacityRetryJitter)))
+		return max(minCapacityRetryAfter, u.turnedAwayFor) + time.Duration(u.r.Rand.Int64N(int64(capacityRetryJitter)))
 	}
 	return 0
 }
@@ -92,6 +93,23 @@
 	})
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedParts returns the IDs of the parts that the prompt may share with other requests,
+// separated by commas. Requests that crash upstreams may have one of them in common.
+func (u *relay) sharedParts() string {
+	p := u.req.Prompt
+	if p == nil {
+		return ""
+	}
+	var ids []string
+	for i := 0; i+1 < len(p.Parts) && i < maxLoggedParts; i++ {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // logEntry returns a log entry with the fields of the request and of its latest
 // placement decision.
 func (u *relay) logEntry(event string) *logrus.Entry {
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/limitreader"
+	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -40,11 +41,10 @@
 	pickWaitDivisor = 8
 	// maxResponseBytes is the maximum size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// firstEventObjectives is the timeout for the first event of a stream that may
-	// be retried at another upstream, in latency objectives.
+	// firstEventObjectives is how long an upstream may be silent before the first
+	// event of a stream that may be retried at another one, in latency objectives.
 	firstEventObjectives = 3
-	// safeResponseObjectives is the same timeout for the response to a safe
-	// request.
+	// safeResponseObjectives is the same for the response to a safe request.
 	safeResponseObjectives = 2.5
 	eventStreamType        = "text/event-stream"
 	// announcementSlack covers the time until this node receives the announcement
@@ -61,6 +61,7 @@
 
 	view      *View
 	route     *traffic.Route
+	features  []detector.Feature
 	workspace *traffic.Workspace
 	service   string
 	deadline  time.Time
@@ -69,7 +70,8 @@
 	sends             int // attempts of which something was sent
 	runs              int // sends that may have been run
 	responseStarted   bool
-	lastEventID       string // ID of the last event forwarded
+	lastEventID       string // ID of the last event forwarded that has one
+	resumable         bool   // the last event forwarded has an ID
 	choice            placer.Choice
 	advised           bool   // the choice follows the advice of the placement coordinator
 	adviser           string // node that answered the last question, if any
@@ -80,7 +82,11 @@
 	// expectedDuration is the latest estimate, during graceful shutdown, of how
 	// long the request takes; 0 if unknown.
 	expectedDuration time.Duration
-	reason           string
+	silence          *silenceWatch // of the current attempt
+	// turnedAwayFor is how long all upstreams want no requests of this node, if that is why
+	// the request ends.
+	turnedAwayFor time.Duration
+	reason        string
 }
 
 func (u *relay) serve() {
@@ -90,6 +96,7 @@
 		u.refuse(k, u.retryAfter(k))
 		return
 	}
+	u.features = requestFeatures(u.req)
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
@@ -112,7 +119,10 @@
 		return false
 	}
 	u.firstEventSeen = false
+	u.silence = newSilenceWatch(u.ctx, u.r.Clock)
+	defer u.silence.end()
 	x, outcome, err := u.send(&q)
+	u.silence.disarm()
 	switch outcome {
 	case connector.NotSent:
 		return u.handleUnreachable(err)
@@ -125,6 +135,7 @@
 	defer x.Close()
 	u.recordActivity()
 	a := u.r.Dialect.ParseResponse(x.Status, x.Header)
+	u.recordAvailability(a)
 	switch {
 	case a.NotRun || a.Misdirected:
 		return u.handleRefusal(x, a)
@@ -162,11 +173,11 @@
 	}
 	id := u.req.ID
 	u.sentAt = u.r.Clock.Now()
-	return u.r.Connector.Open(u.ctx, &connector.Call{
+	return u.r.Connector.Open(u.silence.ctx, &connector.Call{
 		Address: u.choice.Upstream.Address, Incarnation: u.choice.Incarnation(),
 		Method: u.req.Method, Target: u.req.Target, Host: u.req.Host,
 		Head: u.r.Dialect.AppendHeader(nil, u.req, &a), Body: u.req.Body,
-		Fresh: !u.route.Repeatable(), New: u.sends > 0, Permit: u.permit, FirstByteTimeout: min(u.firstByteTimeout(remaining), u.untilVersionCutoff(q)),
+		Fresh: !u.route.Repeatable(), New: u.sends > 0 || id == "", Permit: u.beginSend, FirstByteTimeout: min(remaining, u.untilVersionCutoff(q)),
 		Matches: func(h connector.Header) bool { return u.r.Dialect.ParseResponse(0, h).RequestID == id },
 	})
 }
@@ -184,12 +195,25 @@
 	}
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
-	if !u.r.placer.Eligible(u.choice.Incarnation()) {
+	if !u.r.placer.MaySend(u.r.Clock.Now(), u.choice.Incarnation()) {
 		return errNotPermitted
 	}
 	return nil
 }
 
+// beginSend is permit, and starts to watch the upstream for silence.
+func (u *relay) beginSend() error {
+	if err := u.permit(); err != nil {
+		return err
+	}
+	if u.mayRetry(1) {
+		sent := *u
+		sent.sends, sent.runs = u.sends+1, u.runs+1 // as if the attempt had failed
+		u.silence.arm(&sent, u.firstBytePatience())
+	}
+	return nil
+}
+
 // cacheSalt returns the salt that separates cached parts of different models,
 // versions and cache scopes. An isolated workspace has a cache scope of its own.
 func cacheSalt(model string, version int, cacheScope string) string {
@@ -224,23 +248,20 @@
 	u.r.placer.RecordActivity(u.r.Clock.Now(), u.choice)
 }
 
-// firstByteTimeout returns the timeout for the first byte of a response. A
-// request that can't be retried is waited for until its deadline.
-func (u *relay) firstByteTimeout(remaining time.Duration) time.Duration {
-	if !u.mayRetry(1) {
-		return remaining
-	}
+// firstBytePatience is how long the upstream may be silent before the first byte of a
+// response to a request that can be retried.
+func (u *relay) firstBytePatience() time.Duration {
 	objectives := float64(firstEventObjectives)
 	if u.route.Kind == traffic.Safe {
 		objectives = safeResponseObjectives
 	}
-	return min(remaining, time.Duration(objectives*float64(u.route.LatencyObjective)))
+	return time.Duration(objectives * float64(u.route.LatencyObjective))
 }
 
 // mayRetry reports whether the request may be run again after the runs so far and
 // pending more.
 func (u *relay) mayRetry(pending int) bool {
-	return u.route.Repeatable() && u.runs+pending < max(1, u.route.MaxAttempts)
+	return u.route.Repeatable() && u.runs+pending < max(1, u.route.MaxAttempts) && (!u.responseStarted || u.resumable)
 }
 
 func (u *relay) endAttempt(f func(p *placer.Placer, c placer.Choice)) {
@@ -278,7 +299,7 @@
 // the request. It returns whether to make another attempt.
 func (u *relay) handleRefusal(x *connector.Exchange, a ResponseInfo) bool {
 	now := u.r.Clock.Now()
-	otherUpstream := a.Misdirected && a.Upstream != "" && a.Upstream != u.choice.Upstream.ID
+	otherUpstream := u.isOtherUpstream(a)
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		switch {
 		case otherUpstream:
@@ -293,7 +314,7 @@
 		u.logEntry("refusalUnread").WithError(err).Debug("refusal response could not be read to its end")
 	}
 	u.logEntry("attemptRefused").WithFields(logrus.Fields{
-		"status": x.Status, "misdirected": a.Misdirected, "answeredBy": a.Upstream, "answeredVersion": a.Version,
+		"status": x.Status, "misdirected": a.Misdirected, "answeredBy": a.Upstream, "answeredVersion": a.Version, "turnAwayMs": a.TurnAway.Milliseconds(),
 	}).Info("upstream refused the request without running it")
 	if u.sends >= maxSends {
 		u.reason = "all upstreams tried refused the request"
@@ -313,9 +334,12 @@
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		if !callerGone {
 			p.RecordFailure(u.r.Clock.Now(), c)
+			u.recordLoss(err)
 		}
 	})
-	u.logEntry("attemptBroken").WithError(err).WithField("callerGone", callerGone && !u.pastShutdownDeadline()).Info("attempt ended before the response was complete")
+	u.logEntry("attemptBroken").WithError(err).WithFields(logrus.Fields{
+		"endedBy": u.endedBy(err), "parts": u.sharedParts(),
+	}).Info("attempt ended before the response was complete")
 	if callerGone || !u.mayRetry(0) || u.sends >= maxSends {
 		u.reason = "upstream failed before the response was complete"
 		u.fail(failure.UpstreamFailed)
@@ -345,8 +369,11 @@
 		}
 		p.RecordSuccess(c)
 		u.recordDuration()
+		if x.Status < http.StatusMultipleChoices {
+			u.recordSuccess()
+		}
 	})
-	if failed && !u.responseStarted && u.mayRetry(0) && u.sends < maxSends && u.canRetry() {
+	if failed && !u.responseStarted && u.mayMove() {
 		u.exclude = append(u.exclude, u.choice.Incarnation())
 		u.logEntry("answerFailed").WithField("status", x.Status).Info("upstream returned a server error; retrying the request")
 		return true
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,6 +20,9 @@
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
+// commentInterval is the time between two comments of a stalled stream.
+const commentInterval = 50 * time.Millisecond
+
 // Options describes an engine: its model, size and speed.
 type Options struct {
 	Name          string
@@ -40,6 +43,11 @@
 	// SilentAfter stalls a stream after that many tokens, with the connection
 	// open; 0 means never.
 	SilentAfter int `json:"silentAfter"`
+	// StallAfter stalls a stream after that many tokens, with comments as a sign of
+	// life; 0 means never.
+	StallAfter int `json:"stallAfter"`
+	// EndPause is a pause after the last token of a stream, before its end.
+	EndPause time.Duration `json:"endPause"`
 	// CutAfter closes the connection of a stream after that many tokens; 0 means
 	// never.
 	CutAfter int `json:"cutAfter"`
@@ -50,7 +58,7 @@
 	// Refuse rejects requests with status 503 and the header wire.HeaderNotRun.
 	Refuse bool `json:"refuse"`
 	// Times, if not 0, is the number of requests after which all faults are
-	// cleared. Stream faults don't affect the last of these requests any more.
+	// cleared.
 	Times int `json:"times"`
 }
 
@@ -163,6 +171,7 @@
 	if err != nil {
 		return
 	}
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	e.mu.Lock()
 	refuse := e.draining || e.consumeFault(e.faults.Refuse)
 	e.mu.Unlock()
@@ -186,6 +195,7 @@
 	e.recordStart()
 	defer e.recordEnd()
 	e.sleep(r, j, time.Duration(j.pieces-j.cachedPieces)*e.opts.PieceTime)
+	w.Header().Set(wire.HeaderAttempt, j.attemptID)
 	w.Header().Set(wire.HeaderIncarnation, j.incarnation)
 	if j.stream {
 		e.writeStream(w, r, j)
@@ -230,9 +240,8 @@
 	e.waiting++
 	e.runs++
 	j.incarnation, j.crashed = e.incarnation, e.crashed
-	if e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.Duplicate) {
-		j.faults = e.faults
-	}
+	j.faults = e.faults // consumeFault may clear them
+	e.consumeFault(e.faults.CutAfter > 0 || e.faults.SilentAfter > 0 || e.faults.StallAfter > 0 || e.faults.EndPause > 0 || e.faults.Duplicate)
 	if raw := r.Header.Get(wire.HeaderResumeFrom); raw != "" {
 		if !e.attempts[j.attemptID] {
 			e.waiting--
@@ -316,6 +325,9 @@
 		case j.faults.SilentAfter > 0 && sent >= j.faults.SilentAfter:
 			<-r.Context().Done()
 			return
+		case j.faults.StallAfter > 0 && sent >= j.faults.StallAfter:
+			e.sendComments(w, r)
+			return
 		}
 		data, _ := json.Marshal(e.chunk(j, Token(j.prompt, i)))
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
@@ -329,7 +341,21 @@
 	last.Choices[0].FinishReason = &stop
 	last.Usage = e.usage(j)
 	data, _ := json.Marshal(last)
-	fmt.Fprintf(w, "id: %d\ndata: %s\n\ndata: [DONE]\n\n", j.maxTokens, data)
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", j.maxTokens, data)
+	if j.faults.EndPause > 0 {
+		_ = rc.Flush()
+		e.sleep(r, j, j.faults.EndPause)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// sendComments sends comments until the request is canceled.
+func (e *Engine) sendComments(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	for clock.Sleep(r.Context(), e.clk, commentInterval) {
+		fmt.Fprint(w, ": waiting\n\n")
+		_ = rc.Flush()
+	}
 }
 
 func (e *Engine) writeResponse(w http.ResponseWriter, r *http.Request, j *job) {
--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -1,12 +1,15 @@
 package upstreamer_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,3 +157,92 @@
 		a.Close()
 	}
 }
+
+// Guards against an answer that belongs to another request: a late copy of a response
+// arrived on a pooled connection after the next request had been sent on it.
+func TestLateCopyOfResponseIsNotTakenForNextRequest(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		br := bufio.NewReader(conn)
+		for range 2 {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+wire.HeaderAttempt+": first\r\nContent-Length: 5\r\n\r\nfirst")
+		}
+	})
+	u := upstreamer.New(systemclock.New())
+	for i, attempt := range []string{"first", "second"} {
+		s := spec("http://"+l.Addr().String(), false)
+		s.Header.Set(wire.HeaderAttempt, attempt)
+		a, outcome, _ := u.Open(context.Background(), s)
+		if a != nil {
+			_, _ = io.Copy(io.Discard, a)
+			a.Close()
+		}
+		if want := []upstreamer.Outcome{upstreamer.Opened, upstreamer.Broken}[i]; outcome != want {
+			t.Errorf("%s request: outcome %d, want %d", attempt, outcome, want)
+		}
+	}
+}
+
+// Guards against a late copy of an earlier response on a connection in use again that is
+// taken for the response to this attempt: a refusal of a request that runs, or the answer
+// to another request.
+func TestLateCopyIsNotTakenForNextAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		late, echo string // header of the copy, and of the responses
+		fresh      bool
+		want       upstreamer.Outcome
+	}{
+		"refusal":                     {"503 Full\r\nX-Not-Run: true\r\nX-Attempt-Id: a-0\r\n", "X-Attempt-Id: %s\r\n", false, upstreamer.Broken},
+		"answer":                      {"200 OK\r\nX-Attempt-Id: a-0\r\n", "X-Attempt-Id: %s\r\n", false, upstreamer.Broken},
+		"refusal, new connections":    {"503 Full\r\nX-Not-Run: true\r\n", "", true, upstreamer.Opened},
+		"answer, new connections":     {"200 OK\r\n", "", true, upstreamer.Opened},
+		"no copy":                     {"", "X-Attempt-Id: %s\r\n", false, upstreamer.Opened},
+		"no copy, attempts not named": {"", "", false, upstreamer.Opened},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			requests := map[net.Conn]int{}
+			server := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if requests[conn]++; requests[conn] == 2 && c.late != "" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+c.late+"Content-Length: 0\r\n\r\n")
+				}
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", strings.ReplaceAll(c.echo, "%s", r.Header.Get(wire.HeaderAttempt)))
+				return err == nil
+			})
+			u := upstreamer.New(systemclock.New())
+			for i, want := range []upstreamer.Outcome{upstreamer.Opened, c.want, upstreamer.Opened} {
+				s := spec("http://"+server.Addr, c.fresh)
+				s.Header.Set(wire.HeaderAttempt, fmt.Sprint("a-", i))
+				a, outcome, err := u.Open(t.Context(), s)
+				if outcome != want {
+					t.Errorf("attempt %d: outcome %d, %v, want %d", i, outcome, err, want)
+				}
+				if a == nil {
+					continue
+				}
+				if body, err := io.ReadAll(a); err != nil || string(body) != "ok" {
+					t.Errorf("attempt %d: body %q, %v", i, body, err)
+				}
+				a.Close()
+			}
+		})
+	}
+}
