--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -129,8 +129,7 @@
 		Nodes: a.Nodes, PlainBackEnds: a.Plain, Engines: a.Engines, Callers: a.Callers,
 	}
 	plan := planner.New(seed, planner.Options{
-		Nodes: a.Nodes, Upstreams: 2*a.Plain + a.Engines, Keys: soaker.KeyCount, PlainRoutes: soaker.PlainRoutes, StreamRoutes: soaker.StreamRoutes,
-		Length: a.Length,
+		Nodes: a.Nodes, Upstreams: 2*a.Plain + a.Engines, Keys: soaker.KeyCount, PlainRoutes: soaker.PlainRoutes, StreamRoutes: soaker.StreamRoutes, Length: a.Length,
 	}).Plan()
 	o := reporter.Result{Seed: seed, Plan: plan, StartedAt: time.Now()}
 	if o.History, o.Problems, err = soaker.New(s, systemclock.New(), log).Run(ctx, plan); err != nil {
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -68,8 +68,8 @@
 	}
 	v.checkConfigOrder()
 	v.checkOrders()
-	for i := range h.Poisons {
-		v.checkPoison(&h.Poisons[i])
+	for _, p := range h.Poisons {
+		v.checkPoison(p)
 	}
 	v.checkRecovery()
 	return v.violations
@@ -219,8 +219,7 @@
 	}
 }
 
-// checkDelivery checks that a response reached the caller if its upstreams were sound,
-// even those that paused or sent it without framing.
+// checkDelivery checks that responses of sound upstreams reach the caller.
 func (v *validation) checkDelivery(r *Request, runs []Run) {
 	failed := r.ConnectionLost || r.Complete && r.Status >= 500 && !r.Stamped && !r.guaranteesNotRun()
 	elapsed := r.EndedAt.Sub(r.SentAt)
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -19,8 +19,8 @@
 	Node, Incarnation int
 	Method            string
 	Target            string
-	Route             string // path prefix; streams of a route share their first part
-	Poison            string // name of its Poison; empty for a sound request
+	Route             string  // path prefix; streams of a route share their first part
+	Poison            *Poison // nil for a sound request
 	BodyHash          uint64
 	Workspace         string // owner of Key
 	Key               string
@@ -117,7 +117,7 @@
 	// MovingPrefix is the path prefix of the moving route, whose service changes
 	// during the soak.
 	MovingPrefix string
-	Poisons      []Poison
+	Poisons      []*Poison
 	Crashes      []Crash
 	Disturbances []Disturbance
 	// Shutdowns lists the graceful shutdowns of nodes.
--- a/internal/soak/checker/poison.go
+++ b/internal/soak/checker/poison.go
@@ -23,7 +23,7 @@
 func (v *validation) checkPoison(p *Poison) {
 	var crashes []time.Time
 	for _, c := range v.history.Crashes {
-		if r := v.requests[c.RequestID]; r != nil && r.Poison == p.Name {
+		if r := v.requests[c.RequestID]; r != nil && r.Poison == p {
 			crashes = append(crashes, c.At)
 		}
 	}
@@ -41,7 +41,7 @@
 	}
 	from, late := crashes[limit-1].Add(v.bounds.Settle), 0
 	for _, run := range v.history.Runs {
-		if r := v.requests[run.ID]; r != nil && r.Poison == p.Name && run.StartedAt.After(from) && v.undisturbed(r.Node, run.StartedAt, run.StartedAt) {
+		if r := v.requests[run.ID]; r != nil && r.Poison == p && run.StartedAt.After(from) && v.undisturbed(r.Node, run.StartedAt, run.StartedAt) {
 			late++
 		}
 	}
@@ -55,7 +55,7 @@
 func (v *validation) checkSound(p *Poison, crash time.Time, crashes []time.Time) {
 	var last time.Time // poison request
 	for _, r := range v.requests {
-		if r.Poison == p.Name && r.SentAt.After(last) {
+		if r.Poison == p && r.SentAt.After(last) {
 			last = r.SentAt
 		}
 	}
@@ -63,7 +63,7 @@
 	type share struct{ sent, started int }
 	var during, outside share
 	for _, r := range v.requests {
-		if r.Poison != "" || r.Route != p.Route || !v.keyInForce(r) || !v.undisturbed(r.Node, r.SentAt, r.EndedAt) {
+		if r.Poison != nil || r.Route != p.Route || !v.keyInForce(r) || !v.undisturbed(r.Node, r.SentAt, r.EndedAt) {
 			continue
 		}
 		s := &outside
--- a/internal/soak/checker/poison_test.go
+++ b/internal/soak/checker/poison_test.go
@@ -15,8 +15,9 @@
 // in the given share.
 func poisonHistory(part bool, crashes, late int, share float64) *checker.History {
 	h := validHistory()
-	h.Poisons = []checker.Poison{{Name: "p", Part: part, Route: "/stream/"}}
-	add := func(id, poison string, sent time.Time, ran bool) {
+	p := &checker.Poison{Name: "p", Part: part, Route: "/stream/"}
+	h.Poisons = []*checker.Poison{p}
+	add := func(id string, poison *checker.Poison, sent time.Time, ran bool) {
 		r := checker.Request{
 			ID: id, Kind: traffic.Streaming, Resumable: true, MaxAttempts: 2, Target: "/stream/" + id, Route: "/stream/", Poison: poison,
 			Method: "POST", Workspace: "w", Key: "k", SentAt: sent, EndedAt: sent.Add(100 * time.Millisecond), Incarnation: 1, Timeout: 4 * time.Second,
@@ -28,16 +29,16 @@
 	}
 	for i := range crashes {
 		id := fmt.Sprint("crash-", i)
-		add(id, "p", at(10+float64(i)), true)
+		add(id, p, at(10+float64(i)), true)
 		h.Crashes = append(h.Crashes, checker.Crash{At: at(10 + float64(i)), RequestID: id})
 	}
 	for i := range late {
-		add(fmt.Sprint("late-", i), "p", at(24+0.1*float64(i)), true)
+		add(fmt.Sprint("late-", i), p, at(24+0.1*float64(i)), true)
 	}
-	add("last", "p", at(30.9), false)
+	add("last", p, at(30.9), false)
 	for i := range 68 {
 		sent := 1 + 0.5*float64(i)
-		add(fmt.Sprint("sound-", i), "", at(sent), sent < 12 || sent > 31 || int(float64(i+1)*share) > int(float64(i)*share))
+		add(fmt.Sprint("sound-", i), nil, at(sent), sent < 12 || sent > 31 || int(float64(i+1)*share) > int(float64(i)*share))
 	}
 	h.FaultsEndedAt, h.EndedAt = at(31), at(40)
 	return h
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -126,10 +126,10 @@
 		For      time.Duration
 	}
 	// UpstreamUnframed makes an upstream send responses that end with their connection
-	// and, if Broken is set, break some of them off.
+	// and break a share of them off.
 	UpstreamUnframed struct {
 		Upstream int
-		Broken   bool
+		Broken   float64
 		For      time.Duration
 	}
 	// UpstreamCopiesRefusals makes an upstream reject requests and send the rejections
@@ -209,9 +209,8 @@
 	maxNewestFaults = 8
 	// minPause and pauseSpread bound the pauses of a sound upstream.
 	minPause, pauseSpread = 700 * time.Millisecond, 600 * time.Millisecond
-	// poisonStartSpan is the time in which poison requests start, poisonOverrun how
-	// long they continue after the length of the soak. The fleet is undisturbed by
-	// other faults by then, so that the bounds apply.
+	// poisonStartSpan is the time in which poison requests start, poisonOverrun how long
+	// they go on after the length of the soak, when few other faults excuse them.
 	poisonStartSpan = 2 * time.Second
 	poisonOverrun   = 6 * time.Second
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
@@ -341,18 +340,18 @@
 
 // drawNewest draws a fault of the newest kinds but poison.
 func (p *Planner) drawNewest() Fault {
-	up, d := p.newest.IntN(p.opts.Upstreams), p.newest.Int64N(int64(maxDuration))
+	up, d := p.newest.IntN(p.opts.Upstreams), time.Second+time.Duration(p.newest.Int64N(int64(maxDuration)))
 	switch p.newest.IntN(7) {
 	case 0, 1:
-		return UpstreamPauses{Upstream: up, For: minPause + time.Duration(d%int64(pauseSpread))}
+		return UpstreamPauses{Upstream: up, For: minPause + d%pauseSpread}
 	case 2:
-		return UpstreamUnframed{Upstream: up, For: time.Second + time.Duration(d)}
+		return UpstreamUnframed{Upstream: up, For: d}
 	case 3:
-		return UpstreamUnframed{Upstream: up, Broken: true, For: time.Second + time.Duration(d)}
+		return UpstreamUnframed{Upstream: up, Broken: 0.3, For: d}
 	case 4:
-		return UpstreamCopiesRefusals{Upstream: up, For: time.Second + time.Duration(d)}
+		return UpstreamCopiesRefusals{Upstream: up, For: d}
 	case 5:
-		return ResumptionsFail{For: time.Second + time.Duration(d)}
+		return ResumptionsFail{For: d}
 	}
 	return OddRegistration{Shape: up}
 }
--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -38,8 +38,6 @@
 	failedAddressBackoff = time.Second
 	// sessions is the number of prompt parts that are shared between requests.
 	sessions = 20
-	// firstPart is the first part of all prompts.
-	firstPart = "a1:200"
 )
 
 // caller is a simulated caller. It keeps its connection until the node closes it
@@ -140,7 +138,7 @@
 	if r.Kind == traffic.Streaming {
 		session := c.rnd.IntN(sessions)
 		req.Model, req.Tokens = model, 500
-		req.Parts = []string{firstPart, fmt.Sprintf("b%d:200", session), fmt.Sprintf("c%d%d:100", c.index, c.sent)}
+		req.Parts = []string{"a1:200", fmt.Sprintf("b%d:200", session), fmt.Sprintf("c%d%d:100", c.index, c.sent)}
 	}
 	if poison != nil {
 		c.applyPoison(poison, req)
@@ -152,10 +150,7 @@
 	record := checker.Request{
 		ID: id, Kind: r.Kind, Resumable: r.Resumable, MaxAttempts: r.MaxAttempts, Node: c.node.index, Incarnation: c.incarnation,
 		Method: req.Method, Target: req.Target, Route: r.Prefix, BodyHash: xxhash.Sum64(req.Body), Workspace: workspace(k), Key: req.APIKey,
-		Timeout: min(wait, r.Timeout), WantBody: wantBody,
-	}
-	if poison != nil {
-		record.Poison = poison.Name
+		Timeout: min(wait, r.Timeout), WantBody: wantBody, Poison: poison,
 	}
 	err := c.conn.Send(req)
 	record.SentAt = c.s.clk.Now()
@@ -201,7 +196,7 @@
 		req.Body = []byte(p.Name)
 	}
 	if req.Parts != nil {
-		req.Parts = []string{firstPart, "b0:200", "c0:100"}
+		req.Parts = []string{req.Parts[0], "b0:200", "c0:100"}
 	}
 }
 
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -27,9 +27,6 @@
 // planner.UpstreamErrs.
 var errorRates = upstream.Faults{DropResponse: 0.1, CutResponse: 0.1, ServerError: 0.1, OmitStamp: 0.05}
 
-// unframedCutRate is the share of broken responses of planner.UpstreamUnframed.
-const unframedCutRate = 0.3
-
 // inject injects a fault. The parts that take time run in the background.
 func (s *Soaker) inject(ctx context.Context, f planner.Fault) {
 	switch f := f.(type) {
@@ -84,11 +81,7 @@
 			proxy.SetPaused(false)
 		})
 	case planner.UpstreamUnframed:
-		faults := upstream.Faults{Unframed: true}
-		if f.Broken {
-			faults.CutResponse = unframedCutRate
-		}
-		s.injectUpstreamFault(ctx, f.Upstream, faults, f.For)
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{Unframed: true, CutResponse: f.Broken}, f.For)
 	case planner.UpstreamCopiesRefusals:
 		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{Refuse: 0.3, RepeatResponse: 0.3}, f.For)
 	case planner.ResumptionsFail:
@@ -339,10 +332,10 @@
 // the upstreams have restarted.
 func (s *Soaker) injectPoison(ctx context.Context, f planner.Poison) {
 	s.mu.Lock()
-	p := checker.Poison{Name: fmt.Sprint(upstream.Poison, len(s.history.Poisons)), Part: f.Part, Route: routes(false)[f.Route].Prefix}
+	p := &checker.Poison{Name: fmt.Sprint(upstream.Poison, len(s.history.Poisons)), Part: f.Part, Route: routes(false)[f.Route].Prefix}
 	s.history.Poisons = append(s.history.Poisons, p)
 	s.mu.Unlock()
-	s.poison.Store(&p)
+	s.poison.Store(p)
 	clock.Sleep(ctx, s.clk, f.For)
 	s.poison.Store(nil)
 	clock.Sleep(ctx, s.clk, poisonRestartTime)
