--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -43,24 +43,24 @@
 type validation struct {
 	bounds     Bounds
 	history    *History
+	requests   map[string]*Request
 	runs       map[string][]Run
 	violations []Violation
 }
 
 // Check returns all violations in a history.
 func (c *Checker) Check(h *History) []Violation {
-	v := &validation{bounds: c.bounds, history: h, runs: map[string][]Run{}}
-	byID := make(map[string]*Request, len(h.Requests))
+	v := &validation{bounds: c.bounds, history: h, requests: map[string]*Request{}, runs: map[string][]Run{}}
 	for _, r := range h.Runs {
 		v.runs[r.ID] = append(v.runs[r.ID], r)
 	}
 	for i := range h.Requests {
 		r := &h.Requests[i]
-		byID[r.ID] = r
+		v.requests[r.ID] = r
 		v.checkRequest(r, v.runs[r.ID])
 	}
 	for _, run := range h.Runs {
-		if r := byID[run.ID]; r == nil {
+		if r := v.requests[run.ID]; r == nil {
 			v.add("unasked", run.ID, "an upstream ran a request that no caller sent")
 		} else {
 			v.checkRun(r, &run)
@@ -68,6 +68,9 @@
 	}
 	v.checkConfigOrder()
 	v.checkOrders()
+	for _, p := range h.Poisons {
+		v.checkPoison(p)
+	}
 	v.checkRecovery()
 	return v.violations
 }
@@ -103,6 +106,7 @@
 	}
 	v.checkResponse(r, runs)
 	v.checkShutdown(r, runs)
+	v.checkDelivery(r, runs)
 	if (r.Status == 401 || r.Status == 404) && v.undisturbed(r.Node, r.SentAt, r.EndedAt) && v.keyInForce(r) {
 		v.add("denied", r.ID, "got status %d, although the route of %s and the key are in force", r.Status, r.Target)
 	}
@@ -215,6 +219,21 @@
 	}
 }
 
+// checkDelivery checks that responses of sound upstreams reach the caller.
+func (v *validation) checkDelivery(r *Request, runs []Run) {
+	failed := r.ConnectionLost || r.Complete && r.Status >= 500 && !r.Stamped && !r.guaranteesNotRun()
+	elapsed := r.EndedAt.Sub(r.SentAt)
+	if !failed || len(runs) == 0 || elapsed+closeDetectionDelay >= r.Timeout || !v.undisturbed(r.Node, r.SentAt, r.EndedAt) {
+		return
+	}
+	for _, run := range runs {
+		if run.Faulty || run.Aborted {
+			return
+		}
+	}
+	v.add("lost", r.ID, "status %d after %v, connection lost: %t; %s ran only at sound upstreams, %s", r.Status, elapsed, r.ConnectionLost, r.Target, upstreamNames(runs))
+}
+
 // checkRun checks the request that an upstream received, and whether the upstream
 // was permitted to receive it at that time.
 func (v *validation) checkRun(r *Request, run *Run) {
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -16,6 +16,9 @@
 	Nodes     int
 	Upstreams int
 	Keys      int // number of keys that may be revoked
+	// PlainRoutes and StreamRoutes are the numbers of routes that poison requests may
+	// use. Those of plain services come first.
+	PlainRoutes, StreamRoutes int
 	// Length is the duration of the traffic. Faults end some seconds earlier.
 	Length time.Duration
 }
@@ -117,6 +120,37 @@
 	}
 	// UpstreamLeaves drains an upstream, which another one replaces at its address.
 	UpstreamLeaves struct{ Upstream int }
+	// UpstreamPauses holds all bytes to and from an upstream back.
+	UpstreamPauses struct {
+		Upstream int
+		For      time.Duration
+	}
+	// UpstreamUnframed makes an upstream send responses that end with their connection
+	// and break a share of them off.
+	UpstreamUnframed struct {
+		Upstream int
+		Broken   float64
+		For      time.Duration
+	}
+	// UpstreamCopiesRefusals makes an upstream reject requests and send the rejections
+	// once more, late.
+	UpstreamCopiesRefusals struct {
+		Upstream int
+		For      time.Duration
+	}
+	// ResumptionsFail makes all upstreams break off streams and respond to resumed ones
+	// with errors.
+	ResumptionsFail struct{ For time.Duration }
+	// OddRegistration leaves a registration of an engine with an odd value.
+	OddRegistration struct{ Shape int }
+	// Poison sends requests that crash each upstream that starts to respond to them:
+	// different ones with a part of the prompt in common if Part is set, otherwise one
+	// request again and again.
+	Poison struct {
+		Part  bool
+		Route int
+		For   time.Duration
+	}
 	// KeyTaken revokes a key.
 	KeyTaken struct{ Key int }
 	// RouteMoved directs the moving route to the other service.
@@ -125,24 +159,30 @@
 	WeightsNamed struct{}
 )
 
-func (Stop) fault()            {}
-func (StopAll) fault()         {}
-func (Kill) fault()            {}
-func (Freeze) fault()          {}
-func (StoreDown) fault()       {}
-func (StoreSlow) fault()       {}
-func (StoreLoses) fault()      {}
-func (StoreRefuses) fault()    {}
-func (StoreForgets) fault()    {}
-func (Link) fault()            {}
-func (UpstreamCrash) fault()   {}
-func (UpstreamErrs) fault()    {}
-func (UpstreamRepeats) fault() {}
-func (UpstreamStalls) fault()  {}
-func (UpstreamLeaves) fault()  {}
-func (KeyTaken) fault()        {}
-func (RouteMoved) fault()      {}
-func (WeightsNamed) fault()    {}
+func (Stop) fault()                   {}
+func (StopAll) fault()                {}
+func (Kill) fault()                   {}
+func (Freeze) fault()                 {}
+func (StoreDown) fault()              {}
+func (StoreSlow) fault()              {}
+func (StoreLoses) fault()             {}
+func (StoreRefuses) fault()           {}
+func (StoreForgets) fault()           {}
+func (Link) fault()                   {}
+func (UpstreamCrash) fault()          {}
+func (UpstreamErrs) fault()           {}
+func (UpstreamRepeats) fault()        {}
+func (UpstreamStalls) fault()         {}
+func (UpstreamLeaves) fault()         {}
+func (UpstreamPauses) fault()         {}
+func (UpstreamUnframed) fault()       {}
+func (UpstreamCopiesRefusals) fault() {}
+func (ResumptionsFail) fault()        {}
+func (OddRegistration) fault()        {}
+func (Poison) fault()                 {}
+func (KeyTaken) fault()               {}
+func (RouteMoved) fault()             {}
+func (WeightsNamed) fault()           {}
 
 // Step is a fault and the time at which it starts, counted from the start of the
 // traffic.
@@ -164,6 +204,15 @@
 	faultsPerSecond = 0.8
 	// maxLaterFaults is the largest number of faults of the kinds that were added later.
 	maxLaterFaults = 3
+	// maxNewestFaults is the largest number of faults of the newest kinds but poison.
+	// They also start while the fleet recovers, so that the bounds apply to some.
+	maxNewestFaults = 8
+	// minPause and pauseSpread bound the pauses of a sound upstream.
+	minPause, pauseSpread = 700 * time.Millisecond, 600 * time.Millisecond
+	// poisonStartSpan is the time in which poison requests start, poisonOverrun how long
+	// they go on after the length of the soak, when few other faults excuse them.
+	poisonStartSpan = 2 * time.Second
+	poisonOverrun   = 6 * time.Second
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
 	// in which a revoked key must be rejected, so that some faults last longer.
 	maxDuration = 7 * time.Second
@@ -176,12 +225,20 @@
 	// more draws the kinds of faults that were added later, so that a seed draws the
 	// same other faults as before.
 	more *rand.Rand
-	opts Options
+	// newest draws the kinds added after those. It is nil for odd seeds, so that those
+	// that failed before draw no other faults than then.
+	newest *rand.Rand
+	opts   Options
 }
 
 // New returns a Planner for a seed.
 func New(seed uint64, opts Options) *Planner {
-	return &Planner{rnd: rand.New(rand.NewPCG(seed, 0x50a4)), more: rand.New(rand.NewPCG(seed, 0x50a5)), opts: opts}
+	source := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+	p := &Planner{rnd: source(0x50a4), more: source(0x50a5), opts: opts}
+	if seed%2 == 0 {
+		p.newest = source(0x50a6)
+	}
+	return p
 }
 
 // Plan returns the faults in the order of their start.
@@ -200,6 +257,15 @@
 	for range 1 + p.more.IntN(maxLaterFaults) {
 		out = append(out, Step{At: startupTime + time.Duration(p.more.Int64N(int64(span))), Fault: p.drawLater()})
 	}
+	if p.newest != nil {
+		if p.newest.IntN(3) > 0 {
+			out = append(out, p.drawPoison())
+		}
+		for range 1 + p.newest.IntN(maxNewestFaults) {
+			at := startupTime + time.Duration(p.newest.Int64N(int64(p.opts.Length-startupTime)))
+			out = append(out, Step{At: at, Fault: p.drawNewest()})
+		}
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -272,6 +338,34 @@
 	return UpstreamStalls{Upstream: up, For: d}
 }
 
+// drawNewest draws a fault of the newest kinds but poison.
+func (p *Planner) drawNewest() Fault {
+	up, d := p.newest.IntN(p.opts.Upstreams), time.Second+time.Duration(p.newest.Int64N(int64(maxDuration)))
+	switch p.newest.IntN(7) {
+	case 0, 1:
+		return UpstreamPauses{Upstream: up, For: minPause + d%pauseSpread}
+	case 2:
+		return UpstreamUnframed{Upstream: up, For: d}
+	case 3:
+		return UpstreamUnframed{Upstream: up, Broken: 0.3, For: d}
+	case 4:
+		return UpstreamCopiesRefusals{Upstream: up, For: d}
+	case 5:
+		return ResumptionsFail{For: d}
+	}
+	return OddRegistration{Shape: up}
+}
+
+// drawPoison draws the start of poison requests and their kind.
+func (p *Planner) drawPoison() Step {
+	at := startupTime + time.Duration(p.newest.Int64N(int64(poisonStartSpan)))
+	f := Poison{Part: p.newest.IntN(3) > 0, Route: p.newest.IntN(p.opts.PlainRoutes + p.opts.StreamRoutes), For: p.opts.Length + poisonOverrun - at}
+	if f.Part {
+		f.Route = p.opts.PlainRoutes + f.Route%p.opts.StreamRoutes
+	}
+	return Step{At: at, Fault: f}
+}
+
 // someNodes draws one node or more.
 func (p *Planner) someNodes() []int {
 	nodes := p.rnd.Perm(p.opts.Nodes)
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -18,6 +19,8 @@
 	graceMargin = time.Second
 	// drainTime is how long a draining upstream keeps running.
 	drainTime = 4 * time.Second
+	// poisonRestartTime is how long an upstream is down after a crash by poison.
+	poisonRestartTime = 2 * time.Second
 )
 
 // errorRates are the probabilities of each fault of an upstream during
@@ -60,7 +63,8 @@
 	case planner.Link:
 		s.runAsync(func() { s.injectLinkFault(ctx, f) })
 	case planner.UpstreamCrash:
-		s.runAsync(func() { s.crashUpstream(ctx, s.endpoints[f.Upstream], f.For) })
+		ep := s.endpoints[f.Upstream]
+		s.runAsync(func() { s.crashUpstream(ctx, ep, ep.current.Load(), f.For, "") })
 	case planner.UpstreamErrs:
 		s.injectUpstreamFault(ctx, f.Upstream, errorRates, f.For)
 	case planner.UpstreamRepeats:
@@ -69,6 +73,25 @@
 		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{StallStream: 0.3}, f.For)
 	case planner.UpstreamLeaves:
 		s.runAsync(func() { s.drainUpstream(ctx, s.endpoints[f.Upstream]) })
+	case planner.UpstreamPauses:
+		proxy := s.endpoints[f.Upstream].proxy
+		proxy.SetPaused(true)
+		s.runAsync(func() {
+			clock.Sleep(ctx, s.clk, f.For)
+			proxy.SetPaused(false)
+		})
+	case planner.UpstreamUnframed:
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{Unframed: true, CutResponse: f.Broken}, f.For)
+	case planner.UpstreamCopiesRefusals:
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{Refuse: 0.3, RepeatResponse: 0.3}, f.For)
+	case planner.ResumptionsFail:
+		for i := range s.endpoints {
+			s.injectUpstreamFault(ctx, i, upstream.Faults{CutResponse: 0.1, FailResumption: 0.5}, f.For)
+		}
+	case planner.OddRegistration:
+		s.ops.RegisterOdd(fmt.Sprint("odd-", f.Shape), engines, f.Shape)
+	case planner.Poison:
+		s.runAsync(func() { s.injectPoison(ctx, f) })
 	case planner.KeyTaken:
 		s.revokeKey(key(f.Key))
 	case planner.RouteMoved:
@@ -146,6 +169,7 @@
 		return
 	}
 	defer n.restarting.Store(false)
+	s.checkRunning(n)
 	from := s.clk.Now()
 	incarnation := int(n.incarnation.Load())
 	s.signal(n, syscall.SIGTERM)
@@ -199,6 +223,13 @@
 	return true
 }
 
+// checkRunning records a node that no fault has stopped and that doesn't run as a problem.
+func (s *Soaker) checkRunning(n *node) {
+	if !n.process.Running() {
+		s.addProblem("exit: %s ended by itself", n.name)
+	}
+}
+
 func (s *Soaker) signal(n *node, sig syscall.Signal) {
 	if err := n.process.Signal(sig); err != nil {
 		s.addProblem("failed to signal %s: %v", n.name, err)
@@ -216,6 +247,7 @@
 		return
 	}
 	defer n.restarting.Store(false)
+	s.checkRunning(n)
 	disturbance := s.beginDisturbance(checker.Disturbance{Node: n.index})
 	s.signal(n, syscall.SIGKILL)
 	<-n.process.Done()
@@ -262,22 +294,25 @@
 }
 
 // crashUpstream makes an upstream unreachable at once and, after a duration, starts
-// a new incarnation with the same ID.
-func (s *Soaker) crashUpstream(ctx context.Context, ep *endpoint, d time.Duration) {
-	inc := ep.current.Load()
+// a new incarnation with the same ID. The ID of a poison request that causes the crash
+// is recorded.
+func (s *Soaker) crashUpstream(ctx context.Context, ep *endpoint, inc *incarnation, d time.Duration, poisonID string) {
 	s.mu.Lock()
 	unavailable := inc.stopped || inc.registration.Draining
 	inc.stopped = true
 	if !unavailable {
 		s.markAborted(inc.registration.ID)
 	}
+	if !unavailable && poisonID != "" {
+		s.history.Crashes = append(s.history.Crashes, checker.Crash{At: s.clk.Now(), RequestID: poisonID})
+	}
 	s.mu.Unlock()
 	if unavailable {
 		return
 	}
 	ep.proxy.SetFault(planner.Unreached)
 	clock.Sleep(ctx, s.clk, d)
-	s.startIncarnation(ep, inc.registration.ID, inc.server.Version())
+	s.startIncarnation(ctx, ep, inc.registration.ID, inc.server.Version())
 	ep.proxy.SetFault("")
 }
 
@@ -293,6 +328,19 @@
 	}
 }
 
+// injectPoison lets the callers send poison requests for a duration, and waits until
+// the upstreams have restarted.
+func (s *Soaker) injectPoison(ctx context.Context, f planner.Poison) {
+	s.mu.Lock()
+	p := &checker.Poison{Name: fmt.Sprint(upstream.Poison, len(s.history.Poisons)), Part: f.Part, Route: routes(false)[f.Route].Prefix}
+	s.history.Poisons = append(s.history.Poisons, p)
+	s.mu.Unlock()
+	s.poison.Store(p)
+	clock.Sleep(ctx, s.clk, f.For)
+	s.poison.Store(nil)
+	clock.Sleep(ctx, s.clk, poisonRestartTime)
+}
+
 // drainUpstream drains an upstream, then starts another one of the same service at
 // its address.
 func (s *Soaker) drainUpstream(ctx context.Context, ep *endpoint) {
@@ -313,5 +361,5 @@
 	inc.stopped = true
 	s.mu.Unlock()
 	s.ops.Remove(inc.registration.ID)
-	s.startUpstream(ep)
+	s.startUpstream(ctx, ep)
 }
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -79,6 +80,7 @@
 	nodes      []*node
 	endpoints  []*endpoint
 	faultGroup *errgroup.Group // asynchronous parts of faults
+	poison     atomic.Pointer[checker.Poison]
 
 	mu               sync.Mutex
 	history          checker.History
@@ -140,6 +142,9 @@
 	stopTraffic()
 	_ = callers.Wait() // the goroutines return no errors
 	clock.Sleep(ctx, s.clk, finalWait)
+	for _, n := range s.nodes {
+		s.checkRunning(n)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.EndedAt = s.clk.Now()
