fix(detector): a deadly part is found at the start of a long prompt, too

Found by the review: of a prompt with more than 32 features the first ones were dropped, so that a deadly first part of 41 was never found (TestDeadlyPartOfLongPromptIsFound failed before). The limit is 64 now.

--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -18,7 +18,7 @@
 	// same crash.
 	crashWindow = 2 * time.Second
 
-	maxFeatures  = 32   // of one run
+	maxFeatures  = 64   // of one run
 	maxCrashes   = 128  // remembered
 	maxRuns      = 64   // of one crash
 	maxReports   = 48   // of each kind in one message
@@ -142,7 +142,7 @@
 func (d *Detector) clear(now time.Time, f Feature) {
 	delete(d.suspects, f)
 	d.cleared[f] = now.Add(crashWindow + reportTime)
-	d.vouched[f] = now.Add(suspicionTTL)
+	d.vouch(now, f)
 	for _, c := range d.crashes {
 		for i := range c.runs {
 			c.runs[i].features = without(c.runs[i].features, f)
@@ -221,10 +221,17 @@
 	if known || !d.hasSucceeded(f) {
 		return
 	}
-	d.vouched[f] = now.Add(suspicionTTL)
+	d.vouch(now, f)
 	d.vouchings = appendReport(d.vouchings, f, now)
 }
 
+// vouch records that a run with a feature has succeeded.
+func (d *Detector) vouch(now time.Time, f Feature) {
+	if _, known := d.vouched[f]; known || len(d.vouched) < maxSuspects {
+		d.vouched[f] = now.Add(suspicionTTL)
+	}
+}
+
 func (d *Detector) hasSucceeded(f Feature) bool {
 	if _, ok := d.succeeded[f]; ok {
 		return true
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -670,3 +670,22 @@
 		t.Error("must reject the part that crashed upstreams and no other")
 	}
 }
+
+// A deadly part may stand anywhere in a long prompt.
+func TestDeadlyPartOfLongPromptIsFound(t *testing.T) {
+	for _, position := range []int{0, 20, 40} {
+		d := detector.New()
+		now := start
+		for i := range 4 {
+			features := make([]detector.Feature, 0, 42)
+			for j := range 41 {
+				features = append(features, detector.Feature(10_000+100*i+j)) // no two alike
+			}
+			features[position] = deadly
+			now = crashSeries(d, now, 1, features...)
+		}
+		if judge(d, now); !d.Rejects(now, []detector.Feature{deadly}) {
+			t.Errorf("not found at position %d", position)
+		}
+	}
+}
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -69,7 +69,7 @@
 		d.suspect(now, f)
 	}
 	for _, f := range e.Vouched {
-		d.vouched[f] = now.Add(suspicionTTL)
+		d.vouch(now, f)
 	}
 	for _, f := range e.Cleared {
 		_, suspected := d.suspects[f]
