fix(relayer): an answer is kept if the other upstream is too busy for a retry

What callers saw: 502 in place of their upstream's error response, and possibly a cut stream in place of one whose engine was silent for a while, if the other upstream's queue was longer than the time left to the deadline.

Cause: the check whether a retry would find an upstream took any that the placement returns. The selection for the retry itself rejects those whose queueing delay exceeds the deadline. The check now does as well.

Evidence: TestFailedAnswerIsKeptWhenTheOtherUpstreamIsTooBusy failed before (3 of 3 runs, 502 after 2 sends). Measured: 5 runs of it, one under the race detector and go test ./internal/relayer pass. The cut of a stream for this reason is by reading.

--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -437,6 +437,6 @@
 	q.Exclude = append(q.Exclude[:len(q.Exclude):len(q.Exclude)], u.choice.Incarnation())
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
-	_, ok := u.r.placer.Pick(now, &q)
-	return ok && u.r.retryBudget(u.service).Available(now, u.view.Nodes)
+	c, ok := u.r.placer.Pick(now, &q)
+	return ok && !u.queuedPastDeadline(now, c) && u.r.retryBudget(u.service).Available(now, u.view.Nodes)
 }
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strconv"
@@ -238,3 +239,40 @@
 		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
 	}
 }
+
+// Guards against discarding an upstream's answer for a retry that no upstream can start before
+// the deadline.
+func TestFailedAnswerIsKeptWhenTheOtherUpstreamIsTooBusy(t *testing.T) {
+	const timeout = time.Second
+	b := newFixture(t, nil, nil)
+	waiting, release := make(chan int, 2), make(chan struct{})
+	for i, u := range b.ups {
+		u.SetScript(func(net.Conn, testlib.Received) bool {
+			waiting <- i
+			<-release
+			return false
+		})
+	}
+	ask := func(ctx context.Context, timeout time.Duration) *reply {
+		r := &reply{}
+		b.relay.Serve(ctx, &relayer.Request{
+			ID: "id", Method: "POST", Target: "/slow/", Path: "/slow/", Host: "h", Key: "key", Timeout: timeout, Arrived: time.Now(),
+			Prompt: &traffic.Prompt{Model: "m", Tokens: 1000, MaxOutput: 10, Parts: []traffic.Part{{ID: "a", Tokens: 1000}}},
+		}, r)
+		return r
+	}
+	c := catalog(1, "key")
+	c.Routes[1].Timeout, c.Routes[1].LatencyObjective = unlimited, timeout
+	b.fleet.set(c, b.boot.Elapsed())
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { ask(ctx, unlimited) })
+	defer wg.Wait()
+	defer cancel()
+	defer close(release)
+	b.ups[1-<-waiting].SetScript(failing)
+	time.Sleep(timeout + timeout/10) // the first prompt waits longer than the second one may
+	if r := ask(t.Context(), timeout); r.status != 500 || b.sent() != 2 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
+	}
+}
