fix(placer): a turned-away time outlives a gap in the registry

Cause: the time was kept with the upstream's state, which ends with its entry unless requests run there.

Evidence: TestTurnAwayOutlivesAGapInTheRegistry failed before. Ruled out: an upstream's leaving, which has its own record. Measured: go test ./pkg/placer passes, and the race detector finds nothing in the tests of unavailable upstreams of pkg/placer and internal/relayer.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -133,10 +133,13 @@
 	// lastResort lets Pick ignore the circuit breakers.
 	lastResort bool
 	// left has the incarnations that are leaving, also while the registry doesn't list them.
-	left     map[string]bool
-	saveRate saveRate
-	hashes   []uint64      // scratch
-	matches  prefixMatches // scratch
+	left map[string]bool
+	// turnedAway has, by incarnation, until when upstreams want no request of this node, also
+	// while the registry doesn't list them.
+	turnedAway map[string]time.Time
+	saveRate   saveRate
+	hashes     []uint64      // scratch
+	matches    prefixMatches // scratch
 }
 
 // peerReport is the last report of a peer, with the advice that the report doesn't
@@ -155,7 +158,7 @@
 func New(costs Costs, rnd *rand.Rand) *Placer {
 	return &Placer{
 		costs: costs, rnd: rnd, states: map[string]*upstreamState{}, byKey: map[uint32]*upstreamState{}, services: map[string][]*upstreamState{},
-		peers: map[string]peerReport{}, index: newPrefixIndex(), left: map[string]bool{},
+		peers: map[string]peerReport{}, index: newPrefixIndex(), left: map[string]bool{}, turnedAway: map[string]time.Time{},
 	}
 }
 
@@ -170,7 +173,7 @@
 		inc := u.Incarnation()
 		s, ok := p.states[inc]
 		if !ok {
-			s = &upstreamState{incarnation: inc, key: Key(inc), leaving: p.left[inc], breaker: breaker.New(), observedVersions: map[string]int{}}
+			s = &upstreamState{incarnation: inc, key: Key(inc), leaving: p.left[inc], turnedAwayUntil: p.turnedAway[inc], breaker: breaker.New(), observedVersions: map[string]int{}}
 			p.states[inc] = s
 			p.byKey[s.key] = s
 		}
--- a/pkg/placer/unavailable.go
+++ b/pkg/placer/unavailable.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -44,7 +45,8 @@
 	d = min(d, maxTurnAway)
 	d += time.Duration(p.rnd.Float64() * float64(min(maxReturnDelay, time.Duration(returnJitter*float64(d)))))
 	if until := now.Add(d); until.After(s.turnedAwayUntil) {
-		s.turnedAwayUntil = until
+		maps.DeleteFunc(p.turnedAway, func(_ string, until time.Time) bool { return !now.Before(until) })
+		s.turnedAwayUntil, p.turnedAway[incarnation] = until, until
 	}
 }
 
--- a/pkg/placer/unavailable_test.go
+++ b/pkg/placer/unavailable_test.go
@@ -114,3 +114,19 @@
 		t.Errorf("verdict %d without an upstream", v)
 	}
 }
+
+// Guards against BUDGET: the registry loses an upstream for a while, and its request to be
+// left alone was forgotten.
+func TestTurnAwayOutlivesAGapInTheRegistry(t *testing.T) {
+	p := placerOf("u0", "u1")
+	now := unavailableStart
+	p.RecordTurnAway(now, "u0@1", 10*time.Second)
+	p.SetUpstreams(upstreams("u1"), nil)
+	p.SetUpstreams(upstreams("u0"), nil)
+	if c, ok := p.Pick(now.Add(5*time.Second), plain()); ok || p.MaySend(now.Add(5*time.Second), "u0@1") {
+		t.Errorf("picked %v", c.Upstream)
+	}
+	if _, ok := p.Pick(now.Add(11*time.Second), plain()); !ok {
+		t.Error("not used afterwards")
+	}
+}
