perf(placer): a question lists the unavailable upstreams of its service alone

What callers would see: nothing. Each question to the placement coordinator walked the map of all upstreams with the relayer's lock held. Where over 64 were unavailable, the list, a random part of them, could lack those of the service that was asked for; the coordinator's advice then was of no use, and the node placed the prompt itself.

Evidence: TestUnavailableListsTheServiceAlone; the former function has no service to ask for, so that the test doesn't compile there. Ruled out: requests to unavailable upstreams, since Follow checks the advice. Tripped still walks the map. Measured: go test ./pkg/placer ./internal/relayer passes.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -137,7 +137,7 @@
 	id := u.r.lastQuestion
 	u.r.openQuestions[id] = struct{}{}
 	asked.Tripped = u.r.placer.Tripped(u.r.Clock.Now())
-	asked.Unavailable = u.r.placer.Unavailable(u.r.Clock.Now())
+	asked.Unavailable = u.r.placer.Unavailable(u.r.Clock.Now(), q.Service)
 	u.r.mu.Unlock()
 	advice, v = u.r.Adviser.Ask(u.ctx, id, &asked)
 	return advice, v, func() { delete(u.r.openQuestions, id) }
--- a/pkg/placer/unavailable.go
+++ b/pkg/placer/unavailable.go
@@ -61,11 +61,12 @@
 	return ok && s.registered && !s.up.Draining && !s.isUnavailable(now)
 }
 
-// Unavailable returns the keys of the upstreams that want no request of this node.
-func (p *Placer) Unavailable(now time.Time) []uint32 {
+// Unavailable returns the keys of the upstreams of a service that want no request of this
+// node.
+func (p *Placer) Unavailable(now time.Time, service string) []uint32 {
 	var out []uint32
-	for _, s := range p.states {
-		if s.registered && s.isUnavailable(now) && len(out) < maxReportedUnavailable {
+	for _, s := range p.services[service] {
+		if s.isUnavailable(now) && len(out) < maxReportedUnavailable {
 			out = append(out, s.key)
 		}
 	}
--- a/pkg/placer/unavailable_test.go
+++ b/pkg/placer/unavailable_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,7 +102,7 @@
 	now := unavailableStart
 	node.RecordTurnAway(now, "u0@1", time.Minute)
 	q := plain()
-	q.Unavailable = node.Unavailable(now)
+	q.Unavailable = node.Unavailable(now, q.Service)
 	for i := range 50 {
 		a, v := coordinator.Advise(now, "n", uint64(i), q)
 		if v != placer.Placed || a.Upstream != placer.Key("u1@1") {
@@ -109,7 +110,7 @@
 		}
 	}
 	node.RecordTurnAway(now, "u1@1", time.Minute)
-	q.Unavailable = node.Unavailable(now)
+	q.Unavailable = node.Unavailable(now, q.Service)
 	if _, v := coordinator.Advise(now, "n", 99, q); v != placer.NoCapacity {
 		t.Errorf("verdict %d without an upstream", v)
 	}
@@ -130,3 +131,39 @@
 		t.Error("not used afterwards")
 	}
 }
+
+// Guards against a list that is full of the upstreams of other services.
+func TestUnavailableListsTheServiceAlone(t *testing.T) {
+	ups := upstreams("u0")
+	for i := range 200 {
+		u := upstreams(fmt.Sprint("other", i))[0]
+		u.Service = "other"
+		ups = append(ups, u)
+	}
+	p := newPlacer(1, ups)
+	for _, u := range ups {
+		p.RecordTurnAway(unavailableStart, u.Incarnation(), time.Minute)
+	}
+	if got := p.Unavailable(unavailableStart, "s"); len(got) != 1 || got[0] != placer.Key("u0@1") {
+		t.Errorf("listed %v", got)
+	}
+}
+
+// Each question to the placement coordinator has the list.
+func BenchmarkUnavailable(b *testing.B) {
+	var ids []string
+	for i := range 1400 {
+		ids = append(ids, fmt.Sprint("u", i))
+	}
+	for name, turned := range map[string]int{"none": 0, "50": 50} {
+		b.Run(name, func(b *testing.B) {
+			p := placerOf(ids...)
+			for _, id := range ids[:turned] {
+				p.RecordTurnAway(unavailableStart, id+"@1", time.Minute)
+			}
+			for b.Loop() {
+				_ = p.Unavailable(unavailableStart, "s")
+			}
+		})
+	}
+}
