--- a/pkg/placer/unavailable.go
+++ b/pkg/placer/unavailable.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -44,7 +45,8 @@
 	d = min(d, maxTurnAway)
 	d += time.Duration(p.rnd.Float64() * float64(min(maxReturnDelay, time.Duration(returnJitter*float64(d)))))
 	if until := now.Add(d); until.After(s.turnedAwayUntil) {
-		s.turnedAwayUntil = until
+		maps.DeleteFunc(p.turnedAway, func(_ string, until time.Time) bool { return !now.Before(until) })
+		s.turnedAwayUntil, p.turnedAway[incarnation] = until, until
 	}
 }
 
@@ -59,11 +61,12 @@
 	return ok && s.registered && !s.up.Draining && !s.isUnavailable(now)
 }
 
-// Unavailable returns the keys of the upstreams that want no request of this node.
-func (p *Placer) Unavailable(now time.Time) []uint32 {
+// Unavailable returns the keys of the upstreams of a service that want no request of this
+// node.
+func (p *Placer) Unavailable(now time.Time, service string) []uint32 {
 	var out []uint32
-	for _, s := range p.states {
-		if s.registered && s.isUnavailable(now) && len(out) < maxReportedUnavailable {
+	for _, s := range p.services[service] {
+		if s.isUnavailable(now) && len(out) < maxReportedUnavailable {
 			out = append(out, s.key)
 		}
 	}
