Revert "fix(relayer): other workspaces can't have an isolated one's requests rejected"

With the cache scope in the features, a deadly part has to crash three engines for each isolated workspace that sends it, while BUDGET counts the requests with the part, whoever sends them.

What guarded against stays possible, and is in the postmortem: who knows the IDs of another workspace's parts, and has a request that crashes engines, can have requests with these parts rejected as long as none of them succeeds.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -85,7 +85,9 @@
 		Pinned: !u.route.Repeatable() || u.route.MaxAttempts < 2 || u.runs > 0,
 	}
 	if q.Prompt != nil {
-		q.CacheScope = u.cacheScope()
+		if u.workspace != nil && u.workspace.Isolated {
+			q.CacheScope = u.workspace.Name
+		}
 		if addr := u.view.Matcher.CacheStores().Pick(q.SharedPrefix()); addr != "" && !u.r.CacheDown(addr) {
 			q.CacheAddress, q.CacheTokens = addr, u.view.Matcher.CacheTokens()
 		}
@@ -98,15 +100,6 @@
 	return q
 }
 
-// cacheScope returns the name of an isolated workspace, which shares no cached parts with
-// others, or an empty string.
-func (u *relay) cacheScope() string {
-	if u.workspace != nil && u.workspace.Isolated {
-		return u.workspace.Name
-	}
-	return ""
-}
-
 // reserveUpstream selects an upstream and counts the send there. budget is false
 // if the retry budget is exhausted.
 func (u *relay) reserveUpstream(q *placer.Query) (c placer.Choice, ok, budget bool) {
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -22,12 +22,12 @@
 
 // requestFeatures returns what a request may have in common with others that crash
 // upstreams: the parts of its prompt but the last, which belongs to it alone, and the
-// whole request. Workspaces that share no cached parts share no features either.
-func requestFeatures(req *Request, cacheScope string) []detector.Feature {
+// whole request.
+func requestFeatures(req *Request) []detector.Feature {
 	var out []detector.Feature
 	if p := req.Prompt; p != nil {
 		for i := 0; i+1 < len(p.Parts); i++ {
-			out = append(out, detector.Feature(xxhash.Sum64String(cacheScope+"\x00"+p.Parts[i].ID)))
+			out = append(out, detector.Feature(xxhash.Sum64String(p.Parts[i].ID)))
 		}
 	}
 	h := xxhash.New()
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -96,7 +96,7 @@
 		u.refuse(k, u.retryAfter(k))
 		return
 	}
-	u.features = requestFeatures(u.req, u.cacheScope())
+	u.features = requestFeatures(u.req)
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
