fix(observer): a node that starts without the store reads it in full once it answers

Cause: after a first read that failed, digests of store readers arrived, and dueRead then only ever returned what operators write. While no full read has succeeded, digests and changes can't be applied, so that nothing ended this.

Change: without a full read the node reads as if nothing sent it digests.

Evidence: TestStartWithoutStoreEndsInFullRead failed before.

--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -77,6 +77,14 @@
 }
 
 func newFixture(t *testing.T, isReader bool) *fixture {
+	t.Helper()
+	b := startFixture(t, isReader, nil)
+	b.until("the first read", func() bool { return b.obs.View() != nil })
+	return b
+}
+
+// startFixture is newFixture without a wait for the first read, which may fail.
+func startFixture(t *testing.T, isReader bool, initial error) *fixture {
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
@@ -84,6 +92,7 @@
 	b.store.Set("ops/config", "7")
 	b.store.Set("up/a", "1")
 	b.store.Set("up/b", "1")
+	b.store.SetError(initial)
 	b.obs = observer.New(b.clk, b.clk, log, b.store, observer.Layout{OperatorPrefix: "ops/", Decode: decode})
 	b.obs.SetListener(b.listener)
 	b.obs.SetStoreReader(func() bool { return isReader })
@@ -91,7 +100,6 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = b.obs.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	b.until("the first read", func() bool { return b.obs.View() != nil })
 	return b
 }
 
@@ -292,3 +300,22 @@
 		t.Fatal("digest of a 2 s old snapshot is fresh")
 	}
 }
+
+// Guards against a node that starts while the store is unavailable and then reads only
+// what operators write, since store readers send it digests: it knew no upstreams and
+// refused all requests until its next restart.
+func TestStartWithoutStoreEndsInFullRead(t *testing.T) {
+	b := startFixture(t, false, platform.Unavailable)
+	for range 30 {
+		b.obs.ReceiveDigest("reader", observer.Digest{Revision: 50, Hash: 9, ConfigVersion: 7})
+		b.step(100 * time.Millisecond)
+	}
+	b.store.SetError(nil)
+	took := b.until("the first full read", func() bool {
+		b.obs.ReceiveDigest("reader", observer.Digest{Revision: 50, Hash: 9, ConfigVersion: 7})
+		return b.listener.ids() == "a@1 b@1"
+	})
+	if took > 2*time.Second {
+		t.Errorf("upstreams known %v after the store is back, want at most 2 s", took)
+	}
+}
--- a/internal/observer/schedule.go
+++ b/internal/observer/schedule.go
@@ -58,7 +58,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clk.Now()
-	if isStoreReader || o.feed.silence(now) > patience {
+	// Without a full read, what store readers send can't be applied.
+	if isStoreReader || o.feed.silence(now) > patience || o.lastRead.IsZero() {
 		switch {
 		case elapsed < pollInterval:
 			return scopeNone
