fix(relayer): a panic of the silence check doesn't end the process

What callers would see: if the check whether a request may move to another upstream panics, all requests in flight at the node end without an answer.

Cause: since that check runs in the goroutine of a timer. The same checks ran in the handler before, where a panic ends one request, which is answered. The panic is now logged (event=silenceCheckPanic), and the request waits for its upstream.

Evidence: TestPanicOfSilenceCheckKeepsTheRequest ended the test process before. No panic of the check was found by reading. Open: a panic while the relayer's lock is held without a deferred unlock blocks the node.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -71,17 +71,27 @@
 
 // fleet holds a view that tests replace.
 type fleet struct {
-	mu    sync.Mutex
-	view  *relayer.View
-	proof prover.Prover
+	mu     sync.Mutex
+	view   *relayer.View
+	proof  prover.Prover
+	broken bool // View panics
 }
 
 func (f *fleet) View() *relayer.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.broken {
+		panic("broken view")
+	}
 	return f.view
 }
 
+func (f *fleet) setBroken(broken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken = broken
+}
+
 func (f *fleet) Proof() prover.Prover {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 )
@@ -108,7 +110,7 @@
 	late := now.Sub(w.due) > silenceRecheck
 	left := w.patience - now.Sub(w.lastSign)
 	if left <= 0 {
-		if !late && w.pausedAt.IsZero() && w.probe.mayMove() {
+		if !late && w.pausedAt.IsZero() && w.mayMove() {
 			w.cancel(errSilent)
 			return
 		}
@@ -116,3 +118,17 @@
 	}
 	w.checkAfter(left)
 }
+
+// mayMove reports whether the request may move to another upstream. A panic would end the
+// process, as check runs in a goroutine of its own; it ends the watch instead.
+func (w *silenceWatch) mayMove() (ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			w.patience = 0
+			w.probe.r.Log.WithFields(logrus.Fields{
+				"event": "silenceCheckPanic", "request": w.probe.req.ID, "panic": v, "stack": string(debug.Stack()),
+			}).Error("panic while checking whether a request may move")
+		}
+	}()
+	return w.probe.mayMove()
+}
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -276,3 +276,29 @@
 		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent())
 	}
 }
+
+// Guards against LOST: a panic of the check whether a request may move ended the process, with
+// all requests in flight.
+func TestPanicOfSilenceCheckKeepsTheRequest(t *testing.T) {
+	b := newFixture(t, nil, nil)
+	var asked atomic.Int32
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			asked.Add(1)
+			b.fleet.setBroken(true)
+			time.Sleep(900 * time.Millisecond) // the latency objective is 200 ms
+			b.fleet.setBroken(false)
+			return ok(conn, r)
+		})
+	}
+	b.setUnlimited()
+	if r := b.serveWithin(t.Context(), "/safe/", unlimited); r.status != 200 || asked.Load() != 1 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, asked.Load())
+	}
+	for _, e := range b.hook.AllEntries() {
+		if e.Data["event"] == "silenceCheckPanic" {
+			return
+		}
+	}
+	t.Error("the panic isn't logged")
+}
