fix(closer): connections with the same remote address are kept apart

What callers would see: a caller resets its connection and uses the port again before the node has noticed; the end of the earlier request marks the new connection as idle, and a shutdown closes it without an answer. The end of a broken HTTP/1.0 response could reset the new connection as well, and lose bytes of its response.

Cause: connections were found by their remote address, of which the map held the latest alone. The address of a tracked connection now names the connection, and ResetOnClose finds it in the request's context.

Evidence: TestConnectionsFromOneAddressAreKeptApart failed before (the new connection was closed, the earlier one not counted), with stand-ins for connections. Measured: go test ./internal/closer ./platform/ingress ./internal/front passes; the race detector finds nothing in the first two.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -29,11 +29,11 @@
 
 	mu        sync.Mutex
 	listeners []*listener
-	conns     map[string]*conn // by remote address
+	conns     map[*conn]struct{}
 }
 
 // New returns a Closer without connections.
-func New(clk clock.Clock) *Closer { return &Closer{clk: clk, conns: map[string]*conn{}} }
+func New(clk clock.Clock) *Closer { return &Closer{clk: clk, conns: map[*conn]struct{}{}} }
 
 // Wrap returns a listener that tracks the connections accepted from l.
 func (c *Closer) Wrap(l net.Listener) net.Listener {
@@ -74,9 +74,7 @@
 
 // ConnState must be set as the server's ConnState hook.
 func (c *Closer) ConnState(nc net.Conn, s http.ConnState) {
-	c.mu.Lock()
-	k := c.conns[nc.RemoteAddr().String()]
-	c.mu.Unlock()
+	k := tracked(nc)
 	if k == nil || s != http.StateIdle && s != http.StateActive {
 		return
 	}
@@ -92,7 +90,7 @@
 func (c *Closer) CloseIdle() int {
 	c.mu.Lock()
 	conns := make([]*conn, 0, len(c.conns))
-	for _, k := range c.conns {
+	for k := range c.conns {
 		conns = append(conns, k)
 	}
 	c.mu.Unlock()
@@ -105,12 +103,18 @@
 	return left
 }
 
-// ResetOnClose makes the end of a connection a reset, so that it isn't taken for the end
-// of a response. Bytes that the caller hasn't received by then may be lost.
-func (c *Closer) ResetOnClose(remoteAddr string) {
-	c.mu.Lock()
-	k := c.conns[remoteAddr]
-	c.mu.Unlock()
+type connKey struct{}
+
+// ConnContext must be set as the server's ConnContext hook if ResetOnClose is used.
+func (c *Closer) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, tracked(nc))
+}
+
+// ResetOnClose makes the end of the connection of a request, whose context is given, a
+// reset, so that it isn't taken for the end of a response. Bytes that the caller hasn't
+// received by then may be lost.
+func (c *Closer) ResetOnClose(ctx context.Context) {
+	k, _ := ctx.Value(connKey{}).(*conn)
 	if k == nil {
 		return
 	}
@@ -134,9 +138,9 @@
 		}
 		return nil, err // unwrapped, since net/http distinguishes kinds of errors
 	}
-	k := &conn{Conn: nc, closer: l.closer, key: nc.RemoteAddr().String()}
+	k := &conn{Conn: nc, closer: l.closer}
 	l.closer.mu.Lock()
-	l.closer.conns[k.key] = k
+	l.closer.conns[k] = struct{}{}
 	l.closer.mu.Unlock()
 	return k, nil
 }
@@ -146,13 +150,29 @@
 type conn struct {
 	net.Conn
 	closer *Closer
-	key    string
 
 	mu     sync.Mutex
 	busy   bool
 	closed bool // by closeIdle; later bytes are discarded
 }
 
+// remoteAddr is the remote address of a tracked connection. Two connections may have the
+// same one: a caller may use its port again before the server has closed the first.
+type remoteAddr struct {
+	net.Addr
+	conn *conn
+}
+
+// RemoteAddr implements net.Conn.
+func (k *conn) RemoteAddr() net.Addr { return remoteAddr{k.Conn.RemoteAddr(), k} }
+
+// tracked returns the tracked connection behind nc, which may be wrapped; nil if there is
+// none.
+func tracked(nc net.Conn) *conn {
+	a, _ := nc.RemoteAddr().(remoteAddr)
+	return a.conn
+}
+
 // Read implements net.Conn.
 func (k *conn) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
@@ -183,9 +203,7 @@
 // Close implements net.Conn.
 func (k *conn) Close() error {
 	k.closer.mu.Lock()
-	if k.closer.conns[k.key] == k {
-		delete(k.closer.conns, k.key)
-	}
+	delete(k.closer.conns, k)
 	k.closer.mu.Unlock()
 	return errors.Trace(k.Conn.Close())
 }
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -228,3 +228,53 @@
 		}
 	}
 }
+
+// recordingConn is a connection with a given remote address that records its end.
+type recordingConn struct {
+	net.Conn
+	remote net.Addr
+	closed atomic.Bool
+}
+
+func (c *recordingConn) RemoteAddr() net.Addr       { return c.remote }
+func (c *recordingConn) Read(p []byte) (int, error) { p[0] = 'G'; return 1, nil }
+func (c *recordingConn) Close() error               { c.closed.Store(true); return nil }
+
+// queueListener accepts the given connections.
+type queueListener struct {
+	net.Listener
+	conns []net.Conn
+}
+
+func (l *queueListener) Accept() (net.Conn, error) {
+	c := l.conns[0]
+	l.conns = l.conns[1:]
+	return c, nil
+}
+
+// Guards against LOST: a caller resets its connection and uses the port again before the
+// server has noticed; the end of the earlier request marked the new connection as idle.
+func TestConnectionsFromOneAddressAreKeptApart(t *testing.T) {
+	remote := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 4711}
+	first, second := &recordingConn{remote: remote}, &recordingConn{remote: remote}
+	k := closer.New(systemclock.New())
+	l := k.Wrap(&queueListener{conns: []net.Conn{first, second}})
+	var accepted []net.Conn
+	for range 2 {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		accepted = append(accepted, c)
+	}
+	if left := k.CloseIdle(); left != 2 {
+		t.Errorf("%d connections are left, want 2", left)
+	}
+	k.ConnState(accepted[0], http.StateIdle)
+	if left := k.CloseIdle(); left != 1 || second.closed.Load() || !first.closed.Load() {
+		t.Errorf("%d connections are left; closed: %t, %t", left, first.closed.Load(), second.closed.Load())
+	}
+}
