--- a/internal/relayer/availability_test.go
+++ b/internal/relayer/availability_test.go
@@ -92,3 +92,38 @@
 		t.Errorf("%d requests were sent, %d before", b.sent(), sent)
 	}
 }
+
+// Guards against DRAIN: all upstreams of a service have said that they are leaving; none of them
+// is used as a last resort, and the request is refused as not run.
+func TestServiceWhoseUpstreamsAllLeaveIsNotServed(t *testing.T) {
+	script := answering("200 OK", "Mark: x\r\nLeaving: 1\r\n")
+	b := newFixture(t, script, script)
+	for range 2 {
+		if r := b.serve(t.Context(), "/safe/"); r.status != 200 {
+			t.Errorf("status %d, kind %s", r.status, r.kind)
+		}
+	}
+	for range 5 {
+		if r := b.serve(t.Context(), "/safe/"); r.kind != failure.NoUpstream || r.after <= 0 {
+			t.Errorf("status %d, kind %s, retry after %v", r.status, r.kind, r.after)
+		}
+	}
+	if b.sent() != 2 {
+		t.Errorf("%d requests were sent", b.sent())
+	}
+}
+
+// Guards against REFUSED: a request that has run at an upstream isn't refused as not run, though
+// all others have turned this node away.
+func TestRequestThatHasRunIsNotRefusedAsTurnedAway(t *testing.T) {
+	for path, want := range map[string]failure.Kind{"/safe/": failure.UpstreamFailed, "/unsafe/": failure.OutcomeUnknown} {
+		away := answering("503 Full", "Not-Run: 1\r\nTurn-Away: 30\r\n")
+		for range 8 { // the upstream that is asked first is random
+			b := newFixture(t, resetting, away)
+			r := b.serve(t.Context(), path)
+			if len(b.ups[0].Received()) == 1 && r.kind != want {
+				t.Errorf("%s: status %d, kind %s after the request has run", path, r.status, r.kind)
+			}
+		}
+	}
+}
