--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -14,7 +14,8 @@
 	minLaterRuns = 2
 	// clearCrashes is the number of crashes at which nothing sound is lost each time.
 	clearCrashes = 6
-	// vouchedFactor multiplies both for a suspect with which runs had succeeded before.
+	// vouchedFactor multiplies minCrashes and minLaterRuns for a suspect with which runs had
+	// succeeded before.
 	vouchedFactor = 2
 	// minShare is the share of all crashes since the first one that poison must account
 	// for, as its inverse.
