test(node): each case of streams under faults has a fleet of its own

Cause: the same as of refused_by_one. The cases share a fleet, their order is random, and failures of earlier cases had opened the breaker of the other engine.

Each case checks the same on its own two engines; faults of one case no longer reach the next.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -316,19 +316,17 @@
 		"silent for good": {SilentAfter: 2, Times: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 2, 1) // no circuit breaker is open because of other cases
 			for _, e := range d.engines {
 				e.SetFaults(f)
 			}
 			chat := testlib.NewChat("shared", name, 12)
 			r, err := d.caller(0).Chat(d.ctx, chat, nil)
 			d.requireComplete(r, err, chat)
-			for _, e := range d.engines {
-				e.SetFaults(engine.Faults{})
-			}
 		})
 	}
 	t.Run("refused by one", func(t *testing.T) {
-		d := deploy(t, 2, 1) // no circuit breaker is open because of the faults above
+		d := deploy(t, 2, 1) // no circuit breaker is open because of other cases
 		d.engines[0].SetFaults(engine.Faults{Refuse: true})
 		for i := range 6 {
 			chat := testlib.NewChat(fmt.Sprint("prefix ", i), "refused", 4)
