review: case 1 counts only channels that end without any answer

Cause: the rule speaks of channels closed without an answer; the case also counted streams that broke off in their middle. Change: the check is the rule as written; long prompts take an engine 1 s to read.

--- a/review/tool/engine.go
+++ b/review/tool/engine.go
@@ -18,6 +18,9 @@
 	engineSlots   = 64
 	eventCount    = 40
 	eventInterval = 100 * time.Millisecond
+	// longPrefill is the time to read a prompt of longBytes or more, about 36,000 tokens.
+	longPrefill = time.Second
+	longBytes   = 1 << 20
 )
 
 // engine is a sound model engine: it answers each request with a stream of events.
@@ -79,6 +82,14 @@
 	h.Set(translate.HeaderWeightVersions, "1")
 	h.Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	if n >= longBytes {
+		select {
+		case <-r.Context().Done():
+			e.record.printf("engine %s: the channel of %s was closed by the system before its first event", e.id, id)
+			return
+		case <-time.After(longPrefill):
+		}
+	}
 	events := eventCount
 	if s := r.URL.Query().Get("events"); s != "" {
 		events, _ = strconv.Atoi(s) // written by the requesters of this tool
--- a/review/tool/memory.go
+++ b/review/tool/memory.go
@@ -58,7 +58,7 @@
 	}
 	p := &memoryPlatform{fleet: f}
 	go p.watch()
-	var lost, served, others counter
+	var lost, cut, served, others counter
 	body := make([]byte, bodyBytes)
 	for i := range body {
 		body[i] = byte('a' + i%26)
@@ -91,8 +91,10 @@
 				switch {
 				case o.complete && o.status == 200:
 					served.add(1)
-				case o.closed && o.kept && passedOn && !p.losesPower(o.address):
+				case o.closed && o.kept && passedOn && !p.losesPower(o.address) && o.status == 0:
 					lost.add(1)
+				case o.closed && o.kept && passedOn && !p.losesPower(o.address):
+					cut.add(1)
 				default:
 					others.add(1)
 				}
@@ -108,7 +110,7 @@
 	users.Wait()
 	f.record.printf("served %d, ended otherwise %d; processes ended for their memory: %d; peak of a process %d MB of %d",
 		served.get(), others.get(), p.ends.get(), p.peakMB.get(), memoryMB)
-	f.record.printf("requests from kept channels, passed on to a sound engine, whose channel a machine in touch closed without a complete answer: %d (more than three break LOST)", lost.get())
+	f.record.printf("requests from kept channels, passed on to a sound engine, whose channel a machine in touch closed without an answer: %d (more than three break LOST); in the middle of the answer: %d", lost.get(), cut.get())
 	return lost.get() > 3, nil
 }
 
