--- a/review/2/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review -dir review/2 registration
+exec target/review -dir review/4 wall
