--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -31,6 +31,7 @@
 
 func run() int {
 	dir := flag.String("dir", ".", "folder of the case, for record.txt")
+	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	c, ok := cases[flag.Arg(0)]
 	if !ok {
@@ -49,7 +50,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		broken, err := c(f, os.Getenv("TROUBLE") != "0")
+		broken, err := c(f, *trouble)
 		done <- result{broken, err}
 	}()
 	stopped := make(chan os.Signal, 1)
--- a/review/tool/requester.go
+++ b/review/tool/requester.go
@@ -22,9 +22,9 @@
 	resolveTimeout = time.Second
 	dialTimeout    = time.Second
 	maxResolvers   = 3
-	// pieceBytes are sent each pieceTime: 3 MB a second.
+	// pieceBytes are sent each pieceTime: 2.2 MB a second at most.
 	pieceBytes = 64 << 10
-	pieceTime  = 20 * time.Millisecond
+	pieceTime  = 30 * time.Millisecond
 )
 
 var lastRequest atomic.Int64
