fix(relayer): others don't use what a workspace left in shared caches once it is isolated

Cause: the shared cache scope had one name in all configurations, so that what a workspace had put there before it became isolated stayed there. Class: a decision that holds for a set that changes is kept under a name that doesn't.

Change: pkg/scoper names the shared scope after the set of isolated workspaces. Whoever uses a scope isn't in its set, so no scope holds a part of a workspace that is isolated while the scope is used; this needs no state, whichever order changes come in and whichever nodes lag. The scopes of isolated workspaces have a prefix, so that no name equals a shared scope.

Weighed: a scope kept by prefix needs a record of who made what, which a restart forgets or the store has to keep; engines have no call that drops parts. The cost of this way: each change of the set makes all shared parts cold once, as new weights do.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -85,9 +85,7 @@
 		Pinned: !u.route.Repeatable() || u.route.MaxAttempts < 2 || u.runs > 0,
 	}
 	if q.Prompt != nil {
-		if u.workspace != nil && u.workspace.Isolated {
-			q.CacheScope = u.workspace.Name
-		}
+		q.CacheScope = u.view.Matcher.CacheScope(u.workspace)
 		if addr := u.view.Matcher.CacheStores().Pick(q.SharedPrefix()); addr != "" && !u.r.CacheDown(addr) {
 			q.CacheAddress, q.CacheTokens = addr, u.view.Matcher.CacheTokens()
 		}
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 
+	"github.com/auburnnotch/auburnnotch/pkg/scoper"
 	"github.com/auburnnotch/auburnnotch/pkg/sharder"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -18,6 +19,7 @@
 	workspacesByKey map[string]*traffic.Workspace
 	cacheStores     *sharder.Sharder
 	cacheTokens     int
+	scopes          scoper.Scoper
 }
 
 // New returns a Matcher for c.
@@ -26,6 +28,7 @@
 		catalog: c, routesByHost: map[string][]*traffic.Route{},
 		servicesByName:  make(map[string]*traffic.Service, len(c.Services)),
 		workspacesByKey: map[string]*traffic.Workspace{},
+		scopes:          scoper.New(c.Workspaces),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -81,6 +84,10 @@
 // Workspace returns the workspace that key belongs to, or nil if there is none.
 func (m *Matcher) Workspace(key string) *traffic.Workspace { return m.workspacesByKey[key] }
 
+// CacheScope returns the cache scope of w's prompts; w is nil for requests without a
+// workspace.
+func (m *Matcher) CacheScope(w *traffic.Workspace) string { return m.scopes.Scope(w) }
+
 // RequiresKey reports whether requests need an API key: they do if the catalog
 // has workspaces.
 func (m *Matcher) RequiresKey() bool { return len(m.catalog.Workspaces) > 0 }
