fix(relayer): a key that moves to another workspace before the send counts for its new one

The check right before the send allowed the new holder, but the header had been written for the old one.

Cause: the check compares the service, not what else the header was made of. Class: a permission is renewed, the act that it permits isn't.

Change: the check also compares workspace and cache scope; the request is placed anew.

Test: TestKeyThatMovesBeforeTheSendCountsForItsNewWorkspace was red (sent for workspace "a" with its scope).

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -85,7 +85,7 @@
 		Pinned: !u.route.Repeatable() || u.route.MaxAttempts < 2 || u.runs > 0,
 	}
 	if q.Prompt != nil {
-		q.CacheScope = u.view.Matcher.CacheScope(u.workspace)
+		q.CacheScope = u.cacheScope()
 		if addr := u.view.Matcher.CacheStores().Pick(q.SharedPrefix()); addr != "" && !u.r.CacheDown(addr) {
 			q.CacheAddress, q.CacheTokens = addr, u.view.Matcher.CacheTokens()
 		}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -30,14 +30,19 @@
 )
 
 // dialect is the protocol of the test upstreams.
-type dialect struct{}
+type dialect struct {
+	onAppend func() // called between the choice of an upstream and the send
+}
 
-func (dialect) AppendHeader(dst []byte, r *relayer.Request, a *relayer.Attempt) []byte {
+func (d *dialect) AppendHeader(dst []byte, r *relayer.Request, a *relayer.Attempt) []byte {
+	if d.onAppend != nil {
+		d.onAppend()
+	}
 	return fmt.Appendf(dst, "Id: %s\r\nUpstream: %s\r\nWorkspace: %s\r\nAfter: %s\r\nWait: %d\r\nSalt: %s\r\n",
 		r.ID, a.Upstream, a.Workspace, a.LastEventID, a.Remaining.Milliseconds(), a.Salt)
 }
 
-func (dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
+func (*dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
 	version, _ := strconv.Atoi(h.Get("Version"))
 	turnAway, _ := strconv.Atoi(h.Get("Turn-Away"))
 	return relayer.ResponseInfo{
@@ -106,11 +111,12 @@
 }
 
 type fixture struct {
-	relay *relayer.Relayer
-	fleet *fleet
-	boot  *testlib.Clock
-	ups   []*testlib.Upstream
-	hook  *logtest.Hook
+	relay   *relayer.Relayer
+	fleet   *fleet
+	dialect *dialect
+	boot    *testlib.Clock
+	ups     []*testlib.Upstream
+	hook    *logtest.Hook
 }
 
 const maxProofAge = 4 * time.Second
@@ -144,7 +150,7 @@
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
-	b := &fixture{fleet: &fleet{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook}
+	b := &fixture{fleet: &fleet{}, dialect: &dialect{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook}
 	conns := connector.New(clk)
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
@@ -152,7 +158,7 @@
 		DataCentre: "a", MaxProofAge: maxProofAge, VersionCutoff: time.Hour,
 		RetryBudget: retryBudget,
 	}, relayer.Dependencies{
-		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
+		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: b.dialect,
 		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var ups []traffic.Upstream
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -161,9 +161,9 @@
 
 func (u *relay) send(q *placer.Query) (*connector.Exchange, connector.Outcome, error) {
 	remaining := u.deadline.Sub(u.r.Clock.Now())
-	a := Attempt{Remaining: remaining, Upstream: u.choice.Upstream.ID, Priority: -1, LastEventID: u.lastEventID}
-	if u.workspace != nil {
-		a.Workspace = u.workspace.Name
+	a := Attempt{
+		Remaining: remaining, Upstream: u.choice.Upstream.ID, Workspace: u.workspaceName(),
+		Priority: -1, LastEventID: u.lastEventID,
 	}
 	if q.Prompt != nil {
 		a.Version = u.choice.Version
@@ -187,10 +187,11 @@
 
 // permit returns an error if the request must not be sent to the chosen upstream any
 // more. It is called right before the send: the process may have been suspended since the
-// upstream was chosen, and a key or the upstream may have been taken away meanwhile.
+// upstream was chosen, and a key or the upstream may have been taken away meanwhile, or the
+// key may belong to another workspace.
 func (u *relay) permit() error {
-	service := u.service
-	if u.checkSend() != failure.None || u.service != service {
+	service, workspace, scope := u.service, u.workspaceName(), u.cacheScope()
+	if u.checkSend() != failure.None || u.service != service || u.workspaceName() != workspace || u.cacheScope() != scope {
 		return errNotPermitted
 	}
 	u.r.mu.Lock()
@@ -214,12 +215,6 @@
 	return nil
 }
 
-// cacheSalt returns the salt that separates cached parts of different models,
-// versions and cache scopes. An isolated workspace has a cache scope of its own.
-func cacheSalt(model string, version int, cacheScope string) string {
-	return model + "." + strconv.Itoa(version) + "." + cacheScope
-}
-
 // priority maps the priorities of the workspace and the route to a priority of
 // the engines.
 func (u *relay) priority() int {
--- a/internal/relayer/scope_test.go
+++ b/internal/relayer/scope_test.go
@@ -48,3 +48,17 @@
 		t.Errorf("salt %q before the isolation; then %q of the isolated workspace and %q of the other", before, own, other)
 	}
 }
+
+// Guards against WALL: a key moved to another workspace between the choice of an upstream
+// and the send, and the request was sent for the workspace that had held it.
+func TestKeyThatMovesBeforeTheSendCountsForItsNewWorkspace(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	first := isolation(1, true)
+	first.Workspaces[0].Keys = []string{"moving"}
+	b.fleet.set(first, b.boot.Elapsed())
+	b.dialect.onAppend = func() { b.fleet.set(isolation(2, true, "moving"), b.boot.Elapsed()) }
+	salt, workspace := b.servePrompt(t, "moving")
+	if want, _ := b.servePrompt(t, "keyB"); workspace != "b" || salt != want {
+		t.Errorf("sent for workspace %q with salt %q, want b and %q", workspace, salt, want)
+	}
+}
