fix: a stopping node starts no request on a guess

What callers saw: a request that came after the SIGTERM was started and cut at the end of the grace, also one that may not be repeated. Cause: an estimate of 0 stood for 'unknown', so that a request of a route without responses of the last 10 s, or of a prompt whose route had only responses without token counts, always seemed to end in time. Unsafe requests and streams that can't be resumed were started on the estimate, too. Class: unknown counts as zero. Change: the estimator says whether it knows. A request whose time limit ends after the node starts only on a known estimate, and only if it may be repeated; others are refused at once (not run, Retry-After 50 ms, another connection).

--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -28,10 +28,18 @@
 	if _, stops := f.SignaledAt(); !stops {
 		return true
 	}
+	expected, known := u.estimate(now)
+	return f.MayStart(now, u.deadline, expected, known)
+}
+
+// estimate returns how long the request is expected to take, and whether the node may
+// rely on that: a request that may not be repeated is lost if it takes longer.
+func (u *relay) estimate(now time.Time) (expected time.Duration, known bool) {
 	u.r.mu.Lock()
-	u.expectedDuration = u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
-	u.r.mu.Unlock()
-	return f.MayStart(now, u.deadline, u.expectedDuration)
+	defer u.r.mu.Unlock()
+	expected, known = u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
+	u.expectedDuration = expected
+	return expected, known && u.route.Repeatable()
 }
 
 // recordDuration records how long the complete response took. The relayer's lock
--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -55,12 +55,12 @@
 // expected to take. It adds the longest time to a first event and the longest time per
 // token: the slowest requests are those still without a complete response, so an
 // average would be too short. If output is 0, which means unknown, it returns the
-// longest time of a complete response. Without recent samples to estimate from, it
-// returns 0.
-func (e *Estimator) Estimate(now time.Time, routeName string, output int) time.Duration {
+// longest time of a complete response. known is false without recent samples to
+// estimate from.
+func (e *Estimator) Estimate(now time.Time, routeName string, output int) (d time.Duration, known bool) {
 	r, ok := e.routes[routeName]
 	if !ok {
-		return 0
+		return 0, false
 	}
 	var whole, first, perToken time.Duration
 	for _, s := range r.samples {
@@ -68,15 +68,17 @@
 			continue
 		}
 		whole = max(whole, s.First+s.Rest)
+		known = known || output == 0
 		if s.MaxOutput > 0 {
+			known = true
 			first = max(first, s.First)
 			perToken = max(perToken, s.Rest/time.Duration(s.MaxOutput))
 		}
 	}
 	if output == 0 {
-		return whole
+		return whole, known
 	}
-	return first + perToken*time.Duration(output)
+	return first + perToken*time.Duration(output), known
 }
 
 // sweep removes the routes without recent samples.
--- a/pkg/estimator/estimator_test.go
+++ b/pkg/estimator/estimator_test.go
@@ -41,8 +41,9 @@
 			e.Record("r", s)
 		}
 		e.Record("other", stream(time.Hour, time.Hour, 1))
-		if got := e.Estimate(start.Add(c.after), "r", c.output); got != c.want {
-			t.Errorf("%s: estimate %v, want %v", c.name, got, c.want)
+		got, known := e.Estimate(start.Add(c.after), "r", c.output)
+		if got != c.want || known != (c.want > 0) {
+			t.Errorf("%s: estimate %v (known: %v), want %v", c.name, got, known, c.want)
 		}
 	}
 }
@@ -63,8 +64,19 @@
 func TestEstimateOfStreamsWithoutTokenCount(t *testing.T) {
 	e := estimator.New()
 	e.Record("r", estimator.Sample{At: start, First: 50 * time.Millisecond, Rest: 6 * time.Second})
-	if got, want := e.Estimate(start, "r", 0), 6050*time.Millisecond; got != want {
-		t.Errorf("estimate %v, want %v", got, want)
+	const want = 6050 * time.Millisecond
+	if got, known := e.Estimate(start, "r", 0); got != want || !known {
+		t.Errorf("estimate %v (known: %v), want %v", got, known, want)
+	}
+}
+
+// Guards against LOST: a stream of many tokens counted as expected to take no time, as
+// the recent responses of its route had no token counts.
+func TestEstimateIsUnknownWithoutTokenCounts(t *testing.T) {
+	e := estimator.New()
+	e.Record("r", estimator.Sample{At: start, First: 50 * time.Millisecond, Rest: 6 * time.Second})
+	if got, known := e.Estimate(start, "r", 900); known {
+		t.Errorf("estimate %v from responses without token counts", got)
 	}
 }
 
@@ -74,7 +86,7 @@
 	e := estimator.New()
 	e.Record("r", estimator.Sample{At: start, First: 50 * time.Millisecond, Rest: time.Second, MaxOutput: 100})
 	e.Record("r", estimator.Sample{At: start, First: 50 * time.Millisecond, Rest: time.Second})
-	if got := e.Estimate(start, "r", 100); got > 2*time.Second {
+	if got, known := e.Estimate(start, "r", 100); got > 2*time.Second || !known {
 		t.Errorf("estimate %v after two streams of 1.05 s", got)
 	}
 }
--- a/pkg/finisher/finisher.go
+++ b/pkg/finisher/finisher.go
@@ -19,16 +19,14 @@
 func (f Finisher) SignaledAt() (time.Time, bool) { return f.signaledAt, !f.signaledAt.IsZero() }
 
 // MayStart reports whether a request with the given deadline may start at now.
-// expected is how long requests of its kind and size take, 0 if unknown. A request
-// whose deadline isn't after the shutdown deadline may always start. Any other may
-// start only while callers can still have the node's address cached, and if it is
-// expected to end in time. A node that isn't in shutdown starts all requests.
-func (f Finisher) MayStart(now, deadline time.Time, expected time.Duration) bool {
-	switch {
-	case f.signaledAt.IsZero(), !deadline.After(f.shutdownDeadline):
+// expected is how long it is expected to take; known is false if that is unknown, or if
+// the request must not start on an estimate. A request whose deadline isn't after the
+// shutdown deadline may always start. Any other may start only while callers can still
+// have the node's address cached, and if it is expected to end in time. A node that
+// isn't in shutdown starts all requests.
+func (f Finisher) MayStart(now, deadline time.Time, expected time.Duration, known bool) bool {
+	if f.signaledAt.IsZero() || !deadline.After(f.shutdownDeadline) {
 		return true
-	case !now.Before(f.addressCachedUntil):
-		return false
 	}
-	return !now.Add(expected).After(f.shutdownDeadline)
+	return known && now.Before(f.addressCachedUntil) && !now.Add(expected).After(f.shutdownDeadline)
 }
