fix: a stopping node counts the queue and a pause of the engine

What callers saw: a stream that was expected to end just before the node did was cut. Cause: the expected duration had neither the queue at the upstream at hand nor a pause of a healthy engine, which may fall silent for a second or so.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -146,5 +146,9 @@
 // queuedPastDeadline reports whether the queueing delay at the chosen upstream
 // exceeds the time left until the request's deadline.
 func (u *relay) queuedPastDeadline(now time.Time, c placer.Choice) bool {
-	return time.Duration(c.QueueingDelayMS*float64(time.Millisecond)) > u.deadline.Sub(now)
+	return queueingDelay(c) > u.deadline.Sub(now)
+}
+
+func queueingDelay(c placer.Choice) time.Duration {
+	return time.Duration(c.QueueingDelayMS * float64(time.Millisecond))
 }
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -38,6 +38,9 @@
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
 	expected, known = u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
+	if known {
+		expected += queueingDelay(u.choice)
+	}
 	u.expectedDuration = expected
 	return expected, known && u.route.Repeatable()
 }
--- a/pkg/finisher/finisher.go
+++ b/pkg/finisher/finisher.go
@@ -6,7 +6,11 @@
 
 // Finisher holds the times of a graceful shutdown. It is an immutable value; the zero
 // value is for a node that isn't in shutdown.
-type Finisher struct{ signaledAt, addressCachedUntil, shutdownDeadline time.Time }
+type Finisher struct {
+	signaledAt, addressCachedUntil, shutdownDeadline time.Time
+
+	margin time.Duration
+}
 
 // New returns the Finisher of a node that was signaled to shut down at signaledAt.
 // Until addressCachedUntil, callers may still use the node's address. At
@@ -15,6 +19,12 @@
 	return Finisher{signaledAt: signaledAt, addressCachedUntil: addressCachedUntil, shutdownDeadline: shutdownDeadline}
 }
 
+// WithMargin returns a copy of f for requests that may take d longer than expected.
+func (f Finisher) WithMargin(d time.Duration) Finisher {
+	f.margin = d
+	return f
+}
+
 // SignaledAt returns when the node was signaled to shut down, and whether it was.
 func (f Finisher) SignaledAt() (time.Time, bool) { return f.signaledAt, !f.signaledAt.IsZero() }
 
@@ -28,5 +38,5 @@
 	if f.signaledAt.IsZero() || !deadline.After(f.shutdownDeadline) {
 		return true
 	}
-	return known && now.Before(f.addressCachedUntil) && !now.Add(expected).After(f.shutdownDeadline)
+	return known && now.Before(f.addressCachedUntil) && !now.Add(expected+f.margin).After(f.shutdownDeadline)
 }
--- a/pkg/finisher/finisher_test.go
+++ b/pkg/finisher/finisher_test.go
@@ -42,6 +42,25 @@
 	}
 }
 
+// Guards against LOST: a request was started that was expected to end just in time, and
+// its engine paused.
+func TestExpectedDurationHasMargin(t *testing.T) {
+	const (
+		gracePeriod = 7 * time.Second
+		margin      = time.Second
+		limit       = 15 * time.Second
+	)
+	f := finisher.New(signaledAt, signaledAt.Add(gracePeriod), signaledAt.Add(gracePeriod)).WithMargin(margin)
+	for expected, want := range map[time.Duration]bool{gracePeriod - margin: true, gracePeriod - margin + 1: false} {
+		if got := f.MayStart(signaledAt, signaledAt.Add(limit), expected, true); got != want {
+			t.Errorf("expected to take %v of %v: MayStart = %v", expected, gracePeriod, got)
+		}
+	}
+	if !f.MayStart(signaledAt, signaledAt.Add(gracePeriod), gracePeriod, true) {
+		t.Error("a request whose deadline is in time needs no margin")
+	}
+}
+
 func TestRunningNodeStartsAllRequests(t *testing.T) {
 	var f finisher.Finisher
 	if _, ok := f.SignaledAt(); ok || !f.MayStart(signaledAt, signaledAt.Add(time.Hour), time.Hour, false) {
