fix: a stopping node compares each attempt with the time that is left

What callers saw: a request whose first attempt broke near the end of a stop was sent once more and answered 502 only when the node was cut off; and a server error was passed on after the first 3 s of a stop though a retry would have ended in time. Cause: the time that is left was compared at the first attempt alone, and a retry after a server error was judged as a new request, which needs callers that still have the address. Class: work is begun whose longest time is known, without comparing it with the time that the one who carries it has left. Change: Finisher.MayRetry is MayStart without the condition on addresses, for all attempts after a run. A stream that has begun is still resumed: it can't end otherwise.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -65,6 +65,10 @@
 		u.reason = "request may not finish before the node shuts down"
 		return failure.Draining
 	}
+	if u.runs > 0 && !u.mayFinish(now) {
+		u.reason = "a further attempt may not finish before the node shuts down"
+		return failure.UpstreamFailed
+	}
 	if !u.serviceRouted() {
 		u.service = u.pickService()
 	}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -430,7 +430,7 @@
 // budget. Otherwise the response at hand is kept.
 func (u *relay) canRetry() bool {
 	now := u.r.Clock.Now()
-	if u.deadline.Sub(now) < u.route.LatencyObjective/2 || !u.mayStart(now) {
+	if u.deadline.Sub(now) < u.route.LatencyObjective/2 || !u.mayFinish(now) {
 		return false
 	}
 	q := u.placementQuery()
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -21,8 +21,8 @@
 	return finisher.Finisher{}
 }
 
-// mayStart reports whether the request may be sent. During graceful shutdown
-// that depends on its deadline and its expected duration.
+// mayStart reports whether the request may be sent for the first time. During graceful
+// shutdown that depends on its deadline and its expected duration.
 func (u *relay) mayStart(now time.Time) bool {
 	f := u.r.shutdownSchedule()
 	if _, stops := f.SignaledAt(); !stops {
@@ -32,6 +32,17 @@
 	return f.MayStart(now, u.deadline, expected, known)
 }
 
+// mayFinish reports whether a further attempt may be made. During graceful shutdown it
+// must be expected to end in time, unless it resumes a stream, which can't end otherwise.
+func (u *relay) mayFinish(now time.Time) bool {
+	f := u.r.shutdownSchedule()
+	if _, stops := f.SignaledAt(); !stops || u.responseStarted {
+		return true
+	}
+	expected, known := u.estimate(now)
+	return f.MayRetry(now, u.deadline, expected, known)
+}
+
 // estimate returns how long the request is expected to take, and whether the node may
 // rely on that: a request that may not be repeated is lost if it takes longer.
 func (u *relay) estimate(now time.Time) (expected time.Duration, known bool) {
--- a/pkg/finisher/finisher.go
+++ b/pkg/finisher/finisher.go
@@ -38,5 +38,14 @@
 	if f.signaledAt.IsZero() || !deadline.After(f.shutdownDeadline) {
 		return true
 	}
-	return known && now.Before(f.addressCachedUntil) && !now.Add(expected+f.margin).After(f.shutdownDeadline)
+	return now.Before(f.addressCachedUntil) && f.MayRetry(now, deadline, expected, known)
+}
+
+// MayRetry reports whether a request that the node has started earlier may be sent once
+// more at now. It is MayStart without the condition on callers' addresses.
+func (f Finisher) MayRetry(now, deadline time.Time, expected time.Duration, known bool) bool {
+	if f.signaledAt.IsZero() || !deadline.After(f.shutdownDeadline) {
+		return true
+	}
+	return known && !now.Add(expected+f.margin).After(f.shutdownDeadline)
 }
--- a/pkg/finisher/finisher_test.go
+++ b/pkg/finisher/finisher_test.go
@@ -20,25 +20,29 @@
 	for _, c := range []struct {
 		name                string
 		at, limit, expected time.Duration // limit is the deadline relative to at
-		known, want         bool
+		known               bool
+		start, retry        bool
 	}{
-		{"deadline in time", time.Second, 5 * time.Second, 0, false, true},
-		{"deadline in time, expected to take longer", time.Second, 5 * time.Second, 20 * time.Second, true, true},
-		{"unknown duration", time.Second, 15 * time.Second, 0, false, false},
-		{"must not start on an estimate", time.Second, 15 * time.Second, time.Millisecond, false, false},
-		{"expected to end in time", time.Second, 15 * time.Second, 6 * time.Second, true, true},
-		{"expected to end too late", time.Second, 15 * time.Second, 6*time.Second + 1, true, false},
-		{"just before cached addresses expire", addressCachedFor - 1, 15 * time.Second, 4 * time.Second, true, true},
-		{"after cached addresses expired, deadline too late", addressCachedFor, 15 * time.Second, time.Second, true, false},
-		{"after cached addresses expired, unknown duration", addressCachedFor, 15 * time.Second, 0, false, false},
-		{"after cached addresses expired, deadline in time", addressCachedFor, 4 * time.Second, 0, false, true},
-		{"near the shutdown deadline, deadline in time", 6 * time.Second, time.Second, 0, false, true},
-		{"near the shutdown deadline, deadline too late", 6 * time.Second, time.Second + 1, 0, true, false},
+		{"deadline in time", time.Second, 5 * time.Second, 0, false, true, true},
+		{"deadline in time, expected to take longer", time.Second, 5 * time.Second, 20 * time.Second, true, true, true},
+		{"unknown duration", time.Second, 15 * time.Second, 0, false, false, false},
+		{"must not start on an estimate", time.Second, 15 * time.Second, time.Millisecond, false, false, false},
+		{"expected to end in time", time.Second, 15 * time.Second, 6 * time.Second, true, true, true},
+		{"expected to end too late", time.Second, 15 * time.Second, 6*time.Second + 1, true, false, false},
+		{"just before cached addresses expire", addressCachedFor - 1, 15 * time.Second, 4 * time.Second, true, true, true},
+		{"after cached addresses expired, deadline too late", addressCachedFor, 15 * time.Second, time.Second, true, false, true},
+		{"after cached addresses expired, unknown duration", addressCachedFor, 15 * time.Second, 0, false, false, false},
+		{"after cached addresses expired, deadline in time", addressCachedFor, 4 * time.Second, 0, false, true, true},
+		{"near the shutdown deadline, deadline in time", 6 * time.Second, time.Second, 0, false, true, true},
+		{"near the shutdown deadline, deadline too late", 6 * time.Second, time.Second + 1, 0, true, false, true},
 	} {
 		now := signaledAt.Add(c.at)
-		if got := f.MayStart(now, now.Add(c.limit), c.expected, c.known); got != c.want {
+		if got := f.MayStart(now, now.Add(c.limit), c.expected, c.known); got != c.start {
 			t.Errorf("%s: MayStart = %v", c.name, got)
 		}
+		if got := f.MayRetry(now, now.Add(c.limit), c.expected, c.known); got != c.retry {
+			t.Errorf("%s: MayRetry = %v", c.name, got)
+		}
 	}
 }
 
@@ -63,7 +67,8 @@
 
 func TestRunningNodeStartsAllRequests(t *testing.T) {
 	var f finisher.Finisher
-	if _, ok := f.SignaledAt(); ok || !f.MayStart(signaledAt, signaledAt.Add(time.Hour), time.Hour, false) {
+	if _, ok := f.SignaledAt(); ok || !f.MayStart(signaledAt, signaledAt.Add(time.Hour), time.Hour, false) ||
+		!f.MayRetry(signaledAt, signaledAt.Add(time.Hour), time.Hour, false) {
 		t.Error("a running node acts as if it were in shutdown")
 	}
 }
