test: a stop, a change of the routes and a retry at once

Each request gets one answer or refusal, and none that was refused as not run has run, or ran later.

--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
@@ -100,3 +103,105 @@
 		t.Errorf("status %d, %v", r.status, r.kind)
 	}
 }
+
+// runLog records the IDs of the requests that upstreams ran, and of those that were
+// refused as not run.
+type runLog struct {
+	mu      sync.Mutex
+	ran     map[string]int
+	refused map[string]failure.Kind
+}
+
+func (l *runLog) record(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran[id]++
+}
+
+func (l *runLog) recordRefusal(id string, k failure.Kind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused[id] = k
+}
+
+// randomScript returns a script with a random outcome for each request, after a random
+// pause, and records the requests that it runs.
+func (l *runLog) randomScript(seed uint64) testlib.Script {
+	var mu sync.Mutex
+	rnd := rand.New(rand.NewPCG(seed, 34))
+	outcomes := []testlib.Script{refusing, resetting, failing, unstamped, streaming(2), streaming(0), ok, ok}
+	return func(conn net.Conn, r testlib.Received) bool {
+		mu.Lock()
+		n, pause := rnd.IntN(len(outcomes)), time.Duration(rnd.IntN(30))*time.Millisecond
+		mu.Unlock()
+		time.Sleep(pause)
+		if n > 0 {
+			l.record(r.Header.Get("Id"))
+		}
+		return outcomes[n](conn, r)
+	}
+}
+
+// Guards against LOST: a stop, a change of the routes and a retry at once left a request
+// without an answer, or with an untrue refusal.
+func TestRequestsAreAnsweredWhileRoutesChangeDuringShutdown(t *testing.T) {
+	const (
+		rounds   = 25
+		callers  = 16
+		requests = 4 // of each caller in each round
+	)
+	rnd := rand.New(rand.NewPCG(34, 1))
+	log := &runLog{ran: map[string]int{}, refused: map[string]failure.Kind{}}
+	b := newFixture(t, log.randomScript(1), log.randomScript(2), log.randomScript(3))
+	for round := range rounds {
+		ctx, cutOff := context.WithCancelCause(context.Background())
+		b.relay.BeginShutdown(finisher.Finisher{})
+		b.fleet.set(catalog(uint64(round+1), "key"), b.boot.Elapsed())
+		var asks, changes sync.WaitGroup
+		for caller := range callers {
+			rnd := rand.New(rand.NewPCG(uint64(round), uint64(100+caller)))
+			asks.Go(func() {
+				for i := range requests {
+					path := []string{"/safe/", "/unsafe/", "/stream/", "/once/"}[rnd.IntN(4)]
+					time.Sleep(time.Duration(rnd.IntN(15)) * time.Millisecond)
+					r := &reply{}
+					id := fmt.Sprint(round, "-", caller, "-", i)
+					b.relay.Serve(ctx, &relayer.Request{
+						ID: id, Method: "POST", Target: path, Path: path, Host: "h", Key: "key", Body: []byte("body"),
+						Timeout: time.Duration(20+rnd.IntN(400)) * time.Millisecond, Arrived: time.Now(),
+					}, r)
+					switch {
+					case r.starts != 1:
+						t.Errorf("%s %s: %d responses were started", path, id, r.starts)
+					case r.kind == failure.CallerGone:
+						t.Errorf("%s %s: the caller was taken for gone", path, id)
+					case r.aborted && r.status == 0:
+						t.Errorf("%s %s: the connection was closed without an answer", path, id)
+					case r.status == 0 && r.kind.Response().Verdict == failure.NotRun:
+						log.recordRefusal(id, r.kind)
+					}
+				}
+			})
+		}
+		changes.Go(func() {
+			begin, left := time.Duration(rnd.IntN(30))*time.Millisecond, time.Duration(20+rnd.IntN(50))*time.Millisecond
+			time.Sleep(begin)
+			now := time.Now()
+			b.relay.BeginShutdown(finisher.New(now, now.Add(left/2), now.Add(left)).WithMargin(left / 10))
+			for version := uint64(1); time.Since(now) < left; version++ {
+				b.fleet.set(randomCatalog(rnd, version), b.boot.Elapsed())
+				time.Sleep(2 * time.Millisecond)
+			}
+			cutOff(relayer.ErrShutdownDeadline)
+		})
+		asks.Wait()
+		changes.Wait()
+	}
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	for id, k := range log.refused {
+		if n := log.ran[id]; n > 0 {
+			t.Errorf("%s: refused as not run (%v), ran %d times", id, k, n)
+		}
+	}
+}
