--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -65,6 +65,10 @@
 		u.reason = "request may not finish before the node shuts down"
 		return failure.Draining
 	}
+	if u.runs > 0 && !u.mayFinish(now) {
+		u.reason = "a further attempt may not finish before the node shuts down"
+		return failure.UpstreamFailed
+	}
 	if !u.serviceRouted() {
 		u.service = u.pickService()
 	}
@@ -144,5 +148,9 @@
 // queuedPastDeadline reports whether the queueing delay at the chosen upstream
 // exceeds the time left until the request's deadline.
 func (u *relay) queuedPastDeadline(now time.Time, c placer.Choice) bool {
-	return time.Duration(c.QueueingDelayMS*float64(time.Millisecond)) > u.deadline.Sub(now)
+	return queueingDelay(c) > u.deadline.Sub(now)
+}
+
+func queueingDelay(c placer.Choice) time.Duration {
+	return time.Duration(c.QueueingDelayMS * float64(time.Millisecond))
 }
