--- a/pkg/failure/failure.go
+++ b/pkg/failure/failure.go
@@ -37,6 +37,7 @@
 	ConfigStale
 	CallerGone
 	Internal
+	RequestTimeout
 	kindCount
 )
 
@@ -86,6 +87,7 @@
 	ConfigStale:    {Name: "configStale", Status: 503, Verdict: NotRun, RetryAfter: time.Second},
 	CallerGone:     {Name: "callerGone", Status: 499, Verdict: Unknown},
 	Internal:       {Name: "internal", Status: 500, Verdict: Unknown},
+	RequestTimeout: {Name: "requestTimeout", Status: 408, Verdict: NotRun},
 }
 
 // Response returns the response for k. A value outside the set is treated as
