fix: a reset that the write met was taken for the end of a response

An upstream that answers before it has read a long body, with neither a length nor chunks, and ends within its answer: the caller got the part that had come as a complete response (MIXED). The kernel reports a reset once, here to the write of the rest of the request; the read after it finds an ordinary end of the connection. Class of fault: an end that is judged by one of the two calls that may learn of it.

Now such a response counts as broken if the request couldn't be written to its end. Responses with a length or chunks tell their end themselves and are kept.

TestResetMetByWriteIsNoEndOfBody: 20 of 20 exchanges were complete with half a body before, none now. TestCutResponseIsNeverComplete cuts 11 forms of responses (lengths, chunks, trailers, interim responses, folded lines, until close, HTTP/1.0) after each byte, with a close and with a reset; it passed before, so that the head's parsing is ruled out.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -115,9 +115,15 @@
 	if err != nil {
 		return nil, true, errors.Annotate(firstError(writeErr, err), "read response header")
 	}
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if writeErr != nil && endsWithConnection {
+		// The kernel reports a reset once. The write has met it, so that the end of the
+		// body couldn't be told from an ordinary one.
+		return nil, true, errors.Annotate(writeErr, "send request")
+	}
 	return &Exchange{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, connector: c, conn: cn,
+		EndsWithConnection: endsWithConnection, connector: c, conn: cn,
 		body: resp.Body, closeAfter: resp.Close || writeErr != nil,
 	}, true, nil
 }
