fix: on serve, too, a reset that the write met was taken for the end of a response

The same fault as in internal/connector, for the product's own upstreams: the transport writes and reads in two goroutines, and the one that meets the reset takes it from the other. Now a connection remembers that a write failed, and its end is then no ordinary one.

--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -82,7 +82,7 @@
 func New(clk clock.Clock) *Upstreamer {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleConnTimeout}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleConnTimeout,
+		DialContext: dialContext(dialer), MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleConnTimeout,
 		DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 		MaxResponseHeaderBytes: limitreader.MaxHeaderBytes,
 	}
