fix: on serve, too, a body that stalls ends at its deadline

A caller that sent a part of its body kept its request, and a graceful shutdown, for as long as its connection lasted; one without a key or with a body that was too long didn't get its refusal until it had sent the rest. Class of fault: an input without a time limit.

The body's reading ends at the request's deadline with 408 (not run). A refusal before the body's end closes the connection, after reading on for half a second.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -166,7 +166,12 @@
 		return
 	}
 	f.awaitConfig(r.Context())
-	j, err := f.parse(r)
+	j, err := f.receive(w, r)
+	if err != nil {
+		f.closeUnread(w, r)
+	} else {
+		err = f.parse(r, j)
+	}
 	if err != nil {
 		k, msg := asFailure(err)
 		f.refuse(w, uuid.NewString(), k, msg)
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -57,8 +57,9 @@
 	maxIdempotencyKeyLength = 255
 )
 
-// parse validates a caller's request. Its errors have a failure.Kind.
-func (f *Front) parse(r *http.Request) (*job, error) {
+// receive reads a caller's request, as far as it needs no knowledge of its path. Its errors
+// have a failure.Kind; a part of the body may then be unread.
+func (f *Front) receive(w http.ResponseWriter, r *http.Request) (*job, error) {
 	c := f.config.Current()
 	if c == nil {
 		return nil, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
@@ -72,12 +73,18 @@
 		id: uuid.NewString(), acceptedAt: f.clk.Now(), key: key, workspace: ws,
 		method: r.Method, contentType: r.Header.Get("Content-Type"),
 	}
-	if err := f.readBody(r, j); err != nil {
+	if err := f.setDeadline(r, j); err != nil {
 		return nil, err
 	}
-	if err := f.setDeadline(r, j); err != nil {
+	if err := f.readBodyInTime(w, r, j); err != nil {
 		return nil, err
 	}
+	return j, nil
+}
+
+// parse validates a request that was received. Its errors have a failure.Kind.
+func (f *Front) parse(r *http.Request, j *job) error {
+	c := f.config.Current()
 	service, rest, isService := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
 	var err error
 	if isService && strings.HasPrefix(r.URL.Path, "/v1/services/") {
@@ -86,10 +93,10 @@
 		err = f.parseCompletion(c, r, j)
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
-	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(ws.Name+j.path) ^ xxhash.Sum64(j.body))
-	return j, nil
+	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(j.workspace.Name+j.path) ^ xxhash.Sum64(j.body))
+	return nil
 }
 
 // isAuthorized reports whether the key of j is still one of its workspace.
