fix: on serve, a caller taken for gone got an empty 200

A caller that closes its sending side after its request counts as gone, since HTTP can't tell it from one that left. The handler then returned without a word, which net/http completes: an empty 200 with a length of 0, or the end of a stream's chunks after a part of it. Callers took that for the upstream's whole response. Class of fault: no answer is an answer, to the library underneath.

Now the connection is closed without one, as on the platform's path. A large answer has its length, so that a cut one can't look complete to callers without chunks.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -163,7 +163,7 @@
 // handleCall serves a completion request or a service call.
 func (f *Front) handleCall(w http.ResponseWriter, r *http.Request) {
 	if err := f.members.AwaitPeers(r.Context()); err != nil {
-		return
+		panic(http.ErrAbortHandler) // the caller is gone; a return would answer 200
 	}
 	f.awaitConfig(r.Context())
 	j, err := f.receive(w, r)
@@ -177,7 +177,13 @@
 		f.refuse(w, uuid.NewString(), k, msg)
 		return
 	}
-	f.newRunner(w, r, j).serve()
+	call := f.newRunner(w, r, j)
+	call.serve()
+	if call.callerGone {
+		// A return would answer 200, or end a stream as if it were complete. A caller that has
+		// closed its sending side only would take that for the upstream's response.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // awaitConfig waits briefly for a node that has just started to receive the
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -120,6 +120,9 @@
 	} else {
 		h.Set(wire.HeaderUpstream, r.send.Target.Upstream)
 	}
+	if len(a.Body) > 0 { // without a length or chunks, a cut answer would look complete
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
 	r.w.WriteHeader(a.Status)
 	for part := range slices.Chunk(a.Body, answerPartBytes) {
 		r.extendWriteDeadline()
@@ -137,6 +140,7 @@
 // an error response otherwise.
 func (r *runner) fail(k failure.Kind) {
 	if k == failure.CallerGone {
+		r.callerGone = true
 		r.log.WithField("event", "callerGone").Info("caller closed its connection")
 		return
 	}
--- a/internal/front/recoverer.go
+++ b/internal/front/recoverer.go
@@ -31,7 +31,8 @@
 // Unwrap returns the wrapped writer, for http.ResponseController.
 func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// recoverer answers requests whose handler panics. A response that has begun is cut.
+// recoverer answers requests whose handler panics. A response that has begun is cut, as is
+// that of a handler that panics with http.ErrAbortHandler.
 func (f *Front) recoverer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w := &startedWriter{ResponseWriter: rw}
@@ -40,6 +41,9 @@
 			if v == nil {
 				return
 			}
+			if v == http.ErrAbortHandler {
+				panic(v)
+			}
 			id := uuid.NewString()
 			f.log.WithFields(logrus.Fields{"event": "handlerPanic", "request": id, "panic": v, "stack": string(debug.Stack())}).
 				Error("panic while handling a request")
