--- a/internal/front/recoverer.go
+++ b/internal/front/recoverer.go
@@ -53,5 +53,8 @@
 			f.refuse(w, id, failure.Internal, "internal error; whether the request has run is unknown")
 		}()
 		next.ServeHTTP(w, r)
+		if !w.started { // the server would answer 200
+			panic("request ended without a response")
+		}
 	})
 }
--- a/internal/front/recoverer_test.go
+++ b/internal/front/recoverer_test.go
@@ -48,3 +48,25 @@
 		t.Errorf("a response that a panic cut looks complete: %q", body)
 	}
 }
+
+// Guards against MIXED: a handler that returned without a response gave its caller an empty
+// 200.
+func TestMissingResponseIsNoSuccess(t *testing.T) {
+	log, lines := logtest.NewNullLogger()
+	metrics := meter.New()
+	defer metrics.Close()
+	f := &Front{log: log, meter: metrics}
+	server := httptest.NewServer(f.recoverer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+	defer server.Close()
+	resp, err := http.Get(server.URL + "/")
+	if err != nil {
+		t.Fatalf("connection ended without a response: %v", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusInternalServerError {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if e := lines.AllEntries(); len(e) == 0 || e[0].Data["event"] != "handlerPanic" {
+		t.Errorf("log lines: %v", e)
+	}
+}
