fix: a panic of one request harms no other

A panic with an attempt at hand left the request counted as running at its upstream for good, so that the node placed less there; one while the relayer's lock was held outside a deferred unlock kept the lock, and with it each request of the node: read, and neither answered nor refused (LOST). Class of fault: state of all requests that one changes in two steps.

Now each section with the lock unlocks deferred, an attempt at hand is ended on each way out of a request, and so is a question to the placement coordinator; on serve a run at hand.

The scheduler of serve runs in a goroutine of its own, where a panic ends the process: by reading, not changed. No panic of ours is known.

--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// release releases the slot of the request and its first pick, if that was not
-// used.
+// release releases the slot of the request, its first pick, if that was not used, and
+// after a panic its run.
 func (r *runner) release() {
+	r.endRun(scheduler.Result{Refused: true})
 	if r.firstPick != nil && r.firstPick.Found() {
 		r.f.sched.RecordEnd(r.firstPick.Run, scheduler.Result{Refused: true})
 	}
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -63,9 +63,7 @@
 	if sum == 0 {
 		return ""
 	}
-	u.r.mu.Lock()
-	n := u.r.Rand.IntN(sum)
-	u.r.mu.Unlock()
+	n := u.r.randomBelow(sum)
 	for _, t := range targets {
 		if n -= max(0, t.Weight); n < 0 {
 			return t.Service
@@ -74,6 +72,12 @@
 	return ""
 }
 
+func (r *Relayer) randomBelow(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Rand.IntN(n)
+}
+
 // serviceRouted reports whether the route still includes the request's service.
 func (u *relay) serviceRouted() bool {
 	for _, t := range u.route.Targets {
--- a/internal/relayer/advised_test.go
+++ b/internal/relayer/advised_test.go
@@ -107,3 +107,18 @@
 		t.Errorf("the log line lacks the node that found no capacity: %v", e.Data)
 	}
 }
+
+// Guards against load that is counted twice for good: a question whose asking panicked stayed
+// open, so that no later one was reported as settled.
+func TestQuestionOfPanickedRequestIsSettled(t *testing.T) {
+	b := newFixture(t, ok)
+	g := &fakeAdviser{key: placer.Key("u0@1"), verdict: placer.Placed, onAsk: func() { panic("broken adviser") }}
+	b.relay.Adviser = g
+	func() {
+		defer func() { _ = recover() }()
+		servePrompt(b)
+	}()
+	if after := b.relay.TakeReport().Settled; len(g.asked) != 1 || after < g.asked[0] {
+		t.Errorf("questions %v, up to %d reported as settled", g.asked, after)
+	}
+}
--- a/internal/relayer/availability.go
+++ b/internal/relayer/availability.go
@@ -12,17 +12,21 @@
 	if !a.Leaving && a.TurnAway <= 0 || u.isOtherUpstream(a) {
 		return
 	}
-	inc := u.choice.Incarnation()
-	u.r.mu.Lock()
-	u.r.placer.RecordTurnAway(u.r.Clock.Now(), inc, a.TurnAway)
-	isNew := a.Leaving && u.r.placer.RecordLeaving(inc)
-	if isNew {
-		u.r.leaving = append(u.r.leaving, placer.Key(inc))
+	if u.r.recordAvailability(u.choice.Incarnation(), a) {
+		u.logEntry("upstreamLeaving").Info("upstream says that it is leaving; sending it no new requests")
 	}
-	u.r.mu.Unlock()
+}
+
+// recordAvailability reports whether it is new that the incarnation is leaving.
+func (r *Relayer) recordAvailability(incarnation string, a ResponseInfo) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.placer.RecordTurnAway(r.Clock.Now(), incarnation, a.TurnAway)
+	isNew := a.Leaving && r.placer.RecordLeaving(incarnation)
 	if isNew {
-		u.logEntry("upstreamLeaving").Info("upstream says that it is leaving; sending it no new requests")
+		r.leaving = append(r.leaving, placer.Key(incarnation))
 	}
+	return isNew
 }
 
 // allTurnedAway returns after which time the first upstream takes requests of this node again,
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -18,10 +18,9 @@
 			return placer.Query{}, false
 		}
 		q := u.placementQuery()
-		c, ok, budget := u.reserveUpstream(&q)
+		ok, budget := u.reserveUpstream(&q)
 		switch {
 		case ok:
-			u.choice = c
 			return q, true
 		case !budget:
 			u.reason = "retry budget exhausted"
@@ -102,7 +101,8 @@
 
 // reserveUpstream selects an upstream and counts the send there. budget is false
 // if the retry budget is exhausted.
-func (u *relay) reserveUpstream(q *placer.Query) (c placer.Choice, ok, budget bool) {
+func (u *relay) reserveUpstream(q *placer.Query) (ok, budget bool) {
+	var c placer.Choice
 	advice, verdict, settle := u.askAdviser(q)
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
@@ -116,12 +116,13 @@
 		c, ok = u.r.placer.Pick(now, q)
 	}
 	if !ok || u.queuedPastDeadline(now, c) {
-		return c, false, true
+		return false, true
 	}
 	if u.sends > 0 && !u.r.retryBudget(u.service).Allow(now, u.view.Nodes) {
-		return c, false, false
+		return false, false
 	}
-	return u.r.placer.RecordSend(now, c, q), true, true
+	u.choice, u.running = u.r.placer.RecordSend(now, c, q), true
+	return true, true
 }
 
 // askAdviser asks the placement coordinator where to send a prompt. The caller
@@ -132,17 +133,31 @@
 		return advice, placer.Unanswered, func() {}
 	}
 	asked := *q
-	u.r.mu.Lock()
-	u.r.lastQuestion++
-	id := u.r.lastQuestion
-	u.r.openQuestions[id] = struct{}{}
-	asked.Tripped = u.r.placer.Tripped(u.r.Clock.Now())
-	asked.Unavailable = u.r.placer.Unavailable(u.r.Clock.Now(), q.Service)
-	u.r.mu.Unlock()
+	id := u.r.openQuestion(&asked)
+	answered := false
+	defer func() {
+		if !answered { // a panic
+			u.r.mu.Lock()
+			defer u.r.mu.Unlock()
+			delete(u.r.openQuestions, id)
+		}
+	}()
 	advice, v = u.r.Adviser.Ask(u.ctx, id, &asked)
+	answered = true
 	return advice, v, func() { delete(u.r.openQuestions, id) }
 }
 
+// openQuestion completes a question to the placement coordinator and returns its number.
+func (r *Relayer) openQuestion(q *placer.Query) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	q.Tripped, q.Unavailable = r.placer.Tripped(now), r.placer.Unavailable(now, q.Service)
+	r.lastQuestion++
+	r.openQuestions[r.lastQuestion] = struct{}{}
+	return r.lastQuestion
+}
+
 // queuedPastDeadline reports whether the queueing delay at the chosen upstream
 // exceeds the time left until the request's deadline.
 func (u *relay) queuedPastDeadline(now time.Time, c placer.Choice) bool {
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -73,6 +73,7 @@
 	lastEventID       string // ID of the last event forwarded that has one
 	resumable         bool   // the last event forwarded has an ID
 	choice            placer.Choice
+	running           bool   // the request counts as running at the chosen upstream
 	advised           bool   // the choice follows the advice of the placement coordinator
 	adviser           string // node that answered the last question, if any
 	firstEventSeen    bool   // the current attempt has returned its first event
@@ -100,6 +101,7 @@
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
+	defer u.endRun() // after a panic
 	u.r.recordRequest(u.service)
 	for u.attempt() {
 	}
@@ -267,10 +269,18 @@
 func (u *relay) endAttempt(f func(p *placer.Placer, c placer.Choice)) {
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
+	u.running = false
 	u.r.placer.RecordEnd(u.choice, u.firstEventSeen)
 	f(u.r.placer, u.choice)
 }
 
+// endRun ends an attempt at hand.
+func (u *relay) endRun() {
+	if u.running {
+		u.endAttempt(func(*placer.Placer, placer.Choice) {})
+	}
+}
+
 // handleUnreachable handles an attempt of which nothing was sent and reports
 // whether to make another one.
 func (u *relay) handleUnreachable(err error) bool {
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -28,12 +28,17 @@
 	if _, stops := f.SignaledAt(); !stops {
 		return true
 	}
-	u.r.mu.Lock()
-	u.expectedDuration = u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
-	u.r.mu.Unlock()
+	u.expectedDuration = u.estimate(now)
 	return f.MayStart(now, u.deadline, u.expectedDuration)
 }
 
+// estimate returns how long the request may take, as far as is known.
+func (u *relay) estimate(now time.Time) time.Duration {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	return u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
+}
+
 // recordDuration records how long the complete response took. The relayer's lock
 // must be held.
 func (u *relay) recordDuration() {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -102,16 +102,7 @@
 // writeEvents forwards complete events to the caller.
 func (u *relay) writeEvents(x *connector.Exchange, b []byte, events eventSummary) error {
 	now := u.r.Clock.Now()
-	u.r.mu.Lock()
-	u.r.placer.RecordActivity(now, u.choice)
-	if !u.firstEventSeen {
-		u.r.placer.RecordFirstEvent(u.choice)
-	}
-	u.r.mu.Unlock()
-	if !u.firstEventSeen {
-		u.firstEventSeen = true
-		u.timeToFirstEvent = now.Sub(u.sentAt)
-	}
+	u.recordEvent(now)
 	if !u.responseStarted {
 		u.responseStarted, u.responseStartedAt = true, now
 		u.recorder().RecordFirstToken(u.r.Clock.Now().Sub(u.req.Arrived))
@@ -125,6 +116,18 @@
 	return u.w.Write(b)
 }
 
+// recordEvent records that events have arrived.
+func (u *relay) recordEvent(now time.Time) {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	u.r.placer.RecordActivity(now, u.choice)
+	if !u.firstEventSeen {
+		u.firstEventSeen = true
+		u.timeToFirstEvent = now.Sub(u.sentAt)
+		u.r.placer.RecordFirstEvent(u.choice)
+	}
+}
+
 func (u *relay) finishStream(x *connector.Exchange) {
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		p.RecordSuccess(c)
