fix: an upstream's failure is passed on if its retry has no answer

A safe request whose upstream answered 5xx was asked for again, and the answer dropped. What the retry needs could be gone between the check and the send (key, route, upstreams, connection, the last of the retry budget), or the second upstream refuse or break off: the caller then got a 502 of ours in place of the upstream's answer. Class of fault: work at hand is given up before what replaces it has begun.

The answer is kept, within its reservation of the shared buffer, until the request ends, and passed on where the router would else report an error of its own. A retry that has an answer replaces it. Reserving the retry before the answer is dropped was the alternative; it wouldn't cover a retry that breaks off.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -111,6 +111,7 @@
 	boot  *testlib.Clock
 	ups   []*testlib.Upstream
 	hook  *logtest.Hook
+	log   *logrus.Logger
 }
 
 const maxProofAge = 4 * time.Second
@@ -144,7 +145,7 @@
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
-	b := &fixture{fleet: &fleet{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook}
+	b := &fixture{fleet: &fleet{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook, log: log}
 	conns := connector.New(clk)
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -23,8 +23,9 @@
 	capacityRetryJitter   = 400 * time.Millisecond
 )
 
-// fail ends the request with an error of the router itself. The kind is adjusted
-// to what is known about the execution of the request.
+// fail ends the request with the failure that an upstream returned before, or else with an
+// error of the router itself, whose kind is adjusted to what is known about the execution
+// of the request.
 func (u *relay) fail(k failure.Kind) {
 	switch {
 	case u.pastShutdownDeadline():
@@ -37,6 +38,10 @@
 		u.w.Abort()
 		return
 	}
+	if u.kept != nil && k != failure.CallerGone {
+		u.forward(u.kept)
+		return
+	}
 	switch {
 	case u.runs == 0 || k == failure.CallerGone:
 	case !u.route.Repeatable():
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -13,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
-	"github.com/auburnnotch/auburnnotch/internal/limitreader"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -73,10 +71,11 @@
 	lastEventID       string // ID of the last event forwarded that has one
 	resumable         bool   // the last event forwarded has an ID
 	choice            placer.Choice
-	running           bool   // the request counts as running at the chosen upstream
-	advised           bool   // the choice follows the advice of the placement coordinator
-	adviser           string // node that answered the last question, if any
-	firstEventSeen    bool   // the current attempt has returned its first event
+	running           bool    // the request counts as running at the chosen upstream
+	kept              *answer // failure of an upstream, for the case that no retry has an answer
+	advised           bool    // the choice follows the advice of the placement coordinator
+	adviser           string  // node that answered the last question, if any
+	firstEventSeen    bool    // the current attempt has returned its first event
 	sentAt            time.Time
 	timeToFirstEvent  time.Duration // from the last send to its first event
 	responseStartedAt time.Time     // when forwarding of the response started
@@ -101,6 +100,7 @@
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
+	defer u.keep(nil)
 	defer u.endRun() // after a panic
 	u.r.recordRequest(u.service)
 	for u.attempt() {
@@ -359,83 +359,6 @@
 	return true
 }
 
-// relayWhole forwards a response that is not a stream once it is complete, and
-// reports whether to make another attempt.
-func (u *relay) relayWhole(x *connector.Exchange) bool {
-	if err := x.SetReadTimeout(max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
-		return u.handleBroken(errors.Annotate(err, "read response"))
-	}
-	buffered := reservation{limit: &u.r.bufferLimit}
-	defer buffered.release()
-	pieces, size, err := readBody(x, &buffered)
-	if err != nil {
-		return u.handleBroken(errors.Annotate(err, "read response"))
-	}
-	failed := x.Status >= http.StatusInternalServerError
-	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		if failed {
-			p.RecordFailure(u.r.Clock.Now(), c)
-			return
-		}
-		p.RecordSuccess(c)
-		u.recordDuration()
-		if x.Status < http.StatusMultipleChoices {
-			u.recordSuccess()
-		}
-	})
-	if failed && !u.responseStarted && u.mayMove() {
-		u.exclude = append(u.exclude, u.choice.Incarnation())
-		u.logEntry("answerFailed").WithField("status", x.Status).Info("upstream returned a server error; retrying the request")
-		return true
-	}
-	if u.responseStarted { // a stream was to be resumed
-		u.reason = "upstream responded to the resumption with status " + strconv.Itoa(x.Status)
-		u.fail(failure.StreamLost)
-		return false
-	}
-	u.w.Begin(x.Status, x.Header, size)
-	for _, p := range pieces {
-		if err = u.w.Write(p); err != nil {
-			break
-		}
-	}
-	u.recordResponse(x.Status, err)
-	return false
-}
-
-// readBody reads a body to its end. It reads into pieces, so that no byte is held
-// in memory twice. A body of more than maxResponseBytes is an error, since a part
-// of it would look complete.
-func readBody(x *connector.Exchange, buffered *reservation) (pieces [][]byte, size int64, err error) {
-	if x.Length > maxResponseBytes {
-		return nil, 0, limitreader.ErrTooLong
-	}
-	first := int64(readBufferBytes)
-	if x.Length >= 0 {
-		first = min(ownBufferBytes, x.Length+1) // one byte of space for the read that returns io.EOF
-	}
-	p := make([]byte, 0, first)
-	for {
-		n, err := x.Read(p[len(p):cap(p)])
-		p = p[:len(p)+n]
-		size += int64(n)
-		switch {
-		case err == io.EOF:
-			return append(pieces, p), size, nil
-		case err != nil:
-			return nil, 0, errors.Trace(err)
-		case size > maxResponseBytes:
-			return nil, 0, limitreader.ErrTooLong
-		case len(p) == cap(p):
-			if err := buffered.reserve(ownBufferBytes); err != nil {
-				return nil, 0, err
-			}
-			pieces = append(pieces, p)
-			p = make([]byte, 0, ownBufferBytes)
-		}
-	}
-}
-
 // canRetry reports whether a retry would find an upstream, enough time and retry
 // budget. Otherwise the response at hand is kept.
 func (u *relay) canRetry() bool {
