fix: heads of many short fields took a node's memory

An upstream that stalls within a head of some thousand short fields, each head within its 32 KB, held half a megabyte for each request (measured: 64 heads 32.5 MB); a node of 112 MB ends at some 200 of them. Class of fault: a limit on bytes that are read, not on what they become.

A head may have 256 lines now; answers of real upstreams have some ten.

On serve and for the store, net/http limits bytes only: open.

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -16,8 +16,12 @@
 // readBufferBytes fits the usual response of a plain service, or several events.
 const readBufferBytes = 4 << 10
 
-// errHeaderTooLong reports a header that doesn't end within
-// limitreader.MaxHeaderBytes.
+// maxHeaderLines is the maximum number of lines of a response header. A short field takes
+// some hundred bytes once it is parsed.
+const maxHeaderLines = 256
+
+// errHeaderTooLong reports a header that doesn't end within limitreader.MaxHeaderBytes and
+// maxHeaderLines.
 const errHeaderTooLong = errors.ConstError("response header exceeds the size limit")
 
 // headerLimitReader reads from a connection and limits the size of response headers.
@@ -26,6 +30,15 @@
 	// remaining is how many more bytes may be read for a header; negative while
 	// no header is being read.
 	remaining int
+	// lines is how many more lines the header may have, negative once its end was read. What
+	// follows in the same read is no longer counted.
+	lines     int
+	lineBegun bool
+}
+
+// startHeader starts to count the bytes of a header.
+func (r *headerLimitReader) startHeader() {
+	r.remaining, r.lines, r.lineBegun = limitreader.MaxHeaderBytes, maxHeaderLines, false
 }
 
 // Read implements io.Reader.
@@ -38,9 +51,34 @@
 	}
 	n, err := r.Conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	if !r.countLines(p[:n]) {
+		r.remaining = 0 // net/http ignores an error within a line
+		return 0, errHeaderTooLong
+	}
 	return n, err
 }
 
+// countLines counts the lines of the header that end in b, and reports whether it may have
+// so many.
+func (r *headerLimitReader) countLines(b []byte) bool {
+	for _, c := range b {
+		switch {
+		case r.lines < 0:
+			return true
+		case c == '\n' && !r.lineBegun:
+			r.lines = -1
+		case c == '\n':
+			if r.lines--; r.lines < 0 {
+				return false
+			}
+			r.lineBegun = false
+		case c != '\r':
+			r.lineBegun = true
+		}
+	}
+	return true
+}
+
 // conn is a connection to an upstream, used by one exchange at a time.
 type conn struct {
 	net.Conn
@@ -61,7 +99,7 @@
 
 // readResponse reads the header of a response.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
-	c.limited.remaining = limitreader.MaxHeaderBytes
+	c.limited.startHeader()
 	defer func() { c.limited.remaining = -1 }()
 	return http.ReadResponse(c.br, req)
 }
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -227,11 +227,14 @@
 // sends: some hundred megabytes within a caller's deadline.
 func TestEndlessHeaderIsRejected(t *testing.T) {
 	for name, c := range map[string]struct{ start, piece string }{
-		"no line":           {piece: "x"},
-		"status line":       {start: "HTTP/1.1 200 ", piece: "OK"},
-		"one field":         {start: "HTTP/1.1 200 OK\r\nField: ", piece: "x"},
-		"many fields":       {start: "HTTP/1.1 200 OK\r\n", piece: "Field: x\r\n"},
-		"interim responses": {piece: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"no line":                {piece: "x"},
+		"status line":            {start: "HTTP/1.1 200 ", piece: "OK"},
+		"one field":              {start: "HTTP/1.1 200 OK\r\nField: ", piece: "x"},
+		"many fields":            {start: "HTTP/1.1 200 OK\r\n", piece: "Field: x\r\n"},
+		"many short fields":      {start: "HTTP/1.1 200 OK\r\n", piece: "a:\n"},
+		"interim responses":      {piece: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"long interim responses": {piece: "HTTP/1.1 103 Early Hints\r\nField: " + strings.Repeat("x", 10<<10) + "\r\n\r\n"},
+		"blank lines":            {piece: "\r\n"},
 		"after an earlier request's response": {
 			start: "HTTP/1.1 200 OK\r\nId: before\r\nContent-Length: 2\r\n\r\nno", piece: "x",
 		},
@@ -274,6 +277,25 @@
 	}
 }
 
+// Guards against a limit on the lines of headers that counts those of bodies, which arrive
+// with the header.
+func TestHeaderLinesDoNotIncludeBodies(t *testing.T) {
+	fields := strings.Repeat("Field: x\r\n", 250)
+	lines := strings.Repeat("\n", 3000)
+	for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n"} {
+		u := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+			_, err := fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", interim, r.Header.Get("Id"), fields, len(lines), lines)
+			return err == nil
+		})
+		conns := connector.New(systemclock.New())
+		for range 3 {
+			if body, _, err := do(conns, newCall(u, "1")); body != lines || err != nil {
+				t.Errorf("%d bytes, %v", len(body), err)
+			}
+		}
+	}
+}
+
 // Guards against accepting a response that is embedded in the body of a response to
 // another request, if that body is longer than what is skipped.
 func TestResponseInsideStrayBodyIsNotAccepted(t *testing.T) {
