--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -104,21 +104,21 @@
 	}
 }
 
-// runLog records the IDs of the requests that upstreams ran, and of those that were
+// outcomeLog records the IDs of the requests that upstreams ran, and of those that were
 // refused as not run.
-type runLog struct {
+type outcomeLog struct {
 	mu      sync.Mutex
 	ran     map[string]int
 	refused map[string]failure.Kind
 }
 
-func (l *runLog) record(id string) {
+func (l *outcomeLog) record(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ran[id]++
 }
 
-func (l *runLog) recordRefusal(id string, k failure.Kind) {
+func (l *outcomeLog) recordRefusal(id string, k failure.Kind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refused[id] = k
@@ -126,7 +126,7 @@
 
 // randomScript returns a script with a random outcome for each request, after a random
 // pause, and records the requests that it runs.
-func (l *runLog) randomScript(seed uint64) testlib.Script {
+func (l *outcomeLog) randomScript(seed uint64) testlib.Script {
 	var mu sync.Mutex
 	rnd := rand.New(rand.NewPCG(seed, 34))
 	outcomes := []testlib.Script{refusing, resetting, failing, unstamped, streaming(2), streaming(0), ok, ok}
@@ -151,7 +151,7 @@
 		requests = 4 // of each caller in each round
 	)
 	rnd := rand.New(rand.NewPCG(34, 1))
-	log := &runLog{ran: map[string]int{}, refused: map[string]failure.Kind{}}
+	log := &outcomeLog{ran: map[string]int{}, refused: map[string]failure.Kind{}}
 	b := newFixture(t, log.randomScript(1), log.randomScript(2), log.randomScript(3))
 	for round := range rounds {
 		ctx, cutOff := context.WithCancelCause(context.Background())
