fix: on serve, the text of a stream without end took the node's memory

For the case that another engine has to go on, the node keeps the text of a stream. An engine that sends events without end, as fast as its caller reads, made it keep them all: four streams of 32 MB held 159 MB. Class of fault: a copy that is kept for a fallback has no limit of its own.

A stream with more text than any request may have (4 MiB, the limit on the tokens of a request) ends with an error event, its engine counts as failed, and no other one is asked. The sum over many requests isn't bounded on serve.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -256,6 +256,12 @@
 				r.recordCacheHits(gjson.Get(ev.Data, "usage"))
 			}
 			r.handle(dispatcher.Chunk{Attempt: r.send.Attempt, Offset: offset, Data: []byte(ev.Data)})
+			if r.sentText.Len() > maxRequestTokens*bytesPerToken {
+				r.log.WithFields(logrus.Fields{"event": "streamTooLong", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream}).
+					Warn("ending a stream with more text than a request may have")
+				r.endRun(scheduler.Result{Failed: true, Incarnation: r.send.Target.Incarnation})
+				r.handle(dispatcher.Abandoned{Attempt: r.send.Attempt})
+			}
 		}
 		if r.machine.Done() || r.next != nil {
 			r.endRun(scheduler.Result{Failed: !r.machine.Done(), Incarnation: r.send.Target.Incarnation})
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -116,6 +116,8 @@
 		d.handleFullAnswer(now, e)
 	case Broken:
 		d.handleBroken(now, e)
+	case Abandoned:
+		d.handleAbandoned(e)
 	case Quarantined:
 		d.handleQuarantined()
 	case Tick:
@@ -376,6 +378,15 @@
 	return t
 }
 
+func (d *Dispatcher) handleAbandoned(e Abandoned) {
+	if !d.isCurrent(e.Attempt) {
+		return
+	}
+	d.earlierMayHaveRun = true
+	d.emit(Cancel{Attempt: d.attemptID})
+	d.fail(failure.UpstreamFailed)
+}
+
 func (d *Dispatcher) handleQuarantined() {
 	if d.phase == running {
 		d.earlierMayHaveRun = true
--- a/pkg/dispatcher/messages.go
+++ b/pkg/dispatcher/messages.go
@@ -81,6 +81,9 @@
 	Silent bool
 }
 
+// Abandoned reports that the attempt was ended, and that the request isn't to be tried again.
+type Abandoned struct{ Attempt string }
+
 // Quarantined reports that the request is in quarantine, as it may crash
 // upstreams.
 type Quarantined struct{}
@@ -102,6 +105,7 @@
 func (Ended) event()       {}
 func (FullAnswer) event()  {}
 func (Broken) event()      {}
+func (Abandoned) event()   {}
 func (Quarantined) event() {}
 func (Tick) event()        {}
 func (CallerGone) event()  {}
