fix: on serve, the beginning of a completion was taken for the whole one

An engine that stopped after the head of its answer, or within a body with neither length nor chunks: the caller got a 200 with an empty or short body and a length that fits it. The end of the connection is the end of such a body. Class of fault: a document whose end isn't checked.

A completion is a JSON document, so that a part of one counts as broken now, and another engine is asked. Of a service's answer nothing is known but its framing; it can't be told.

Streams were sound before: they need their end mark.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -212,6 +213,10 @@
 		return
 	}
 	if r.job.isCompletion {
+		if a.EndsWithConnection() && a.Response.StatusCode == http.StatusOK && !json.Valid(body) {
+			r.handleBroken(errors.New("completion ends early"), false)
+			return
+		}
 		r.recordCacheHits(gjson.GetBytes(body, "usage"))
 	}
 	r.recordToken()
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -201,6 +201,12 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that the
+// end of a broken connection may look like its end.
+func (a *Attempt) EndsWithConnection() bool {
+	return a.Response.ContentLength < 0 && len(a.Response.TransferEncoding) == 0
+}
+
 // Extend starts the timeout between chunks anew.
 func (a *Attempt) Extend() { a.timer.Reset(a.chunkTimeout) }
 
