--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -48,7 +47,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	store := platform.New(s.Platform, &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}, metrics.Scope())
+	store := platform.New(s.Platform, platform.NewHTTPClient(), metrics.Scope())
 	self := member.Info{
 		Name: s.Name, Address: link.Addr(), Entry: s.Advertise, DataCentre: s.DataCentre, Incarnation: boot, BootID: boot,
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +12,8 @@
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnnotch/auburnnotch/internal/limitreader"
 )
 
 // Errors of a call. After Uncertain, a write may or may not have taken effect.
@@ -60,6 +61,13 @@
 	return &Client{base: sling.New().Base(url).Client(hc), http: hc, scope: scope}
 }
 
+// NewHTTPClient returns an HTTP client for New, with a limit on the headers of responses.
+func NewHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = limitreader.MaxHeaderBytes
+	return &http.Client{Transport: t}
+}
+
 // Get returns the state of key.
 func (c *Client) Get(ctx context.Context, line Line, key string) (Entry, error) {
 	return c.read(ctx, line, c.base.New().Get("/v1/kv/"+key))
@@ -157,7 +165,7 @@
 		return 0, errors.Trace(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxValueBytes))
+	body, err := limitreader.ReadAll(resp.Body, 2*maxValueBytes)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
