--- a/internal/upstreamer/upstreamer_test.go
+++ b/internal/upstreamer/upstreamer_test.go
@@ -119,15 +119,22 @@
 // TestEndlessResponseIsAborted guards against a load report or response header
 // that is read without a limit while the engine keeps sending.
 func TestEndlessResponseIsAborted(t *testing.T) {
-	for name, start := range map[string]string{
-		"report": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"incarnation":"`,
-		"head":   "HTTP/1.1 200 OK\r\nField: ",
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ start, piece string }{
+		"report":            {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"incarnation":"`, "x"},
+		"spaces":            {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"incarnation":"a"}`, " "},
+		"head":              {"HTTP/1.1 200 OK\r\nField: ", "x"},
+		"many fields":       {"HTTP/1.1 200 OK\r\n", "A: x\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n"},
+		"chunk length":      {chunked, "1"},
+		"chunk extension":   {chunked + "1;", "x"},
+		"trailer":           {chunked + "2\r\n{}\r\n0\r\n", "A: x\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			written := make(chan int, 1)
 			up := testlib.NewUpstream(t, func(conn net.Conn, _ testlib.Received) bool {
-				_, _ = io.WriteString(conn, start)
-				written <- testlib.Flood(conn, strings.Repeat("x", 1<<10), testlib.FloodBytes)
+				_, _ = io.WriteString(conn, c.start)
+				written <- testlib.Flood(conn, c.piece, testlib.FloodBytes)
 				return false
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
