--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -59,6 +59,41 @@
 	}
 }
 
+// Guards against a stream whose line, event or comment never ends and is kept, and against
+// framing without end, in the node's own memory.
+func TestEndlessEventIsGivenUp(t *testing.T) {
+	const chunked = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+	for name, c := range map[string]struct{ framing, start, piece string }{
+		"line":              {"Content-Type: text/event-stream", "data: ", "x"},
+		"event":             {"Content-Type: text/event-stream", "", "data: x\n"},
+		"comment":           {"Content-Type: text/event-stream", "", ": x\n"},
+		"bare returns":      {"Content-Type: text/event-stream", "", "data: x\r\r"},
+		"event in chunks":   {chunked, "", "8\r\ndata: x\n\r\n"},
+		"length of a chunk": {chunked, "", "1"},
+		"extension":         {chunked, "1;", "x"},
+		"trailer":           {chunked, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n", "A: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var taken atomic.Int64
+			b := newFixture(t, func(conn net.Conn, r testlib.Received) bool {
+				writeHead(conn, r, c.framing)
+				fmt.Fprint(conn, c.start)
+				taken.Store(int64(testlib.Flood(conn, c.piece, testlib.FloodBytes)))
+				return false
+			})
+			b.setUnlimited()
+			r := b.serveWithin(t.Context(), "/once/", unlimited)
+			if r.status != 0 && !r.aborted || r.status == 0 && r.kind != failure.OutcomeUnknown {
+				t.Errorf("status %d, kind %s, aborted %t after %d bytes", r.status, r.kind, r.aborted, r.body.Len())
+			}
+			if n := taken.Load(); n >= testlib.FloodBytes {
+				t.Errorf("all %d bytes were read", n)
+			}
+		})
+	}
+}
+
 // measureHeap serves n requests at once, each of which receives up to most bytes of
 // an endless response. It returns how many bytes the node holds once all of them
 // have arrived or their attempts have ended.
