test: a late request that a node without its store would start on an estimate

An unsafe request is refused from the signal on now, so TestShutdownWithoutStore... no longer noticed a stop that begins late. It runs with a safe route, too, whose duration is known.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -184,6 +185,15 @@
 // that arrived 3.35 s after the signal, and was killed before it ended.
 func TestShutdownWithoutStoreStartsNoLateRequest(t *testing.T) {
 	t.Parallel()
+	for _, kind := range []traffic.Kind{traffic.Unsafe, traffic.Safe} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			testLateRequestWithoutStore(t, kind)
+		})
+	}
+}
+
+func testLateRequestWithoutStore(t *testing.T, kind traffic.Kind) {
 	const (
 		grace     = 8 * time.Second
 		limit     = 15 * time.Second
@@ -192,12 +202,20 @@
 	b := newFixture(t, grace.Seconds())
 	release := make(chan struct{})
 	defer close(release)
-	engine := testlib.NewUpstream(t, func(net.Conn, testlib.Received) bool { <-release; return false })
+	// The response to the first request tells the node how long requests take.
+	engine := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
+		if r.URL.Path != "/r/first" {
+			<-release
+			return false
+		}
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Auburnnotch-Request-Id: first\r\nX-Auburnnotch-Response-Stamp: s\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
 	ops := operator.New(b.store)
 	err := ops.Configure(&traffic.Catalog{
 		Version: 1, Limits: traffic.Limits{BodyBytes: 1000}, Services: []traffic.Service{{Name: "s"}},
 		Routes: []traffic.Route{{
-			Name: "r", Host: "h", Prefix: "/r/", Kind: traffic.Unsafe, MaxAttempts: 1, Timeout: limit, LatencyObjective: time.Second,
+			Name: "r", Host: "h", Prefix: "/r/", Kind: kind, MaxAttempts: 1, Timeout: limit, LatencyObjective: time.Second,
 			Public: true, Targets: []traffic.Target{{Service: "s", Weight: 1}},
 		}},
 	})
@@ -211,19 +229,32 @@
 	b.log.await(t, "event=upstreamSeen")
 	time.Sleep(time.Second) // the node reads the configuration
 	b.store.SetFaults("n", metastore.Faults{Delay: 3 * time.Second})
+	send := func(id string) (*client.Client, error) {
+		c, err := client.Dial(b.callers, time.Second)
+		if err != nil {
+			return nil, err
+		}
+		t.Cleanup(c.Close)
+		return c, c.Send(&client.Request{ID: id, Method: http.MethodPost, Host: "h", Target: "/r/" + id, Timeout: limit})
+	}
+	c, err := send("first")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, err := c.Receive(time.Now().Add(limit)); err != nil || a.Status != http.StatusOK {
+		t.Fatalf("status %d before the signal, %v", a.Status, err)
+	}
 	signal := time.Now()
 	b.signal()
 	time.Sleep(sentAfter)
-	c, err := client.Dial(b.callers, time.Second)
-	if err != nil {
+	if c, err = send("late"); c == nil {
 		return // the node no longer listens, so no request is lost
 	}
-	defer c.Close()
-	if err := c.Send(&client.Request{ID: "q", Method: http.MethodPost, Host: "h", Target: "/r/x", Timeout: limit}); err != nil {
+	if err != nil {
 		t.Log(err) // the connection was closed during the send, so no request is lost
 	}
 	a, err := c.Receive(signal.Add(grace))
-	if len(engine.Received()) > 0 {
+	if len(engine.Received()) > 1 {
 		t.Errorf("request sent %v after the signal ran; by the time the platform kills the node, its caller received status %d, %v", sentAfter, a.Status, err)
 	}
 }
