fix: the time for older weights counts from the end of an outage of the store

What callers saw: new weights are named and the platform's store is down for 8 s.

Cause: a node counted the time for older weights by its clock, also while no engine could be ordered. Class of fault: a time limit that runs on while its doer can't act.

Now it counts in one stretch, from the naming or the end of the last outage. Each node knows an outage by itself (pkg/outage): two reads in a row failed, over half a second or more, and no digest of a store reader came in between. The rule's stretch begins 3 s after the outage, so that a node may notice the end up to 3 s late; measured it is 0.6 s. Single failed reads (a reset connection, a suspended process) and throttled ones don't count, since the leader isn't held up by them. A node that is cut off alone isn't in touch, and refuses requests with a key as before.

Ruled out: counting from the time at which the office is held. A leader that is killed disturbs neither the store nor a link, so that the rule's time counts on and requests on older weights would break it.

--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -13,6 +13,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/outage"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -116,6 +117,7 @@
 	// down is set while reads fail, since downSince.
 	down          bool
 	downSince     time.Time
+	outage        outage.Outage
 	hash          uint64 // of the last snapshot
 	generation    uint64 // number of snapshots published
 	feed          feed
@@ -150,6 +152,13 @@
 	return o.proof
 }
 
+// StoreInReachSince implements relayer.Fleet.
+func (o *Observer) StoreInReachSince() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.outage.InReachSince(o.clk.Now())
+}
+
 // Snapshot returns the latest snapshot of the store.
 func (o *Observer) Snapshot() *Snapshot { return o.snapshot.Load() }
 
@@ -185,6 +194,9 @@
 // recordReadFailure marks the start of an outage and logs it once.
 func (o *Observer) recordReadFailure(err error) {
 	o.mu.Lock()
+	if !errors.Is(err, platform.Throttled) { // the leader has a budget of its own
+		o.outage = o.outage.WithFailure(o.clk.Now())
+	}
 	first := !o.down
 	if first {
 		o.down, o.downSince = true, o.clk.Now()
@@ -291,6 +303,7 @@
 // endOutage ends an outage of the store, if there was one. Upstreams that are missing
 // then are kept for a while, unless others could read the store all the time.
 func (o *Observer) endOutage(now time.Time, othersRead bool) {
+	o.outage = o.outage.WithSuccess(now)
 	if !o.down {
 		return
 	}
--- a/internal/relayer/advised_test.go
+++ b/internal/relayer/advised_test.go
@@ -32,10 +32,12 @@
 	return placer.Advice{Upstream: g.key, Misses: 10, Coordinator: "hub"}, g.verdict
 }
 
-func servePrompt(b *fixture) *reply {
+func servePrompt(b *fixture) *reply { return servePromptWithin(b, 2*time.Second) }
+
+func servePromptWithin(b *fixture, timeout time.Duration) *reply {
 	r := &reply{}
 	b.relay.Serve(context.Background(), &relayer.Request{
-		ID: "id", Method: "POST", Target: "/safe/", Path: "/safe/", Host: "h", Key: "key", Timeout: 2 * time.Second, Arrived: time.Now(),
+		ID: "id", Method: "POST", Target: "/safe/", Path: "/safe/", Host: "h", Key: "key", Timeout: timeout, Arrived: time.Now(),
 		Prompt: &traffic.Prompt{Model: "m", Tokens: 10, Parts: []traffic.Part{{ID: "a", Tokens: 10}}},
 	}, r)
 	return r
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -91,10 +91,11 @@
 		if addr := u.view.Matcher.CacheStores().Pick(q.SharedPrefix()); addr != "" && !u.r.CacheDown(addr) {
 			q.CacheAddress, q.CacheTokens = addr, u.view.Matcher.CacheTokens()
 		}
-		now := u.r.Clock.Now()
+		now, inReachSince := u.r.Clock.Now(), u.r.Fleet.StoreInReachSince()
 		for _, w := range u.view.Versions[q.Prompt.Model] {
 			q.Version, q.SinceAnnounced = w.Version, now.Sub(w.AnnouncedAt)
-			q.Cutoffs = append(q.Cutoffs, placer.VersionCutoff{Version: w.Version, Remaining: u.r.settings.VersionCutoff - q.SinceAnnounced})
+			counted := min(q.SinceAnnounced, now.Sub(inReachSince))
+			q.Cutoffs = append(q.Cutoffs, placer.VersionCutoff{Version: w.Version, Remaining: u.r.settings.VersionCutoff - counted})
 		}
 	}
 	return q
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -27,7 +27,8 @@
 	// that need an API key are served.
 	MaxProofAge time.Duration
 	// VersionCutoff is how long after the announcement of a new version of a
-	// model's weights requests may still start on older versions.
+	// model's weights requests may still start on older versions. It counts while the
+	// platform's store is in reach, in one stretch.
 	VersionCutoff time.Duration
 	// RetryBudget is the fleet-wide retry budget of each service.
 	RetryBudget budgeter.Limits
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -98,6 +98,8 @@
 	return f.proof
 }
 
+func (f *fleet) StoreInReachSince() time.Time { return time.Time{} }
+
 func (f *fleet) set(c *traffic.Catalog, provenAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,6 +143,13 @@
 }
 
 func newFixtureWith(t *testing.T, clk clock.Clock, retryBudget budgeter.Limits, scripts ...testlib.Script) *fixture {
+	t.Helper()
+	return newFixtureWithSettings(t, clk, relayer.Settings{
+		DataCentre: "a", MaxProofAge: maxProofAge, VersionCutoff: time.Hour, RetryBudget: retryBudget,
+	}, scripts...)
+}
+
+func newFixtureWithSettings(t *testing.T, clk clock.Clock, settings relayer.Settings, scripts ...testlib.Script) *fixture {
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
@@ -148,10 +157,7 @@
 	conns := connector.New(clk)
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
-	b.relay = relayer.New(relayer.Settings{
-		DataCentre: "a", MaxProofAge: maxProofAge, VersionCutoff: time.Hour,
-		RetryBudget: retryBudget,
-	}, relayer.Dependencies{
+	b.relay = relayer.New(settings, relayer.Dependencies{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
 		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -132,6 +132,10 @@
 	View() *View
 	// Proof returns the freshness proof of the configuration.
 	Proof() prover.Prover
+	// StoreInReachSince returns since when the platform's store has been in reach, so that
+	// the leader can order engines: the current time during an outage, the zero time if
+	// there was none.
+	StoreInReachSince() time.Time
 }
 
 // Adviser asks the placement coordinator, which has the traffic reports of all
