fix(orderer): after an outage the old office goes on, or is taken again without a handover

Cause: a leader that couldn't renew its lease for 3 s gave up its office, though the store may pause leases while it is down. Its own record then kept all nodes, itself too, from the next campaign until the lease ended, and after that it waited for the handover gap between two leaders. Class of fault: a time limit that runs on while its doer can't act.

Now a leader without the store keeps the office without orders and tries to renew. If that succeeds, the record never expired, so that no other node can have been the leader: orders go on with the same token. If the lease has ended, the node takes the office again on condition that a second key, which each leader writes in the same transaction as its record and which doesn't expire, still has the revision that it wrote itself. Then it was the last leader, there is no handover, and the first order only waits until those of the last office have arrived (2.4 s after its last renewal). After an outage the other nodes leave it the first turn for 0.8 s. The state of the roll-out is kept in both cases.

Ruled out: taking a leader record with one's own name as a proof (a node that restarts at another address is another holder; only the process that wrote the key knows its revision).

--- /dev/null
+++ b/internal/orderer/office.go
@@ -0,0 +1,230 @@
+package orderer
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/roster"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// lastHolderKey is the key that each leader writes together with the leader record, and that
+// stays when the record expires. If it hasn't changed since, no other node has been the leader.
+const lastHolderKey = LeaderKey + "-last"
+
+// release clears the leader record, so that the next leader needn't wait for
+// the lease to expire.
+func (o *Orderer) release(ctx context.Context, token uint64) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
+		Expect: []platform.Expectation{{Key: LeaderKey, Revision: token}}, Put: []platform.Put{{Key: LeaderKey}},
+	})
+	e := o.log.WithFields(logrus.Fields{"event": "officeReleased", "fence": token})
+	if err != nil {
+		e = e.WithError(err) // the record expires with its lease
+	}
+	e.Info("released the leadership; this node sends no more orders")
+}
+
+// lead renews the lease while this node is the leader, and campaigns otherwise.
+func (o *Orderer) lead(ctx context.Context) error {
+	var vacantSince time.Time // when a snapshot first had no leader, zero if the last one has
+	for ctx.Err() == nil {
+		if o.isLeader() {
+			o.goOn(ctx)
+			continue
+		}
+		snapshot := o.obs.Snapshot()
+		switch {
+		case o.campaignStopped.Load():
+		case o.mayRetake(snapshot.Leader):
+			o.campaign(ctx, nil)
+		case !snapshot.Loaded || snapshot.Leader != nil && snapshot.Leader.Node != "":
+			vacantSince = time.Time{}
+		case vacantSince.IsZero():
+			vacantSince = o.clk.Now()
+			continue
+		case o.clk.Now().Sub(vacantSince) < o.campaignDelay(snapshot.Roster):
+			clock.Sleep(ctx, o.clk, campaignCheckInterval)
+			continue
+		default:
+			if !o.campaign(ctx, snapshot.Leader) {
+				clock.Sleep(ctx, o.clk, lostCampaignDelay)
+			}
+		}
+		clock.Sleep(ctx, o.clk, campaignInterval)
+	}
+	return nil
+}
+
+// goOn renews the lease of the office, and waits if the node is still the leader.
+func (o *Orderer) goOn(ctx context.Context) {
+	switch err := o.renew(ctx); {
+	case errors.Is(err, platform.LeaseEnded):
+	case err != nil:
+		clock.Sleep(ctx, o.clk, renewRetryDelay)
+	default:
+		o.findHolderRevision(ctx)
+		clock.Sleep(ctx, o.clk, renewInterval)
+	}
+}
+
+// mayRetake reports whether this node has been the last leader, as far as it knows. leader is
+// the one in the last snapshot.
+func (o *Orderer) mayRetake(leader *traffic.Leader) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if leader != nil && leader.Node != o.set.Node {
+		o.holderRevision = 0
+	}
+	return o.holderRevision != 0
+}
+
+// findHolderRevision reads at which revision this node wrote lastHolderKey, unless it is known.
+func (o *Orderer) findHolderRevision(ctx context.Context) {
+	o.mu.Lock()
+	lease, known := o.lease, o.holderRevision != 0
+	o.mu.Unlock()
+	if known {
+		return
+	}
+	p, err := o.store.Range(ctx, platform.LineOrders, lastHolderKey, "", false)
+	if err != nil {
+		return // the next renewal tries again
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, it := range p.Items {
+		if it.Key == lastHolderKey && string(it.Value) == holderValue(lease) {
+			o.holderRevision = it.Revision
+		}
+	}
+}
+
+// holderValue returns the value of lastHolderKey under a lease, which no other office has.
+func holderValue(lease uint64) string { return strconv.FormatUint(lease, 10) }
+
+// campaignDelay returns the delay of this node's campaign. Its rank isn't known if it isn't
+// registered yet.
+func (o *Orderer) campaignDelay(r *roster.Roster) time.Duration {
+	if _, registered := r.Find(o.set.Node); !registered {
+		return maxCampaignDelay
+	}
+	delay := time.Duration(r.Rank(o.set.Node)) * campaignDelayPerRank
+	if o.clk.Now().Sub(o.obs.StoreInReachSince()) < outageEnd {
+		delay += formerLeaderTurn
+	}
+	return min(maxCampaignDelay, delay)
+}
+
+func (o *Orderer) isLeader() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.token != 0
+}
+
+// campaign writes the leader record under a new lease. If the response is lost,
+// the campaign counts as failed, since the record expires with its lease.
+// released is the record that a former leader has cleared, nil if there is
+// none. The result is false if another node has won.
+//
+// If this node was the last leader, the write is on condition that it still is. Then there is
+// no handover, and the first order only waits until those of the last office have arrived.
+func (o *Orderer) campaign(ctx context.Context, released *traffic.Leader) bool {
+	sent := o.boot.Elapsed() // the lease runs from the arrival of the call, not from the response
+	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTTL)
+	if err != nil {
+		return true
+	}
+	o.mu.Lock()
+	held, lastRenewedAt := o.holderRevision, o.renewedAt
+	o.holderRevision = 0 // the write changes it
+	o.mu.Unlock()
+	expect := []platform.Expectation{{Key: LeaderKey}}
+	// The last leader's lease has expired, so its last renewal is at least
+	// leaseTTL ago. Its last order may have been on its way until maxRenewalAge
+	// and orderTimeout after that renewal.
+	delay := o.set.HandoverGap + maxRenewalAge + orderTimeout - leaseTTL
+	if held != 0 {
+		expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: held})
+	} else if released != nil {
+		expect[0].Revision = released.Revision
+		delay = o.set.HandoverGap + orderTimeout
+	}
+	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
+		// The revision that is returned is that of the last write.
+		Expect: expect, Put: []platform.Put{
+			{Key: lastHolderKey, Value: []byte(holderValue(lease))}, {Key: LeaderKey, Value: []byte(o.set.Node), Lease: lease},
+		},
+	})
+	if errors.Is(err, platform.Conflict) {
+		return false
+	}
+	if err != nil {
+		o.log.WithError(err).WithField("event", "campaignUnclear").Info("campaign failed; there may be no leader until a lease expires")
+		return true
+	}
+	o.mu.Lock()
+	o.lease, o.token, o.renewedAt = lease, rev, sent
+	o.suspended = false
+	if held != 0 {
+		o.ordersFrom = lastRenewedAt + maxRenewalAge + orderTimeout
+	} else {
+		o.ordersFrom = o.boot.Elapsed() + delay
+		o.roller.Reset()
+	}
+	o.mu.Unlock()
+	o.log.WithFields(logrus.Fields{"event": "officeTaken", "fence": rev, "again": held != 0}).Info("became the leader; this node sends the orders")
+	return true
+}
+
+// renew renews the lease. While the store is out of reach, the office is kept without orders:
+// the lease may go on afterwards, and then no other node has been the leader.
+func (o *Orderer) renew(ctx context.Context) error {
+	sent := o.boot.Elapsed()
+	err := o.store.RenewLease(ctx, platform.LineOrders, o.lease)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.log.WithFields(logrus.Fields{"fence": o.token, "sinceRenewalMs": (o.boot.Elapsed() - o.renewedAt).Milliseconds()})
+	switch {
+	case err == nil:
+		o.renewedAt = max(o.renewedAt, sent)
+		if o.suspended {
+			o.suspended = false
+			e.WithField("event", "officeResumed").Info("the lease goes on; this node sends orders again")
+		}
+	case errors.Is(err, platform.LeaseEnded):
+		o.token = 0
+		e.WithError(err).WithField("event", "officeLost").Warn("lost the leadership; this node sends no more orders")
+	case !o.suspended && o.boot.Elapsed()-o.renewedAt > leaseTTL:
+		o.suspended = true
+		e.WithError(err).WithField("event", "officeSuspended").Warn("failed to renew the lease; this node sends no orders until it succeeds")
+	}
+	return err
+}
+
+// orderToken returns the fencing token, or 0 if no order may be sent now.
+func (o *Orderer) orderToken() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.boot.Elapsed() < o.ordersFrom {
+		return 0
+	}
+	return o.currentToken()
+}
+
+// currentToken returns the fencing token if the lease has certainly not expired,
+// and 0 otherwise. o.mu must be held.
+func (o *Orderer) currentToken() uint64 {
+	if o.boot.Elapsed()-o.renewedAt > maxRenewalAge {
+		return 0
+	}
+	return o.token
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -15,7 +15,6 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roller"
-	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -28,6 +27,9 @@
 	leaseTTL = 3 * time.Second
 	// renewInterval leaves time for a second try within maxRenewalAge.
 	renewInterval = 700 * time.Millisecond
+	// renewRetryDelay is the delay after a failed renewal. At the end of an outage of the
+	// store, the office goes on with the first one that succeeds.
+	renewRetryDelay = 300 * time.Millisecond
 	// maxRenewalAge is how long after its last confirmed renewal a leader sends
 	// orders. It ends well before the lease.
 	maxRenewalAge = 1600 * time.Millisecond
@@ -47,6 +49,11 @@
 	// campaignCheckInterval is the time between two checks whether a campaign is due.
 	// The rank of a node changes when it is registered.
 	campaignCheckInterval = 50 * time.Millisecond
+	// formerLeaderTurn is how long after an outage of the store other nodes leave the office
+	// to the last leader, which needs no handover gap.
+	formerLeaderTurn = 800 * time.Millisecond
+	// outageEnd is how long after an outage the former leader may still take its turn.
+	outageEnd = 2 * time.Second
 	// lostCampaignDelay is the delay after another node has won a campaign, within
 	// which all nodes learn of it.
 	lostCampaignDelay = 2 * time.Second
@@ -111,6 +118,10 @@
 	token      uint64        // 0 if this node isn't the leader
 	renewedAt  time.Duration // boot time at which the last confirmed renewal was sent
 	ordersFrom time.Duration // boot time from which on orders may be sent
+	// holderRevision is the revision at which this node wrote lastHolderKey for its present
+	// or its last office, 0 if it isn't known or another node has held the office since.
+	holderRevision uint64
+	suspended      bool // no renewal has been confirmed for as long as the lease lasts
 	// nextAnnouncementWrite is the earliest time of the next write of
 	// announcements. Only the goroutine of sendOrders uses it.
 	nextAnnouncementWrite time.Time
@@ -146,139 +157,6 @@
 // leader. A node that is the leader stays so until Run ends.
 func (o *Orderer) StopCampaigning() { o.campaignStopped.Store(true) }
 
-// release clears the leader record, so that the next leader needn't wait for
-// the lease to expire.
-func (o *Orderer) release(ctx context.Context, token uint64) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	_, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
-		Expect: []platform.Expectation{{Key: LeaderKey, Revision: token}}, Put: []platform.Put{{Key: LeaderKey}},
-	})
-	e := o.log.WithFields(logrus.Fields{"event": "officeReleased", "fence": token})
-	if err != nil {
-		e = e.WithError(err) // the record expires with its lease
-	}
-	e.Info("released the leadership; this node sends no more orders")
-}
-
-// lead renews the lease while this node is the leader, and campaigns otherwise.
-func (o *Orderer) lead(ctx context.Context) error {
-	var vacantSince time.Time // when a snapshot first had no leader, zero if the last one has
-	for ctx.Err() == nil {
-		if o.isLeader() {
-			o.renew(ctx)
-			clock.Sleep(ctx, o.clk, renewInterval)
-			continue
-		}
-		snapshot := o.obs.Snapshot()
-		switch {
-		case o.campaignStopped.Load():
-		case !snapshot.Loaded || snapshot.Leader != nil && snapshot.Leader.Node != "":
-			vacantSince = time.Time{}
-		case vacantSince.IsZero():
-			vacantSince = o.clk.Now()
-			continue
-		case o.clk.Now().Sub(vacantSince) < campaignDelay(snapshot.Roster, o.set.Node):
-			clock.Sleep(ctx, o.clk, campaignCheckInterval)
-			continue
-		default:
-			if !o.campaign(ctx, snapshot.Leader) {
-				clock.Sleep(ctx, o.clk, lostCampaignDelay)
-			}
-		}
-		clock.Sleep(ctx, o.clk, campaignInterval)
-	}
-	return nil
-}
-
-// campaignDelay returns the delay of a node's campaign. The rank of a node that isn't
-// registered yet isn't known.
-func campaignDelay(r *roster.Roster, node string) time.Duration {
-	if _, registered := r.Find(node); !registered {
-		return maxCampaignDelay
-	}
-	return min(maxCampaignDelay, time.Duration(r.Rank(node))*campaignDelayPerRank)
-}
-
-func (o *Orderer) isLeader() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.token != 0
-}
-
-// campaign writes the leader record under a new lease. If the response is lost,
-// the campaign counts as failed, since the record expires with its lease.
-// released is the record that a former leader has cleared, nil if there is
-// none. The result is false if another node has won.
-func (o *Orderer) campaign(ctx context.Context, released *traffic.Leader) bool {
-	sent := o.boot.Elapsed() // the lease runs from the arrival of the call, not from the response
-	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTTL)
-	if err != nil {
-		return true
-	}
-	expect := platform.Expectation{Key: LeaderKey}
-	// The last leader's lease has expired, so its last renewal is at least
-	// leaseTTL ago. Its last order may have been on its way until maxRenewalAge
-	// and orderTimeout after that renewal.
-	delay := o.set.HandoverGap + maxRenewalAge + orderTimeout - leaseTTL
-	if released != nil {
-		expect.Revision = released.Revision
-		delay = o.set.HandoverGap + orderTimeout
-	}
-	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
-		Expect: []platform.Expectation{expect}, Put: []platform.Put{{Key: LeaderKey, Value: []byte(o.set.Node), Lease: lease}},
-	})
-	if errors.Is(err, platform.Conflict) {
-		return false
-	}
-	if err != nil {
-		o.log.WithError(err).WithField("event", "campaignUnclear").Info("campaign failed; there may be no leader until a lease expires")
-		return true
-	}
-	o.mu.Lock()
-	o.lease, o.token, o.renewedAt = lease, rev, sent
-	o.ordersFrom = o.boot.Elapsed() + delay
-	o.roller.Reset()
-	o.mu.Unlock()
-	o.log.WithFields(logrus.Fields{"event": "officeTaken", "fence": rev}).Info("became the leader; this node sends the orders")
-	return true
-}
-
-func (o *Orderer) renew(ctx context.Context) {
-	sent := o.boot.Elapsed()
-	err := o.store.RenewLease(ctx, platform.LineOrders, o.lease)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	switch {
-	case err == nil:
-		o.renewedAt = max(o.renewedAt, sent)
-	case errors.Is(err, platform.LeaseEnded), o.boot.Elapsed()-o.renewedAt > leaseTTL:
-		o.log.WithError(err).WithFields(logrus.Fields{
-			"event": "officeLost", "fence": o.token, "sinceRenewalMs": (o.boot.Elapsed() - o.renewedAt).Milliseconds(),
-		}).Warn("lost the leadership; this node sends no more orders")
-		o.token = 0
-	}
-}
-
-// orderToken returns the fencing token, or 0 if no order may be sent now.
-func (o *Orderer) orderToken() uint64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.boot.Elapsed() < o.ordersFrom {
-		return 0
-	}
-	return o.currentToken()
-}
-
-// currentToken returns the fencing token if the lease has certainly not expired,
-// and 0 otherwise. o.mu must be held.
-func (o *Orderer) currentToken() uint64 {
-	if o.boot.Elapsed()-o.renewedAt > maxRenewalAge {
-		return 0
-	}
-	return o.token
-}
-
 // sendOrders carries out the actions that the roller plans.
 func (o *Orderer) sendOrders(ctx context.Context, g *errgroup.Group) error {
 	for ctx.Err() == nil {
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -101,10 +101,14 @@
 
 // start runs a node. The returned function stops it and waits for its end.
 func (f *fleet) start(name string) (*observer.Observer, func()) {
+	return f.startWith(name, f.store)
+}
+
+func (f *fleet) startWith(name string, st platform.Store) (*observer.Observer, func()) {
 	log, _ := logtest.NewNullLogger()
-	obs := observer.New(f.clk, f.clk, log, f.store, observer.Layout{OperatorPrefix: "none/", Decode: decode})
+	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
 	obs.SetListener(f.ups)
-	o := orderer.New(orderer.Settings{Node: name, HandoverGap: gap}, f.clk, f.clk, log, f.store, obs, f.ups, f.ups)
+	o := orderer.New(orderer.Settings{Node: name, HandoverGap: gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = obs.Run(ctx) })
--- a/internal/testlib/store.go
+++ b/internal/testlib/store.go
@@ -17,6 +17,7 @@
 	items      map[string]platform.Item
 	keyLeases  map[string]uint64 // lease ID by key
 	lastLease  uint64
+	ended      map[uint64]bool // leases that have ended
 	err        error
 	rangeCalls int
 	staleCalls int
@@ -29,7 +30,7 @@
 
 // NewStore returns an empty Store at revision 1.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]platform.Item{}, keyLeases: map[string]uint64{}}
+	return &Store{revision: 1, items: map[string]platform.Item{}, keyLeases: map[string]uint64{}, ended: map[uint64]bool{}}
 }
 
 // SetError makes all calls but Watch fail with err, until it is called with nil.
@@ -170,7 +171,7 @@
 func (s *Store) RenewLease(_ context.Context, _ platform.Line, id uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.err == nil && id == 0 {
+	if s.err == nil && (id == 0 || s.ended[id]) {
 		return platform.LeaseEnded
 	}
 	return s.err
@@ -183,6 +184,22 @@
 	if s.err != nil {
 		return s.err
 	}
+	s.endLease(id)
+	return nil
+}
+
+// ExpireLeases ends all leases at once and removes their keys, also while calls fail.
+func (s *Store) ExpireLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.lastLease {
+		s.endLease(id + 1)
+	}
+}
+
+// endLease ends a lease and removes its keys. Lease 0 has none. s.mu must be held.
+func (s *Store) endLease(id uint64) {
+	s.ended[id] = true
 	for key, owner := range s.keyLeases {
 		if owner == id && id != 0 {
 			s.revision++
@@ -190,5 +207,4 @@
 			delete(s.keyLeases, key)
 		}
 	}
-	return nil
 }
