fix(roller): a pause of the leader ends no order and no longer counts as a drain

What callers saw: nothing that broke a rule; found by looking for limits that run on while their doer can't act. After an outage of the store, engines whose drain began before it got their order at once, though the other nodes had sent them work again (a drain lasts 4 s), and requests there were cut or held the load up. Engines that were loading counted as failed after 10 s and were drained and ordered once more, though they had the new weights.

Now the roll-out notices that it wasn't planned for a second: it drains anew, asks the engines with an order for a report first, and gives these orders their time again.

TestDrainBeginsAnewAfterPause ("2 orders right after the pause") and TestOrderCompletedDuringPauseIsDone ("4 orders for 2 engines") failed before.

--- a/pkg/roller/roller.go
+++ b/pkg/roller/roller.go
@@ -122,6 +122,9 @@
 	// orderTimeout releases the slot of an engine that does not complete its
 	// order.
 	orderTimeout = 10 * time.Second
+	// maxPlanInterval is the time between two calls of Plan from which on the leader has been
+	// unable to act in between.
+	maxPlanInterval = time.Second
 	// failureBackoff prevents an unreachable engine from being retried
 	// continuously.
 	failureBackoff = time.Second
@@ -157,7 +160,8 @@
 // Roller is the state machine of the leader, which issues the orders. It is not
 // safe for concurrent use.
 type Roller struct {
-	engines map[string]*engineState
+	engines   map[string]*engineState
+	plannedAt time.Time // of the last call of Plan
 }
 
 // New returns a Roller without engines.
@@ -169,6 +173,10 @@
 // Plan takes the engines in the registry and the newest version of each model,
 // and returns the actions that are due at now.
 func (r *Roller) Plan(now time.Time, engines []Engine, newest map[string]int) []Action {
+	if !r.plannedAt.IsZero() && now.Sub(r.plannedAt) > maxPlanInterval {
+		r.resume(now)
+	}
+	r.plannedAt = now
 	r.syncEngines(engines)
 	var out []Action
 	slotsTaken := map[string]int{}  // slots of the weight store in use, by service
@@ -210,6 +218,23 @@
 	return out
 }
 
+// resume continues after a time in which the leader couldn't act. Engines that were drained
+// have got work again since. An order in progress has a report due before its time limit.
+func (r *Roller) resume(now time.Time) {
+	for _, s := range r.engines {
+		switch s.phase {
+		case draining:
+			s.phase = idle
+		case loading, uncertain:
+			s.nextReport = now
+			if from := now.Add(-storeSlotTime); from.After(s.phaseSince) {
+				s.phaseSince = from
+			}
+		case idle, sending:
+		}
+	}
+}
+
 // maxParallelLoads returns how many of a service's engines may load at once.
 func maxParallelLoads(engines int) int { return max(minParallelLoads, engines/parallelLoadDivisor) }
 
--- a/pkg/roller/roller_test.go
+++ b/pkg/roller/roller_test.go
@@ -297,3 +297,54 @@
 		}
 	}
 }
+
+// pause lets time pass in which no order can be sent, and the engines go on.
+func (sim *simulation) pause(d time.Duration) { sim.now = sim.now.Add(d) }
+
+// Guards against an order right after a pause to an engine whose drain began before it: the
+// other nodes have sent it work again since.
+func TestDrainBeginsAnewAfterPause(t *testing.T) {
+	sim := newSimulation(t, 7, 4)
+	for _, e := range sim.engines {
+		e.pinned = 1
+	}
+	sim.newest = 2
+	for range 3 {
+		sim.step()
+	}
+	drained := len(sim.away)
+	if drained == 0 || sim.orderCount > 0 {
+		t.Fatalf("%d engines drained, %d orders before the pause", drained, sim.orderCount)
+	}
+	clear(sim.away)
+	sim.pause(8 * time.Second)
+	sim.step()
+	if len(sim.away) == 0 || sim.orderCount > 0 {
+		t.Errorf("%d engines drained, %d orders right after the pause, want drains only", len(sim.away), sim.orderCount)
+	}
+	for _, e := range sim.engines {
+		e.pinned = 0
+	}
+	sim.run(6 * time.Second)
+}
+
+// Guards against engines whose order counts as failed after a pause, though they have the new
+// weights: they would be drained again.
+func TestOrderCompletedDuringPauseIsDone(t *testing.T) {
+	sim := newSimulation(t, 8, 2)
+	sim.newest = 2
+	for sim.orderCount < 2 {
+		sim.step()
+	}
+	sim.pause(15 * time.Second)
+	clear(sim.away)
+	for range 40 {
+		sim.step()
+	}
+	if sim.orderCount > 2 || sim.peakAway > 2 {
+		t.Errorf("%d orders for 2 engines", sim.orderCount)
+	}
+	if len(sim.away) > 0 {
+		t.Errorf("engines %v were drained again", sim.away)
+	}
+}
