fix(roller): an engine that has the newest weights after all gets no order

If the report shows the newest weights (the leader before had ordered them), the engine got an order for no model and version 0, which it rejects, and no work for up to 4 s.

Now its drain ends, and all nodes learn of the version.

TestDrainedEngineWithNewestWeightsGetsNoOrder failed before: "got the order {Incarnation:a Model: Version:0 Expected:1 Interrupt:true}".

--- a/pkg/roller/roller.go
+++ b/pkg/roller/roller.go
@@ -188,7 +188,7 @@
 			reachable[s.engine.Service]++
 			busy[s.engine.Service] += s.engine.Utilization
 		}
-		out = r.advance(now, s, out)
+		out = r.advance(now, s, newest, out)
 		if s.phase != idle {
 			unavailable[s.engine.Service]++
 		}
@@ -289,11 +289,18 @@
 
 // advance checks an engine that is not idle for completion, timeouts and due
 // report requests.
-func (r *Roller) advance(now time.Time, s *engineState, out []Action) []Action {
+func (r *Roller) advance(now time.Time, s *engineState, newest map[string]int, out []Action) []Action {
 	if s.phase == idle {
 		return out
 	}
 	if s.phase == draining {
+		if s.outdatedModel(newest) == "" { // by a report, or an order of an earlier leader
+			s.phase = idle
+			for model := range s.engine.Models {
+				out = append(out, Done{Incarnation: s.engine.Incarnation, Model: model, Version: s.version(model)})
+			}
+			return out
+		}
 		if !s.reportPending && s.orderCount < 0 && now.Sub(s.phaseSince) > orderCountTimeout {
 			s.phase, s.notBefore = idle, now.Add(failureBackoff)
 		}
--- a/pkg/roller/roller_test.go
+++ b/pkg/roller/roller_test.go
@@ -348,3 +348,27 @@
 		t.Errorf("engines %v were drained again", sim.away)
 	}
 }
+
+// Guards against an order for no model and version 0 to a drained engine, whose report shows
+// that it has the newest weights.
+func TestDrainedEngineWithNewestWeightsGetsNoOrder(t *testing.T) {
+	r := roller.New()
+	engines := []roller.Engine{{Incarnation: "a", Service: "s", Models: map[string]int{model: 1}, Reachable: true}}
+	newest := map[string]int{model: 2}
+	r.Plan(start, engines, newest)
+	r.ReceiveReport(start, "a", roller.Report{Models: map[string]int{model: 2}, Orders: 1}, true)
+	var done bool
+	for i := range 20 {
+		for _, a := range r.Plan(start.Add(time.Duration(i)*100*time.Millisecond), engines, newest) {
+			switch a := a.(type) {
+			case roller.Order:
+				t.Errorf("engine with the newest weights got the order %+v", a)
+			case roller.Done:
+				done = a == roller.Done{Incarnation: "a", Model: model, Version: 2}
+			}
+		}
+	}
+	if !done {
+		t.Error("the drain wasn't ended")
+	}
+}
