fix: a late write of older weights doesn't replace newer ones

The write of version 2 is executed late, after version 3 and an outage. Nodes that had read 3 kept it; those that started later read 2, and so did the closing start of all of them. Class of fault: a write to the store that is done late.

Versions only increase. The leader now orders the newest that its node knows. Leaders already store when they learned of which versions; nodes now take versions from that record, too, so that a late write can't hide what a leader has known. Its age counts as 5 s at most, as clocks differ.

Not covered: a version that no leader knew, if all nodes that read it end. What a peer reports of newer versions still counts only once the store has it (TestRestartedNodeReceivesOlderAnnouncements).

--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -63,6 +63,8 @@
 		o.setCatalog(f)
 	case *traffic.Weights:
 		o.setWeights(f, initial)
+	case *traffic.Announcements:
+		o.addAnnouncements(f)
 	case *traffic.Upstream:
 		o.logUpstreamChange(old.record, f)
 	}
@@ -106,14 +108,15 @@
 			s.Upstreams = append(s.Upstreams, *f)
 		case *traffic.Node:
 			s.Nodes = append(s.Nodes, *f)
-		case *traffic.Weights:
-			s.Weights = append(s.Weights, *f)
 		case *traffic.Leader:
 			s.Leader = f
 		case *traffic.Announcements:
 			s.Announcements = append(s.Announcements, *f)
 		}
 	}
+	for model, versions := range o.weights {
+		s.Weights = append(s.Weights, traffic.Weights{Model: model, Version: newestVersion(versions)})
+	}
 	sort.Slice(s.Upstreams, func(i, j int) bool { return s.Upstreams[i].ID < s.Upstreams[j].ID })
 	sort.Slice(s.Nodes, func(i, j int) bool { return s.Nodes[i].Name < s.Nodes[j].Name })
 	sort.Slice(s.Weights, func(i, j int) bool { return s.Weights[i].Model < s.Weights[j].Model })
--- a/internal/observer/weights.go
+++ b/internal/observer/weights.go
@@ -11,17 +11,19 @@
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
+// setWeights records announced weights. Older ones than are known stem from a write that
+// was executed late.
 func (o *Observer) setWeights(w *traffic.Weights, initial bool) {
 	versions := o.weights[w.Model]
-	if len(versions) > 0 && w.Version <= versions[len(versions)-1].Version {
+	if newestVersion(versions) >= w.Version {
 		return
 	}
 	since := o.clk.Now()
 	if initial {
 		since = since.Add(-assumedAnnouncementAge)
-		versions = o.storedVersions(w)
+		versions = o.storedVersions(w.Model)
 	}
-	if len(versions) > 0 && versions[len(versions)-1].Version == w.Version {
+	if newestVersion(versions) >= w.Version {
 		o.weights[w.Model] = versions
 		return
 	}
@@ -31,21 +33,46 @@
 	o.log.WithFields(logrus.Fields{"event": "weightsNamed", "model": w.Model, "version": w.Version}).Info("new weights announced")
 }
 
-// storedVersions returns the versions up to w with the announcement times in
+func newestVersion(versions []relayer.ModelVersion) int {
+	if len(versions) == 0 {
+		return 0
+	}
+	return versions[len(versions)-1].Version
+}
+
+// addAnnouncements records weights that a leader knew and this node doesn't: a write of older
+// ones that was executed late has replaced them in the store. Since clocks of nodes differ, the
+// announcement counts as assumedAnnouncementAge old at most.
+func (o *Observer) addAnnouncements(n *traffic.Announcements) {
+	now, versions := o.clk.Now(), o.weights[n.Model]
+	if len(versions) == 0 {
+		return // the first read isn't complete
+	}
+	versions = versions[:len(versions):len(versions)] // published views refer to it
+	for _, x := range n.Announcements {
+		if x.Version > newestVersion(versions) {
+			age := min(assumedAnnouncementAge, max(0, now.Round(0).Sub(x.At)))
+			versions = append(versions, relayer.ModelVersion{Version: x.Version, AnnouncedAt: now.Add(-age)})
+			o.log.WithFields(logrus.Fields{"event": "weightsNamed", "model": n.Model, "version": x.Version, "late": true}).Info("new weights found in the leader's record")
+		}
+	}
+	o.weights[n.Model] = versions[max(0, len(versions)-maxVersions):]
+}
+
+// storedVersions returns the versions of a model with the announcement times in
 // the store, for a node that has just started. Clocks of nodes may differ, so
 // ReceiveAnnouncement replaces these times if a peer reports a greater age.
-func (o *Observer) storedVersions(w *traffic.Weights) []relayer.ModelVersion {
+func (o *Observer) storedVersions(model string) []relayer.ModelVersion {
 	now := o.clk.Now()
 	var out []relayer.ModelVersion
 	for _, k := range o.items {
 		n, ok := k.record.(*traffic.Announcements)
-		if !ok || n.Model != w.Model {
+		if !ok || n.Model != model {
 			continue
 		}
 		for _, x := range n.Announcements {
-			if age := max(0, now.Round(0).Sub(x.At)); x.Version <= w.Version {
-				out = append(out, relayer.ModelVersion{Version: x.Version, AnnouncedAt: now.Add(-age)})
-			}
+			age := max(0, now.Round(0).Sub(x.At))
+			out = append(out, relayer.ModelVersion{Version: x.Version, AnnouncedAt: now.Add(-age)})
 		}
 	}
 	return out
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +59,12 @@
 	return append([]receivedOrder(nil), e.received...)
 }
 
+func (e *engines) versions() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.done)
+}
+
 func (*engines) Suspend(string, time.Time)                       {}
 func (*engines) RecordUpgrade(string, string, int)               {}
 func (*engines) Status(string) placer.UpstreamStatus             { return placer.UpstreamStatus{Reachable: true} }
@@ -203,20 +210,22 @@
 	}
 }
 
+func packed(t *testing.T, v any) string {
+	t.Helper()
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
 // Guards against an unreadable list of announcements that stays in the store for ever,
 // since the leader's write expects that there is none.
 func TestOddAnnouncementsAreReplaced(t *testing.T) {
-	pack := func(v any) string {
-		b, err := msgpack.Marshal(v)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return string(b)
-	}
 	for name, odd := range map[string]string{
 		"empty": "", "text": "odd", "nested": strings.Repeat("\x91", 1000), "list without elements": "\xdd\xff\xff\xff\xff",
-		"version too large":  pack([]traffic.Announcement{{Version: 1 << 40}}),
-		"versions backwards": pack([]traffic.Announcement{{Version: 9}, {Version: 1}}),
+		"version too large":  packed(t, []traffic.Announcement{{Version: 1 << 40}}),
+		"versions backwards": packed(t, []traffic.Announcement{{Version: 9}, {Version: 1}}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
