test: the stand-in for the store loses chosen responses and executes writes late

A call to the platform's store that receives no response may be executed seconds later if its condition still holds. The stand-in could only execute it at once. A test now chooses the writes whose responses are lost (by their number) and how late they are executed.

--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -57,6 +57,32 @@
 	Lease uint64
 }
 
+// KeyState is the current state of a key that a condition names.
+type KeyState struct {
+	Key             string
+	Revision, Lease uint64
+}
+
+// ConflictError is the Conflict of a Txn, with the keys that its conditions name as far
+// as they exist.
+type ConflictError struct{ Current []KeyState }
+
+// Error implements error.
+func (*ConflictError) Error() string { return Conflict.Error() }
+
+// Is reports whether target is Conflict.
+func (*ConflictError) Is(target error) bool { return target == Conflict }
+
+// State returns the current state of key. Its revision is 0 if the key is absent.
+func (e *ConflictError) State(key string) KeyState {
+	for _, s := range e.Current {
+		if s.Key == key {
+			return s
+		}
+	}
+	return KeyState{Key: key}
+}
+
 // Txn is an atomic change of several keys. It is applied only if every condition in
 // Expect holds.
 type Txn struct {
@@ -66,7 +92,7 @@
 }
 
 // Store is a key-value store with transactions, leases that own keys, and a
-// history that can be watched. Errors are Conflict, Unavailable (nothing was
+// history that can be watched. Errors are Conflict (of Commit, a ConflictError), Unavailable (nothing was
 // changed), Uncertain (a change may have taken effect or may still do so),
 // Throttled, Compacted and LeaseEnded.
 type Store interface {
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -50,7 +50,7 @@
 	case planner.StoreSlow:
 		s.injectStoreFault(ctx, planner.All, metastore.Faults{Delay: f.Delay}, f.For)
 	case planner.StoreLoses:
-		s.injectStoreFault(ctx, f.Scope, metastore.Faults{DropResponses: true}, f.For)
+		s.injectStoreFault(ctx, f.Scope, metastore.Faults{Losses: metastore.Losses{Loses: func(int) bool { return true }}}, f.For)
 	case planner.StoreRefuses:
 		s.injectStoreFault(ctx, f.Scope, metastore.Faults{ErrorStatus: f.Status}, f.For)
 	case planner.StoreForgets:
--- a/internal/testlib/store.go
+++ b/internal/testlib/store.go
@@ -145,7 +145,7 @@
 	}
 	for _, e := range t.Expect {
 		if s.items[e.Key].Revision != e.Revision {
-			return 0, platform.Conflict
+			return 0, s.conflict(t)
 		}
 	}
 	for _, p := range t.Put {
@@ -158,6 +158,16 @@
 	return s.revision, nil
 }
 
+func (s *Store) conflict(t platform.Txn) *platform.ConflictError {
+	e := &platform.ConflictError{}
+	for _, x := range t.Expect {
+		if it, ok := s.items[x.Key]; ok {
+			e.Current = append(e.Current, platform.KeyState{Key: x.Key, Revision: it.Revision, Lease: s.keyLeases[x.Key]})
+		}
+	}
+	return e
+}
+
 // GrantLease implements platform.Store.
 func (s *Store) GrantLease(context.Context, platform.Line, time.Duration) (uint64, error) {
 	s.mu.Lock()
