fix(broadcaster): keep nodes in graceful shutdown informed

What callers saw: directories named machines that were off. A node ends its registration when it is told to stop, serves on for up to its grace period, and answers as a directory. The others send to registered nodes only, so that it heard nobody after that. A node that hears nothing from half of the fleet takes itself for cut off and keeps to its last report of silent nodes; whatever was switched off since then stayed in its directory.

Class: whoever isn't registered is cut off from the fleet's state, though it still serves callers.

The others now send to nodes that announce that they are leaving as long as they hear from them, at the address that their datagrams come from. The format of the messages is unchanged; earlier releases go on as before.

Ruled out: no answers of a directory in shutdown. Callers ask three nodes; where these stop at the same time they would get none. To keep the registration until the end: nodes that start then would name the node.

TestLeavingNodeStaysInformed fails without the change, with 3 nodes and 20.

--- a/internal/broadcaster/audience.go
+++ b/internal/broadcaster/audience.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
 // audience is the set of nodes that one round sends to.
@@ -42,6 +43,36 @@
 			b.sendMessage(&n, others)
 		}
 	}
+	for _, n := range b.unregisteredLeavers(fleet) {
+		switch {
+		case fleet.FullMesh():
+			b.sendMessage(&n, m)
+		case to.relays && (to.everyone || to.includes(0)):
+			if others == nil {
+				others = b.messageToOthers(fleet, m)
+			}
+			b.sendMessage(&n, others)
+		}
+	}
+}
+
+// unregisteredLeavers returns the nodes in graceful shutdown that still send messages.
+// They serve callers and answer as directories until they end, for which they need the
+// state of the fleet.
+func (b *Broadcaster) unregisteredLeavers(fleet *roster.Roster) []traffic.Node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []traffic.Node
+	for name, l := range b.leavers {
+		_, registered := fleet.Find(name)
+		switch {
+		case b.clk.Now().Sub(l.at) > aggregatorSilence:
+			delete(b.leavers, name)
+		case !registered:
+			out = append(out, traffic.Node{Name: name, Peer: l.peer})
+		}
+	}
+	return out
 }
 
 // messageToOthers returns the message for the nodes of a large fleet that aren't
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -152,6 +152,12 @@
 	announcedAt time.Time
 }
 
+// leaver is a node in graceful shutdown, which isn't registered any more.
+type leaver struct {
+	peer string // its address
+	at   time.Time
+}
+
 // Broadcaster is a supervisor service that exchanges messages with all peers.
 type Broadcaster struct {
 	clk   clock.Clock
@@ -174,10 +180,12 @@
 	// reportedSilent is the last report about silent nodes, of this node while it is an
 	// aggregator, or else of another one.
 	reportedSilent []string
-	suspensions    []announcedSuspension
-	upgrades       []announcedUpgrade
-	leaving        bool
-	unreachable    map[string]bool
+	// leavers are the nodes that have announced that they are leaving, by name.
+	leavers     map[string]leaver
+	suspensions []announcedSuspension
+	upgrades    []announcedUpgrade
+	leaving     bool
+	unreachable map[string]bool
 	// unreadable has the senders of unreadable datagrams, by address, and the BootID of
 	// their incarnation, 0 if it isn't known.
 	unreadable map[string]uint64
@@ -205,7 +213,7 @@
 	}
 	return &Broadcaster{
 		clk: clk, boot: boot, log: log, self: self, startedAt: clk.Now(), conn: conn, fleet: fleet, state: state, scope: scope, handlers: map[Kind]Handler{},
-		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, unreadable: map[string]uint64{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
+		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, leavers: map[string]leaver{}, unreachable: map[string]bool{}, unreadable: map[string]uint64{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
 	}, nil
 }
 
@@ -390,6 +398,9 @@
 	if m.Aggregated {
 		b.reportedSilent = m.SilentNodes
 	}
+	if m.Leaving {
+		b.leavers[m.From] = leaver{peer: from, at: b.clk.Now()}
+	}
 	b.mu.Unlock()
 	if fleet := b.fleet(); !m.Aggregated && !fleet.FullMesh() && fleet.IsAggregator(b.self.Name) {
 		b.aggregator.add(b.clk.Now(), &m)
