fix(entry): a directory names no node that its node never heard

Class: a registration tells that a node was there within its lease, not that it is running; what nobody has been heard of is no address to give.

Now a node answers 503 as a directory until it hears most of the registered nodes (in a large fleet: has a report about them), for 1.5 s after its start at most; callers then ask the next of three. After that it leaves out nodes that it has never heard since it started. A node that has heard the others and is cut off keeps to its last report as before.

Ruled out: 503 whenever most nodes aren't heard. Callers of a data centre that is cut off would get no addresses at all.

Still open: where half of the nodes or more go at once, those that are left can't tell that from being cut off and name them until their leases end.

TestDirectoryNamesNoNodeThatWasNeverHeard failed before: "the directory names [127.0.0.1:12001], of which 127.0.0.1:12001 is off".

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -37,6 +37,9 @@
 	// aggregatorSilence is the same for an aggregator of a large fleet, which sends a
 	// message to each node in every fifth round.
 	aggregatorSilence = 2 * time.Second
+	// hearingTime is how long after its start a node may hear nothing from the others.
+	// They send to it once they have read its registration.
+	hearingTime = 1500 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer, which holds any
 	// datagram.
 	maxDatagramBytes = 64 << 10
@@ -180,6 +183,8 @@
 	// reportedSilent is the last report about silent nodes, of this node while it is an
 	// aggregator, or else of another one.
 	reportedSilent []string
+	// hasReport is set once a node of a large fleet has received a report.
+	hasReport bool
 	// leavers are the nodes that have announced that they are leaving, by name.
 	leavers     map[string]leaver
 	suspensions []announcedSuspension
@@ -396,7 +401,7 @@
 		b.storeReaders[m.From] = b.clk.Now()
 	}
 	if m.Aggregated {
-		b.reportedSilent = m.SilentNodes
+		b.reportedSilent, b.hasReport = m.SilentNodes, true
 	}
 	if m.Leaving {
 		b.leavers[m.From] = leaver{peer: from, at: b.clk.Now()}
--- a/internal/broadcaster/silence.go
+++ b/internal/broadcaster/silence.go
@@ -20,6 +20,41 @@
 	return b.reportedSilentNodes(fleet)
 }
 
+// KnowsFleet reports whether this node knows which of the registered nodes are running. One
+// that has just started doesn't until it hears from most of them or, in a large fleet,
+// has received a report about them.
+func (b *Broadcaster) KnowsFleet() bool {
+	fleet := b.fleet()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.clk.Now().Sub(b.startedAt) > hearingTime {
+		return true
+	}
+	if fleet.FullMesh() || fleet.IsAggregator(b.self.Name) {
+		_, ok := b.listUnheard(fleet.Nodes())
+		return ok
+	}
+	return b.hasReport
+}
+
+// NeverHeard returns the registered nodes that this node has heard nothing from since its
+// start. In a large fleet only the aggregators hear all nodes; others know of none.
+func (b *Broadcaster) NeverHeard() []string {
+	fleet := b.fleet()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !fleet.FullMesh() && !fleet.IsAggregator(b.self.Name) {
+		return nil
+	}
+	var out []string
+	for _, n := range fleet.Nodes() {
+		if _, heard := b.lastReceived[n.Name]; !heard && n.Name != b.self.Name {
+			out = append(out, n.Name)
+		}
+	}
+	return out
+}
+
 // unheardNodes returns the nodes that this node has heard nothing from. If these are
 // half of the nodes or more, it knows too little, and returns the last report: it is
 // probably cut off itself, or has just become an aggregator.
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -40,9 +40,14 @@
 // TTL implements ingress.Directory.
 func (d *directory) TTL() time.Duration { return min(entryTTL, d.maxTTL) }
 
-// Entries implements ingress.Directory.
+// Entries implements ingress.Directory. A node that has just started returns none until it
+// knows the fleet: callers then ask another one. Registrations alone don't tell which
+// nodes are running.
 func (d *directory) Entries(dataCentre, region string) []string {
-	silent := d.state.broadcaster.SilentNodes()
+	if !d.state.broadcaster.KnowsFleet() {
+		return nil
+	}
+	silent := append(d.state.broadcaster.SilentNodes(), d.state.broadcaster.NeverHeard()...)
 	var nodes []traffic.Node
 	for _, n := range d.obs.Snapshot().Nodes {
 		if !slices.Contains(silent, n.Name) {
--- a/internal/entry/registration_test.go
+++ b/internal/entry/registration_test.go
@@ -1,9 +1,19 @@
 package entry_test
 
 import (
+	"encoding/json"
+	"net/http"
+	"slices"
 	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnnotch/auburnnotch/internal/registrar"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+	"github.com/auburnnotch/auburnnotch/platform/standin/metastore"
 )
 
 // Guards against RECOVER: a node renewed its lease, but its key had been removed, and
@@ -16,3 +26,45 @@
 	b.log.await(t, "event=registrationReplaced")
 	b.log.awaitCount(t, "event=registered", 2)
 }
+
+// Guards against DRAIN: a node that had just started directed callers to a node that was
+// off, whose registration hadn't expired yet.
+func TestDirectoryNamesNoNodeThatWasNeverHeard(t *testing.T) {
+	t.Parallel()
+	off := traffic.Node{Name: "off", DataCentre: "a", Entry: testlib.NewAddress(t), Peer: testlib.NewAddress(t)}
+	value, err := msgpack.Marshal(&off)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := metastore.New(systemclock.New())
+	store.Put(registrar.Prefix+off.Name, value) // the node's first read has it
+	b := newFixtureWithStore(t, store, 8)
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		switch addresses := b.resolve(t); {
+		case slices.Contains(addresses, off.Entry):
+			t.Fatalf("the directory names %v, of which %s is off", addresses, off.Entry)
+		case slices.Contains(addresses, b.callers):
+			return
+		}
+	}
+	t.Error("the directory doesn't name the node itself")
+}
+
+// resolve returns the addresses in the node's directory, none if it doesn't know any.
+func (b *fixture) resolve(t *testing.T) []string {
+	t.Helper()
+	resp, err := http.Get("http://" + b.directory + "/api/resolve?zone=a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var out struct {
+		Addresses []string `json:"addresses"`
+	}
+	if resp.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out.Addresses
+}
