fix(relayer): a request whose route becomes public no longer counts for a workspace

A request was sent to an upstream under the name of a workspace, though its route had become public before the send. If that workspace had become isolated in the same configuration, the request used the shared cache scope under the name of an isolated workspace (WALL, UNASKED).

Cause: the check before each send asks for the workspace only where one is needed, and kept the one of the configuration before otherwise.

Change: the check forgets the workspace before it asks for one.

Test: TestRouteThatBecomesPublicBeforeTheSendHasNoWorkspace was red (sent for workspace "a" with the shared salt).

--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -35,7 +35,7 @@
 		}
 		return failure.UnknownRoute
 	}
-	u.route = route
+	u.route, u.workspace = route, nil
 	if u.route.Public || !m.RequiresKey() {
 		return failure.None
 	}
--- a/internal/relayer/scope_test.go
+++ b/internal/relayer/scope_test.go
@@ -62,3 +62,21 @@
 		t.Errorf("sent for workspace %q with salt %q, want b and %q", workspace, salt, want)
 	}
 }
+
+// Guards against WALL and UNASKED: a route became public before the send, and the request
+// kept the workspace of the configuration before, which is isolated now.
+func TestRouteThatBecomesPublicBeforeTheSendHasNoWorkspace(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	b.fleet.set(isolation(1, false), b.boot.Elapsed())
+	b.dialect.onAppend = func() {
+		public := isolation(2, true)
+		for i := range public.Routes {
+			public.Routes[i].Public = true
+		}
+		b.fleet.set(public, b.boot.Elapsed())
+	}
+	salt, workspace := b.servePrompt(t, "keyA")
+	if want, _ := b.servePrompt(t, ""); workspace != "" || salt != want {
+		t.Errorf("sent for workspace %q with salt %q, want none and %q", workspace, salt, want)
+	}
+}
