fix(relayer): parts made on weights of an unknown version aren't shared between upstreams

Of an upstream whose registration doesn't name the version of a model, prompts were saved in the cache store, and fetched from it or from another such upstream, under the salt of version 0, whichever version each of them had (STALE).

Cause: version 0 is one name for versions that differ and change.

Change: neither source nor store is named while the version isn't known. What the upstream caches itself under that salt it drops with its weights.

Test: TestPartsOfUnknownVersionAreNotShared was red (fetched and saved).

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -38,8 +38,8 @@
 	if d.onAppend != nil {
 		d.onAppend()
 	}
-	return fmt.Appendf(dst, "Id: %s\r\nUpstream: %s\r\nWorkspace: %s\r\nAfter: %s\r\nWait: %d\r\nSalt: %s\r\n",
-		r.ID, a.Upstream, a.Workspace, a.LastEventID, a.Remaining.Milliseconds(), a.Salt)
+	return fmt.Appendf(dst, "Id: %s\r\nUpstream: %s\r\nWorkspace: %s\r\nAfter: %s\r\nWait: %d\r\nSalt: %s\r\nSource: %s\r\nSave: %s\r\n",
+		r.ID, a.Upstream, a.Workspace, a.LastEventID, a.Remaining.Milliseconds(), a.Salt, a.Source, a.SaveTo)
 }
 
 func (*dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -169,7 +169,9 @@
 		a.Version = u.choice.Version
 		a.Salt = cacheSalt(q.Prompt.Model, a.Version, q.CacheScope)
 		a.Priority = u.priority()
-		a.Source, a.SaveTo = u.choice.Source, u.choice.SaveTo
+		if a.Version > 0 { // the salt tells apart only versions that are known
+			a.Source, a.SaveTo = u.choice.Source, u.choice.SaveTo
+		}
 	}
 	id := u.req.ID
 	u.sentAt = u.r.Clock.Now()
--- a/internal/relayer/scope_test.go
+++ b/internal/relayer/scope_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,18 +13,23 @@
 // servePrompt sends a prompt of the workspace that holds the key and returns the header
 // that the upstream received.
 func (b *fixture) servePrompt(t *testing.T, key string) (salt, workspace string) {
+	t.Helper()
+	h := b.sendPrompt(t, key)
+	return h.Get("Salt"), h.Get("Workspace")
+}
+
+func (b *fixture) sendPrompt(t *testing.T, key string) http.Header {
 	t.Helper()
 	r := &reply{}
 	b.relay.Serve(context.Background(), &relayer.Request{
 		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: key, Timeout: 2 * time.Second, Arrived: time.Now(),
-		Prompt: &traffic.Prompt{Model: "m", Tokens: 20, MaxOutput: 5, Parts: []traffic.Part{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}}},
+		Prompt: &traffic.Prompt{Model: "m", Tokens: 1010, MaxOutput: 5, Parts: []traffic.Part{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 10}}},
 	}, r)
 	got := b.ups[0].Received()
 	if r.status != 200 || len(got) == 0 {
 		t.Fatalf("status %d, kind %s, %d requests received", r.status, r.kind, len(got))
 	}
-	h := got[len(got)-1].Header
-	return h.Get("Salt"), h.Get("Workspace")
+	return got[len(got)-1].Header
 }
 
 func isolation(version uint64, isolated bool, keys ...string) *traffic.Catalog {
@@ -80,3 +86,21 @@
 		t.Errorf("sent for workspace %q with salt %q, want none and %q", workspace, salt, want)
 	}
 }
+
+// Guards against STALE: parts made on weights of an unknown version were saved in the cache
+// store and fetched from it under one salt, whatever version an upstream had.
+func TestPartsOfUnknownVersionAreNotShared(t *testing.T) {
+	const store = "10.0.0.9:1"
+	b := newFixture(t, streaming(0))
+	c := catalog(1, "key")
+	c.Services = []traffic.Service{{Name: "store", CacheAddress: store, CacheTokens: 100_000}}
+	b.fleet.set(c, b.boot.Elapsed())
+	for version, want := range []string{"", store} {
+		b.relay.SetUpstreams([]traffic.Upstream{{
+			ID: "u0", StartedMS: 1, Service: "s", Address: b.ups[0].Addr, DataCentre: "a", Slots: 8, Models: map[string]int{"m": version},
+		}}, nil)
+		if h := b.sendPrompt(t, "key"); h.Get("Source") != want || h.Get("Save") != want {
+			t.Errorf("version %d: fetched from %q and saved to %q, want %q", version, h.Get("Source"), h.Get("Save"), want)
+		}
+	}
+}
