fix(front): a workspace that may no longer use a model doesn't run requests that wait for it

On the path of serve a request that waited for a slot ran, though the declaration in force by then doesn't let its workspace use the model.

Cause: the check before the first send renewed one of the permissions that the request had been admitted with, the key.

Change: the check also asks whether the workspace may use the model; the answer is the 404 that a new request gets. A request that has begun is finished, as before.

--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -32,6 +32,7 @@
 	deadline       time.Time
 	key            string // of the workspace, as the caller sent it
 	workspace      config.Workspace
+	model          string // empty for requests to services
 	class          config.Class
 	method         string
 	path           string // path at the upstream
@@ -92,10 +93,16 @@
 	return j, nil
 }
 
-// isAuthorized reports whether the key of j is still one of its workspace.
-func (f *Front) isAuthorized(j *job) bool {
+// permission returns why the workspace of j may no longer send it, or failure.None.
+func (f *Front) permission(j *job) failure.Kind {
 	ws, ok := f.config.Current().Workspace(j.key)
-	return ok && ws.Name == j.workspace.Name
+	switch {
+	case !ok || ws.Name != j.workspace.Name:
+		return failure.Unauthorized
+	case j.model != "" && !mayUseModel(ws, j.model):
+		return failure.UnknownModel
+	}
+	return failure.None
 }
 
 func (f *Front) readBody(r *http.Request, j *job) error {
@@ -172,7 +179,7 @@
 	if len(text) == 0 || prompt == "messages" && text[0] != '[' {
 		return failure.New(failure.BadRequest, "%s: is missing or of the wrong type", prompt)
 	}
-	j.pool, j.streaming, j.continuable = pool.Name, body.Stream, true
+	j.model, j.pool, j.streaming, j.continuable = body.Model, pool.Name, body.Stream, true
 	j.class = pool.Class
 	if err := setClass(r, j); err != nil {
 		return err
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -196,10 +196,10 @@
 		r.handle(dispatcher.CallerGone{})
 		return
 	}
-	// The key may have been revoked while the request waited. A request that has begun
-	// is finished.
-	if r.attempts == 0 && !r.f.isAuthorized(r.job) {
-		r.handle(dispatcher.Routed{Kind: failure.Unauthorized})
+	// The key or the model may have been taken away while the request waited. A request
+	// that has begun is finished.
+	if k := r.f.permission(r.job); r.attempts == 0 && k != failure.None {
+		r.handle(dispatcher.Routed{Kind: k})
 		return
 	}
 	if a.Retry {
