test(relayer): a store that fails single reads answers others between them on a busy machine, too

TestSingleFailedReadsDontProlongOlderWeights failed once beside a load of 26: the clock was stepped on by 0.9 s before the observer had read, so that two reads in a row failed, which is an outage. It waits for a read that succeeds between them now.

--- a/internal/relayer/outage_test.go
+++ b/internal/relayer/outage_test.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// awaitRead steps the clock until the next read of the store.
+func (w *weightsFixture) awaitRead() {
+	calls := w.store.RangeCalls()
+	for w.store.RangeCalls() == calls {
+		w.step(clockStep)
+	}
+}
+
 // served reports whether a prompt is served. It steps the clock while the request waits for
 // an engine.
 func (w *weightsFixture) served() bool {
@@ -125,11 +133,9 @@
 	w.store.Set("ops/weights", "2")
 	for range 8 {
 		w.step(900 * time.Millisecond)
+		w.awaitRead() // on a busy processor the step may have ended before a read
 		w.store.SetError(platform.Unavailable)
-		calls := w.store.RangeCalls()
-		for w.store.RangeCalls() == calls {
-			w.step(clockStep)
-		}
+		w.awaitRead()
 		w.store.SetError(nil)
 	}
 	w.step(versionCutoff - 9*time.Second)
