fix: a stopping node doesn't move a stream from an engine that pauses

An engine's silence is no reason to end an answer sooner. A voluntary move (silence, a server error at hand) is judged by the time that is left; only a stream that has broken is resumed whatever is left.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -65,7 +65,7 @@
 		u.reason = "request may not finish before the node shuts down"
 		return failure.Draining
 	}
-	if u.runs > 0 && !u.mayFinish(now) {
+	if u.runs > 0 && !u.responseStarted && !u.mayFinish(now) { // a broken stream can't end otherwise
 		u.reason = "a further attempt may not finish before the node shuts down"
 		return failure.UpstreamFailed
 	}
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -32,11 +32,11 @@
 	return f.MayStart(now, u.deadline, expected, known)
 }
 
-// mayFinish reports whether a further attempt may be made. During graceful shutdown it
-// must be expected to end in time, unless it resumes a stream, which can't end otherwise.
+// mayFinish reports whether a further attempt would end in time. During graceful shutdown
+// that depends on its deadline and its expected duration.
 func (u *relay) mayFinish(now time.Time) bool {
 	f := u.r.shutdownSchedule()
-	if _, stops := f.SignaledAt(); !stops || u.responseStarted {
+	if _, stops := f.SignaledAt(); !stops {
 		return true
 	}
 	expected, known := u.estimate(now)
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// Guards against LOST: during graceful shutdown, a node gave up a stream whose engine
+// paused, for a resumption that it had no time for.
+func TestDrainingNodeWaitsForPausingEngine(t *testing.T) {
+	const (
+		pause    = 1800 * time.Millisecond // after 1.5 s the stream may be resumed elsewhere
+		timeLeft = 2500 * time.Millisecond
+	)
+	b := newFixture(t, nil, nil)
+	script := func(conn net.Conn, r testlib.Received) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: x\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", r.Header.Get("Id"))
+		if r.Header.Get("After") == "" {
+			fmt.Fprint(conn, "id: 1\ndata: a\n\n")
+			now := time.Now()
+			b.relay.BeginShutdown(finisher.New(now, now, now.Add(timeLeft)))
+			time.Sleep(pause)
+		}
+		fmt.Fprint(conn, "id: 2\ndata: b\n\n")
+		return false
+	}
+	for _, u := range b.ups {
+		u.SetScript(script)
+	}
+	r := b.serveWithin(context.Background(), "/stream/", unlimited)
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; r.aborted || r.body.String() != want || b.sent() != 1 {
+		t.Errorf("aborted %v, body %q, %d sends", r.aborted, r.body.String(), b.sent())
+	}
+}
+
 // runLog records the IDs of the requests that upstreams ran, and of those that were
 // refused as not run.
 type runLog struct {
