--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -132,6 +132,31 @@
 	}
 }
 
+// Guards against LOST: a request that came in time waited for an upstream, and started
+// when no caller may have had the node's address.
+func TestDrainingNodeJudgesRequestAtItsStart(t *testing.T) {
+	const (
+		addressCachedFor = 100 * time.Millisecond // less than the pause after a refusal
+		timeLeft         = 2900 * time.Millisecond
+	)
+	b := newFixture(t, ok)
+	if r := b.serve(context.Background(), "/slow/"); r.status != 200 {
+		t.Fatalf("status %d, %v", r.status, r.kind)
+	}
+	var once sync.Once
+	b.ups[0].SetScript(func(conn net.Conn, r testlib.Received) bool {
+		script := ok
+		once.Do(func() { script = refusing })
+		return script(conn, r)
+	})
+	sent := b.sent()
+	now := time.Now()
+	b.relay.BeginShutdown(finisher.New(now, now.Add(addressCachedFor), now.Add(timeLeft)))
+	if r := b.serveWithin(context.Background(), "/slow/", unlimited); r.kind != failure.Draining || b.sent() > sent+1 {
+		t.Errorf("status %d, %v after %d sends", r.status, r.kind, b.sent()-sent)
+	}
+}
+
 // runLog records the IDs of the requests that upstreams ran, and of those that were
 // refused as not run.
 type runLog struct {
