fix: nodes take newer weights from their peers

Traced: all nodes that had read version 3 ended before one of them became the leader and stored it. Two of them ran beside the restarted ones for 2 to 3 s and told them each 100 ms, but a report of a version that the store doesn't show was ignored. Class of fault: a write to the store that is done late.

Nodes now take such a version, with the age that the peer reports. Versions outside the range that the store's are checked for, and models without weights, are ignored.

Not covered: a version that only nodes knew which ended before any other had started.

--- a/internal/observer/weights.go
+++ b/internal/observer/weights.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -79,19 +80,23 @@
 }
 
 // ReceiveAnnouncement handles a peer's report of how long ago weights were
-// announced. After a restart, a node finds only the newest version in the
-// store.
+// announced. After a restart, a node finds only one version in the store, and not the
+// newest one if a write of older weights was executed late.
 func (o *Observer) ReceiveAnnouncement(model string, version int, age time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	since := o.clk.Now().Add(-age)
 	old := o.weights[model]
-	if len(old) == 0 || version > old[len(old)-1].Version {
-		return // the next read of the store adds this version
+	if len(old) == 0 || version < 1 || version > math.MaxInt32 {
+		return
 	}
 	versions := append([]relayer.ModelVersion(nil), old...)
 	i := sort.Search(len(versions), func(i int) bool { return versions[i].Version >= version })
 	switch {
+	case i == len(versions):
+		versions = append(versions, relayer.ModelVersion{Version: version, AnnouncedAt: since})
+		versions = versions[max(0, len(versions)-maxVersions):]
+		o.log.WithFields(logrus.Fields{"event": "weightsNamed", "model": model, "version": version, "late": true}).Info("a peer knows new weights")
 	case versions[i].Version != version && len(versions) < maxVersions:
 		versions = slices.Insert(versions, i, relayer.ModelVersion{Version: version, AnnouncedAt: since})
 	case versions[i].Version == version && since.Before(versions[i].AnnouncedAt.Add(-minAgeDifference)):
