refactor: responses take their memory from a budget that request bodies can share

A body that can't be sent again is dropped when its response begins; Admit lets the ingress check a header before it reads the body.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/feeder"
 	"github.com/auburnnotch/auburnnotch/internal/linewriter"
 	"github.com/auburnnotch/auburnnotch/internal/logger"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/observer"
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
@@ -88,6 +89,7 @@
 	seed := uint64(started.UnixNano())
 	rnd := rand.New(rand.NewPCG(seed, xxhash.Sum64String(s.Name)))
 	metrics := meter.New()
+	memory := memorykeeper.New(clk, metrics.Scope(), int64(s.MemoryMB*(1<<20)))
 	st := store.New(s.Store, metrics.Scope())
 	self := traffic.Node{
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Entry: s.CallerListen, Peer: s.PeerListen,
@@ -113,7 +115,7 @@
 		},
 	}, relayer.Dependencies{
 		Clock: clk, Boot: boot, Log: log, Fleet: obs, Connector: conns, Dialect: translate.Dialect{},
-		Adviser: adv, CacheDown: cache.Down, Meter: metrics, Rand: rnd,
+		Adviser: adv, CacheDown: cache.Down, Meter: metrics, Memory: memory, Rand: rnd,
 	})
 	obs.SetListener(relay)
 	state.relay, state.cache = relay, cache
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -1,11 +1,54 @@
 package relayer
 
 import (
+	"context"
+	"time"
+
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
+// Admitted is a request whose header allows it to be served.
+type Admitted struct{ u *relay }
+
+// Admit checks a request before its body is read, so that no memory is spent on one that
+// can't be served. It refuses such a request and returns nil.
+func (r *Relayer) Admit(ctx context.Context, req *Request, w ResponseWriter) *Admitted {
+	u := &relay{r: r, ctx: ctx, req: req, w: w}
+	if k := u.admitHeader(); k != failure.None {
+		u.refuse(k, u.retryAfter(k))
+		return nil
+	}
+	return &Admitted{u: u}
+}
+
+// Workspace returns the name of the workspace that the request's key belongs to, or an
+// empty string if the request needs no key.
+func (a *Admitted) Workspace() string {
+	if a.u.workspace == nil {
+		return ""
+	}
+	return a.u.workspace.Name
+}
+
+// Deadline returns the time until which the caller waits for the response.
+func (a *Admitted) Deadline() time.Time { return a.u.deadline }
+
+// RefuseOverloaded ends the request, of which nothing was sent.
+func (a *Admitted) RefuseOverloaded(reason string) {
+	a.u.reason = reason
+	a.u.refuse(failure.Overloaded, a.u.retryAfter(failure.Overloaded))
+}
+
 // admit determines the route, workspace, deadline and service of the request.
 func (u *relay) admit() failure.Kind {
+	if k := u.admitHeader(); k != failure.None {
+		return k
+	}
+	u.service = u.pickService()
+	return failure.None
+}
+
+func (u *relay) admitHeader() failure.Kind {
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
@@ -14,7 +57,6 @@
 		timeout = u.req.Timeout
 	}
 	u.deadline = u.req.Arrived.Add(timeout)
-	u.service = u.pickService()
 	return failure.None
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
@@ -48,14 +49,15 @@
 	// unreachable.
 	CacheDown func(address string) bool
 	Meter     *meter.Meter
-	Rand      *rand.Rand
+	// Memory bounds what is buffered of all responses.
+	Memory *memorykeeper.Keeper
+	Rand   *rand.Rand
 }
 
 // Relayer proxies requests to upstreams. It is safe for concurrent use.
 type Relayer struct {
 	settings Settings
 	Dependencies
-	bufferLimit bufferLimit
 
 	// finisher is nil until graceful shutdown begins.
 	finisher atomic.Pointer[finisher.Finisher]
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -16,6 +16,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
@@ -153,7 +154,7 @@
 		RetryBudget: retryBudget,
 	}, relayer.Dependencies{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
-		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
+		Memory: memorykeeper.New(clk, metrics.Scope(), 112<<20), CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var ups []traffic.Upstream
 	for i, s := range scripts {
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/limitreader"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -41,6 +42,9 @@
 	pickWaitDivisor = 8
 	// maxResponseBytes is the maximum size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	// ownBufferBytes is how much each response may buffer without a reservation. Usual
+	// responses and events need less, and hundreds at once fit into a node.
+	ownBufferBytes = 32 << 10
 	// firstEventObjectives is how long an upstream may be silent before the first
 	// event of a stream that may be retried at another one, in latency objectives.
 	firstEventObjectives = 3
@@ -144,6 +148,9 @@
 		return u.handleBroken(errors.Errorf("response with status %d has no stamp of the upstream", x.Status))
 	}
 	u.runs++
+	if !u.mayRetry(0) {
+		u.req.dropBody()
+	}
 	if u.req.Prompt != nil && a.Version > 0 {
 		u.recordVersion(a.Version)
 	}
@@ -355,9 +362,9 @@
 	if err := x.SetReadTimeout(max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
 		return u.handleBroken(errors.Annotate(err, "read response"))
 	}
-	buffered := reservation{limit: &u.r.bufferLimit}
-	defer buffered.release()
-	pieces, size, err := readBody(x, &buffered)
+	buffered := u.r.Memory.Response()
+	defer buffered.Release()
+	pieces, size, err := readBody(x, buffered)
 	if err != nil {
 		return u.handleBroken(errors.Annotate(err, "read response"))
 	}
@@ -396,7 +403,7 @@
 // readBody reads a body to its end. It reads into pieces, so that no byte is held
 // in memory twice. A body of more than maxResponseBytes is an error, since a part
 // of it would look complete.
-func readBody(x *connector.Exchange, buffered *reservation) (pieces [][]byte, size int64, err error) {
+func readBody(x *connector.Exchange, buffered *memorykeeper.Reservation) (pieces [][]byte, size int64, err error) {
 	if x.Length > maxResponseBytes {
 		return nil, 0, limitreader.ErrTooLong
 	}
@@ -417,7 +424,7 @@
 		case size > maxResponseBytes:
 			return nil, 0, limitreader.ErrTooLong
 		case len(p) == cap(p):
-			if err := buffered.reserve(ownBufferBytes); err != nil {
+			if err := buffered.Reserve(ownBufferBytes); err != nil {
 				return nil, 0, err
 			}
 			pieces = append(pieces, p)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -35,8 +35,8 @@
 		return u.handleBrokenStream(err)
 	}
 	u.watchStream()
-	buffered := reservation{limit: &u.r.bufferLimit}
-	defer buffered.release()
+	buffered := u.r.Memory.Response()
+	defer buffered.Release()
 	buf := make([]byte, 0, readBufferBytes)
 	empty := true
 	resumes := u.responseStarted // until the first event has been checked
@@ -46,7 +46,7 @@
 				return u.handleBrokenStream(errors.NotValidf("event of more than %d bytes", maxEventBytes))
 			}
 			if cap(buf) >= ownBufferBytes {
-				if err := buffered.reserve(cap(buf)); err != nil {
+				if err := buffered.Reserve(int64(cap(buf))); err != nil {
 					return u.handleBrokenStream(err)
 				}
 			}
@@ -70,7 +70,7 @@
 			buf = buf[:copy(buf, buf[end:])]
 			if cap(buf) > ownBufferBytes && len(buf) < readBufferBytes {
 				buf = append(make([]byte, 0, readBufferBytes), buf...)
-				buffered.release()
+				buffered.Release()
 			}
 		}
 		switch {
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -26,6 +26,8 @@
 	// router sets itself are removed.
 	Header http.Header
 	Body   []byte
+	// ReleaseBody is called once the body isn't needed any more; it may be nil.
+	ReleaseBody func()
 	// Timeout is how long the caller waits, counted from Arrived; 0 if the
 	// caller sent no timeout.
 	Timeout time.Duration
@@ -37,6 +39,14 @@
 	LastEventID string
 }
 
+// dropBody drops a body that won't be sent again.
+func (r *Request) dropBody() {
+	r.Body = nil
+	if r.ReleaseBody != nil {
+		r.ReleaseBody()
+	}
+}
+
 // Attempt holds what is sent to an upstream in addition to the request.
 type Attempt struct {
 	// Remaining is the time left until the deadline.
