fix: the bodies of all requests together fit into the process

Cause: each body was bounded, their sum was not, and Content-Length bytes were allotted before any had come. Class of fault: a limit for one where many come at once. The same class: responses have had a limit in sum; headers, messages of peers, answers of the store and queued log lines are bounded one by one or in number, not in this sum.

Now bodies take their memory from the budget of the process, in pieces that follow what has arrived (at most twice that). A body that finds none waits unread, up to 750 ms and a third of the time that its caller has left, small ones and those of the workspace that holds the least first; then it is refused with 503 and a Retry-After, which is true, as nothing was sent. Key, route and proof are checked at the header, so that no body of an unknown key is kept. The rest of a refused body is read without being kept: a caller that is reset while it sends may lose the refusal.

Ruled out: a larger memory limit of the garbage collector (the bodies are in use); a smaller socket buffer (it slows down callers far away).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,7 +137,7 @@
 		Callers: s.CallerListen, Ready: s.ReadyListen, Directory: s.DirectoryListen, Metrics: s.MetricsListen,
 	}, ingress.Dependencies{
 		Clock: clk, Boot: boot, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(), Scope: metrics.Scope(),
-		GracePeriod: config.Seconds(s.GraceSeconds), WriteTimeout: writeTimeout, OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
+		Memory: memory, GracePeriod: config.Seconds(s.GraceSeconds), WriteTimeout: writeTimeout, OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
 		Ready: func() bool { return obs.View() != nil && obs.Proof().Fresh(boot.Elapsed(), maxProofAge) },
 		BodyLimit: func() int64 {
 			if v := obs.View(); v != nil && v.Matcher.Catalog().Limits.BodyBytes > 0 {
--- a/internal/memorykeeper/body.go
+++ b/internal/memorykeeper/body.go
@@ -1,6 +1,7 @@
 package memorykeeper
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -12,7 +13,7 @@
 // firstBytes is what is allotted to a body of which nothing has arrived.
 const firstBytes = 4 << 10
 
-// Source is a body to read.
+// Source is the body of a request or response to read.
 type Source struct {
 	io.Reader
 	// Length is what the sender claims, -1 if it claims none.
@@ -43,33 +44,56 @@
 // length that the sender claims. While no memory is left, it doesn't read, which holds the
 // sender back. It returns ErrFull if the memory doesn't become free in time, and
 // limitreader.ErrTooLong if the body exceeds its limit.
-func (k *Keeper) ReadBody(s Source) (*Body, error) {
+func (k *Keeper) ReadBody(ctx context.Context, s Source) (*Body, error) {
 	if s.Length > s.Limit {
 		return nil, limitreader.ErrTooLong
 	}
 	v := k.body(s.Workspace, s.Length, s.Patience)
-	b, err := v.read(s)
+	b, err := v.readAll(ctx, s)
+	if err == nil {
+		v.complete()
+	}
+	return b, err
+}
+
+// ReadResponse reads the body of a response to its end. It doesn't wait for memory.
+func (k *Keeper) ReadResponse(ctx context.Context, s Source) (*Body, error) {
+	return k.Response().readAll(ctx, s)
+}
+
+func (v *Reservation) readAll(ctx context.Context, s Source) (*Body, error) {
+	b, err := v.read(ctx, s)
 	if err != nil {
 		v.Release()
 		return nil, err
 	}
-	v.complete()
 	return &Body{Bytes: b, Waited: v.waited, reservation: v}, nil
 }
 
-func (v *Reservation) read(s Source) ([]byte, error) {
+func (v *Reservation) read(ctx context.Context, s Source) ([]byte, error) {
 	size := s.Limit
 	if s.Length >= 0 {
 		size = s.Length
 	}
 	var b []byte
 	for {
-		if int64(len(b)) == size { // another read consumes the end, so that the server detects a caller that disconnects
-			return b, expectEnd(s)
+		if int64(len(b)) == size {
+			// Another read consumes the end of the body. Only then does net/http detect that a
+			// caller disconnects.
+			n, err := io.ReadFull(s, make([]byte, 1))
+			switch {
+			case s.Length >= 0: // the body is whole, whatever that read returns
+				return b, nil
+			case n > 0:
+				return nil, limitreader.ErrTooLong
+			case err != io.EOF:
+				return nil, errors.Trace(err)
+			}
+			return b, nil
 		}
 		if len(b) == cap(b) {
 			grown := min(max(firstBytes, 2*int64(cap(b))), size)
-			if err := v.Await(grown - int64(cap(b))); err != nil {
+			if err := v.await(ctx, grown-int64(cap(b))); err != nil {
 				return nil, err
 			}
 			b = append(make([]byte, 0, grown), b...)
@@ -86,14 +110,3 @@
 		}
 	}
 }
-
-// expectEnd returns limitreader.ErrTooLong if r has more bytes.
-func expectEnd(r io.Reader) error {
-	switch n, err := io.ReadFull(r, make([]byte, 1)); {
-	case n > 0:
-		return limitreader.ErrTooLong
-	case err != io.EOF:
-		return errors.Trace(err)
-	}
-	return nil
-}
--- a/internal/memorykeeper/memorykeeper.go
+++ b/internal/memorykeeper/memorykeeper.go
@@ -3,6 +3,7 @@
 package memorykeeper
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // share is the share of the process's memory that requests and responses may take. The
 // garbage collector, stacks, socket buffers and what the node itself knows need the rest.
-const share = 0.3
+const share = 0.4
 
 // ErrFull reports that no memory is left.
 const ErrFull = errors.ConstError("no memory is left for requests and responses")
@@ -85,8 +86,8 @@
 	return nil
 }
 
-// Await reserves n more bytes. It waits for them if they may still fit.
-func (v *Reservation) Await(n int64) error {
+// await reserves n more bytes. It waits for them if they may still fit.
+func (v *Reservation) await(ctx context.Context, n int64) error {
 	k := v.keeper
 	k.mu.Lock()
 	if k.reserver.Reserve(v.r, n) {
@@ -110,9 +111,12 @@
 		d := k.clk.Now().Sub(start)
 		v.waited, v.patience = v.waited+d, v.patience-d
 	}()
+	err := error(ErrFull)
 	select {
 	case <-granted:
 		return nil
+	case <-ctx.Done():
+		err = errors.Trace(context.Cause(ctx))
 	case <-k.clk.After(v.patience):
 	}
 	k.mu.Lock()
@@ -123,7 +127,7 @@
 	delete(k.granted, v.r)
 	k.update(k.reserver.Withdraw(v.r))
 	k.refused.Inc(1)
-	return ErrFull
+	return err
 }
 
 // complete records that v grows no further.
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -7,23 +7,26 @@
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
-// Admitted is a request whose header allows it to be served.
-type Admitted struct{ u *relay }
+// Arrival is a request of which only the header has been read.
+type Arrival struct {
+	u    *relay
+	kind failure.Kind
+}
 
-// Admit checks a request before its body is read, so that no memory is spent on one that
-// can't be served. It refuses such a request and returns nil.
-func (r *Relayer) Admit(ctx context.Context, req *Request, w ResponseWriter) *Admitted {
+// Examine checks a request before its body is read, so that no memory is spent on one that
+// can't be served.
+func (r *Relayer) Examine(ctx context.Context, req *Request, w ResponseWriter) *Arrival {
 	u := &relay{r: r, ctx: ctx, req: req, w: w}
-	if k := u.admitHeader(); k != failure.None {
-		u.refuse(k, u.retryAfter(k))
-		return nil
-	}
-	return &Admitted{u: u}
+	return &Arrival{u: u, kind: u.admitHeader()}
 }
 
+// Kind returns why the request can't be served; failure.None if it can as far as its header
+// tells.
+func (a *Arrival) Kind() failure.Kind { return a.kind }
+
 // Workspace returns the name of the workspace that the request's key belongs to, or an
 // empty string if the request needs no key.
-func (a *Admitted) Workspace() string {
+func (a *Arrival) Workspace() string {
 	if a.u.workspace == nil {
 		return ""
 	}
@@ -31,12 +34,12 @@
 }
 
 // Deadline returns the time until which the caller waits for the response.
-func (a *Admitted) Deadline() time.Time { return a.u.deadline }
+func (a *Arrival) Deadline() time.Time { return a.u.deadline }
 
-// RefuseOverloaded ends the request, of which nothing was sent.
-func (a *Admitted) RefuseOverloaded(reason string) {
+// Refuse ends the request, of which nothing was sent.
+func (a *Arrival) Refuse(k failure.Kind, reason string) {
 	a.u.reason = reason
-	a.u.refuse(failure.Overloaded, a.u.retryAfter(failure.Overloaded))
+	a.u.refuse(k, a.u.retryAfter(k))
 }
 
 // admit determines the route, workspace, deadline and service of the request.
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -25,23 +25,26 @@
 	smallBytes = 64 << 10
 	// smallArrivedBytes is the same for what has arrived of a body of unknown size.
 	smallArrivedBytes = 16 << 10
-	// responseShare is the share of the memory up to which responses may fill it.
-	responseShare = 0.9
+	// responseShare is the share of the memory up to which responses may fill it, and
+	// responsesShare the share that they may hold.
+	responseShare  = 0.95
+	responsesShare = 0.55
 	// bodyShare is the share up to which large bodies may fill it.
-	bodyShare = 0.48
+	bodyShare = 0.53
 	// finishingShare is the same for one large body at a time. Without this
 	// difference, bodies of which a part has arrived could all wait for each other.
-	finishingShare = 0.6
+	finishingShare = 0.65
 	// workspaceShare and workspaceFinishingShare are the shares up to which a workspace
 	// may add to large bodies.
-	workspaceShare          = 0.36
-	workspaceFinishingShare = 0.48
+	workspaceShare          = 0.40
+	workspaceFinishingShare = 0.52
 )
 
 // Reserver counts what is reserved. It is not safe for concurrent use.
 type Reserver struct {
 	total       int64
 	used        int64
+	responses   int64            // held by responses
 	byWorkspace map[string]int64 // held by bodies
 	finishing   *Reservation     // the body that may fill finishingShare
 	waiting     []*Reservation
@@ -140,7 +143,12 @@
 	if r.used+n > r.share(r.largestShare(v, n)) {
 		return false
 	}
-	if v.use == Body && !isSmall(v, n) {
+	switch {
+	case v.use == Response:
+		if r.responses+n > r.share(responsesShare) {
+			return false
+		}
+	case !isSmall(v, n):
 		switch {
 		case r.used+n <= r.share(bodyShare) && r.fitsWorkspace(v, n, workspaceShare):
 		case (r.finishing == nil || r.finishing == v) && r.fitsWorkspace(v, n, workspaceFinishingShare):
@@ -158,10 +166,9 @@
 }
 
 func (r *Reserver) add(v *Reservation, n int64) {
-	if v.use == Body {
-		r.byWorkspace[v.workspace] += n
-	}
-	if r.byWorkspace[v.workspace] == 0 {
+	if v.use == Response {
+		r.responses += n
+	} else if r.byWorkspace[v.workspace] += n; r.byWorkspace[v.workspace] == 0 {
 		delete(r.byWorkspace, v.workspace)
 	}
 	v.held += n
