fix: serve bounds the memory of all bodies and whole responses, and the time of a body

Callers of an entry with many large requests at once lost all of them when the process was killed for its memory; a sender that stalled kept its request for as long as its connection lasted, also with an unknown key.

Cause: as on the users' platform, the limits counted each body and response by itself, and a body had no time limit. Now serve takes bodies and whole responses from the same budget by the same code (internal/memorykeeper, internal/discarder), sized by limits.memoryMB (512 by default); the garbage collector gets a limit too. A body is read until the request's deadline, a minute at most (408).

Not counted: stored answers of the ledger, events of streams (1 MiB each at most). A body isn't dropped before its request ends.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/token"
@@ -206,11 +206,14 @@
 
 // readFullAnswer reads a response that is not streamed.
 func (r *runner) readFullAnswer(a *upstreamer.Attempt) {
-	body, err := io.ReadAll(io.LimitReader(a, r.f.limits.BodyBytes+1))
-	if err != nil || int64(len(body)) > r.f.limits.BodyBytes {
+	r.releaseAnswer()
+	answer, err := r.f.memory.ReadResponse(r.ctx, memorykeeper.Source{Reader: a, Length: -1, Limit: r.f.limits.BodyBytes})
+	if err != nil {
 		r.handleBroken(errors.Annotate(err, "read the response body"), a.TimedOut())
 		return
 	}
+	r.answer = answer
+	body := answer.Bytes
 	if r.job.isCompletion {
 		r.recordCacheHits(gjson.GetBytes(body, "usage"))
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/selector"
@@ -34,6 +35,7 @@
 	Clock     clock.Clock
 	Log       logrus.FieldLogger
 	Meter     *meter.Meter
+	Memory    *memorykeeper.Keeper
 	Config    *configkeeper.Keeper
 	Members   *gossiper.Gossiper
 	Scheduler *scheduler.Scheduler
@@ -49,6 +51,7 @@
 	clk       clock.Clock
 	log       logrus.FieldLogger
 	meter     *meter.Meter
+	memory    *memorykeeper.Keeper
 	config    *configkeeper.Keeper
 	members   *gossiper.Gossiper
 	sched     *scheduler.Scheduler
@@ -73,7 +76,7 @@
 		return nil, errors.Annotatef(err, "listen on the configured address; choose a free one in the settings")
 	}
 	return &Front{
-		clk: deps.Clock, log: deps.Log, meter: deps.Meter, config: deps.Config, members: deps.Members, sched: deps.Scheduler,
+		clk: deps.Clock, log: deps.Log, meter: deps.Meter, memory: deps.Memory, config: deps.Config, members: deps.Members, sched: deps.Scheduler,
 		ledger: deps.Ledger, upstreams: deps.Upstreams, hinter: deps.Hinter, selector: deps.Selector, drainer: deps.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
 		listener: netutil.LimitListener(ln, s.Limits.Connections),
 	}, nil
@@ -166,10 +169,15 @@
 		return
 	}
 	f.awaitConfig(r.Context())
-	j, err := f.parse(r)
+	j, err := f.parse(w, r)
+	defer j.release()
 	if err != nil {
 		k, msg := asFailure(err)
-		f.refuse(w, uuid.NewString(), k, msg)
+		if r.ContentLength == 0 || j.memory != nil {
+			f.refuse(w, j.id, k, msg)
+			return
+		}
+		f.refuseUnread(w, r, j.id, k, msg)
 		return
 	}
 	f.newRunner(w, r, j).serve()
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/token"
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
@@ -37,6 +37,7 @@
 	path           string // path at the upstream
 	contentType    string
 	body           []byte
+	memory         *memorykeeper.Body // of body, nil if there is none
 	pool           string
 	isCompletion   bool // a completion, served by an engine
 	streaming      bool
@@ -57,26 +58,32 @@
 	maxIdempotencyKeyLength = 255
 )
 
-// parse validates a caller's request. Its errors have a failure.Kind.
-func (f *Front) parse(r *http.Request) (*job, error) {
+// release returns the memory of the request.
+func (j *job) release() {
+	if j.memory != nil {
+		j.memory.Release()
+	}
+}
+
+// parse validates a caller's request. Its errors have a failure.Kind; the job, which must be
+// released, is then incomplete.
+func (f *Front) parse(w http.ResponseWriter, r *http.Request) (*job, error) {
+	j := &job{id: uuid.NewString(), acceptedAt: f.clk.Now(), method: r.Method, contentType: r.Header.Get("Content-Type")}
 	c := f.config.Current()
 	if c == nil {
-		return nil, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
+		return j, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
 	}
 	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	ws, ok := c.Workspace(key)
 	if !ok {
-		return nil, failure.New(failure.Unauthorized, "send Authorization: Bearer with a key of a declared workspace")
-	}
-	j := &job{
-		id: uuid.NewString(), acceptedAt: f.clk.Now(), key: key, workspace: ws,
-		method: r.Method, contentType: r.Header.Get("Content-Type"),
-	}
-	if err := f.readBody(r, j); err != nil {
-		return nil, err
+		return j, failure.New(failure.Unauthorized, "send Authorization: Bearer with a key of a declared workspace")
 	}
+	j.key, j.workspace = key, ws
 	if err := f.setDeadline(r, j); err != nil {
-		return nil, err
+		return j, err
+	}
+	if err := f.readBody(w, r, j); err != nil {
+		return j, err
 	}
 	service, rest, isService := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
 	var err error
@@ -86,7 +93,7 @@
 		err = f.parseCompletion(c, r, j)
 	}
 	if err != nil {
-		return nil, err
+		return j, err
 	}
 	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(ws.Name+j.path) ^ xxhash.Sum64(j.body))
 	return j, nil
@@ -98,29 +105,6 @@
 	return ok && ws.Name == j.workspace.Name
 }
 
-func (f *Front) readBody(r *http.Request, j *job) error {
-	limit := f.limits.BodyBytes
-	if r.ContentLength > limit {
-		return failure.New(failure.TooLarge, "the body has %d bytes; %d is the limit", r.ContentLength, limit)
-	}
-	if r.ContentLength > 0 {
-		j.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, j.body); err != nil {
-			return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
-		}
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
-	}
-	if int64(len(body)) > limit {
-		return failure.New(failure.TooLarge, "the body has more than %d bytes, the limit", limit)
-	}
-	j.body = body
-	return nil
-}
-
 // setDeadline takes the deadline from the request's header. Without the header,
 // the longest allowed time applies.
 func (f *Front) setDeadline(r *http.Request, j *job) error {
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/pkg/admitter"
@@ -51,7 +52,8 @@
 	send           dispatcher.Send
 	attemptStarted bool // the last Routed event caused a Send
 	sentText       strings.Builder
-	attempts       int // number of attempts so far
+	attempts       int                // number of attempts so far
+	answer         *memorykeeper.Body // the response, unless it is streamed
 	eventIDPrefix  string
 	buf            []byte
 }
@@ -94,6 +96,7 @@
 // release releases the slot of the request and its first pick, if that was not
 // used.
 func (r *runner) release() {
+	r.releaseAnswer()
 	if r.firstPick != nil && r.firstPick.Found() {
 		r.f.sched.RecordEnd(r.firstPick.Run, scheduler.Result{Refused: true})
 	}
@@ -102,6 +105,13 @@
 	}
 }
 
+func (r *runner) releaseAnswer() {
+	if r.answer != nil {
+		r.answer.Release()
+		r.answer = nil
+	}
+}
+
 func (r *runner) handle(e dispatcher.Event) {
 	for _, a := range r.machine.Handle(r.f.clk.Now(), e) {
 		r.perform(a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -17,6 +18,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
@@ -31,6 +33,10 @@
 	"github.com/auburnnotch/auburnnotch/pkg/member"
 )
 
+// gcMemoryShare is the share of the process's memory that the garbage collector is limited
+// to. Stacks, the runtime and socket buffers take the rest.
+const gcMemoryShare = 0.6
+
 // Node is one instance of the daemon with all its services.
 type Node struct {
 	supervisor *supervisor.Supervisor
@@ -40,10 +46,12 @@
 // New creates the services of a node and opens its listeners. s must have its
 // defaults set and must be valid.
 func New(s config.Settings, clk clock.Clock, log logrus.FieldLogger) (*Node, error) {
+	debug.SetMemoryLimit(int64(gcMemoryShare * s.Limits.MemoryMB * (1 << 20)))
 	log = log.WithField("node", s.Name)
 	boot := uint64(clk.Now().UnixNano())
 	rnd := rand.New(rand.NewPCG(boot, xxhash.Sum64String(s.Name)))
 	metrics := meter.New()
+	memory := memorykeeper.New(clk, metrics.Scope(), int64(s.Limits.MemoryMB*(1<<20)))
 	link, err := peerlink.New(s.PeerListen, s.PeerSecret, clk)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -71,7 +79,7 @@
 		return nodes.Select(gossip.Live(), workspace, weight)
 	}, s.Name)
 	f, err := front.New(s, front.Dependencies{
-		Clock: clk, Log: log, Meter: metrics, Config: keeper, Members: gossip,
+		Clock: clk, Log: log, Meter: metrics, Memory: memory, Config: keeper, Members: gossip,
 		Scheduler: sched, Ledger: claims, Upstreams: upstreams, Hinter: hints, Selector: nodes, Drainer: orders,
 	})
 	if err != nil {
--- a/internal/testlib/fleet.go
+++ b/internal/testlib/fleet.go
@@ -35,6 +35,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Wait waits until the process has ended and returns its error.
 func (p *Process) Wait() error {
 	<-p.done
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -16,6 +16,7 @@
 	defaultFirstByteSeconds = 3
 	defaultChunkSeconds     = 2
 	defaultWriteSeconds     = 20
+	defaultMemoryMB         = 512
 	defaultConnections      = 8192
 	defaultQueueLength      = 4096
 	defaultEntrySeconds     = 5
@@ -74,6 +75,7 @@
 	setDefault(&l.FirstByteSeconds, defaultFirstByteSeconds)
 	setDefault(&l.ChunkSeconds, defaultChunkSeconds)
 	setDefault(&l.WriteSeconds, defaultWriteSeconds)
+	setDefault(&l.MemoryMB, defaultMemoryMB)
 	setDefault(&l.Connections, defaultConnections)
 	setDefault(&l.QueueLength, defaultQueueLength)
 	setDefault(&l.EntrySeconds, defaultEntrySeconds)
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -50,6 +50,9 @@
 	ChunkSeconds float64 `json:"chunkSeconds,omitempty"`
 	// WriteSeconds limits the duration of a write to a slow caller (default 20).
 	WriteSeconds float64 `json:"writeSeconds,omitempty"`
+	// MemoryMB is the memory of the process (default 512). Requests and responses may take
+	// a part of it.
+	MemoryMB float64 `json:"memoryMB,omitempty"`
 	// Connections limits the open connections of callers (default 8192).
 	Connections int `json:"connections,omitempty"`
 	// QueueLength limits the requests that are queued on this node
