--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -166,21 +166,28 @@
 // handleCall serves a completion request or a service call.
 func (f *Front) handleCall(w http.ResponseWriter, r *http.Request) {
 	if err := f.members.AwaitPeers(r.Context()); err != nil {
-		return
+		panic(http.ErrAbortHandler) // the caller is gone; a return would answer 200
 	}
 	f.awaitConfig(r.Context())
-	j, err := f.parse(w, r)
-	defer j.release()
+	j, err := f.receive(w, r)
 	if err != nil {
 		k, msg := asFailure(err)
-		if r.ContentLength == 0 || j.memory != nil {
-			f.refuse(w, j.id, k, msg)
-			return
-		}
-		f.refuseUnread(w, r, j.id, k, msg)
+		f.refuseUnread(w, r, k, msg)
 		return
 	}
-	f.newRunner(w, r, j).serve()
+	defer j.release()
+	if err := f.parse(r, j); err != nil {
+		k, msg := asFailure(err)
+		f.refuse(w, j.id, k, msg)
+		return
+	}
+	call := f.newRunner(w, r, j)
+	call.serve()
+	if call.callerGone {
+		// A return would answer 200, or end a stream as if it were complete. A caller that has
+		// closed its sending side only would take that for the upstream's response.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // awaitConfig waits briefly for a node that has just started to receive the
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -65,26 +65,34 @@
 	}
 }
 
-// parse validates a caller's request. Its errors have a failure.Kind; the job, which must be
-// released, is then incomplete.
-func (f *Front) parse(w http.ResponseWriter, r *http.Request) (*job, error) {
-	j := &job{id: uuid.NewString(), acceptedAt: f.clk.Now(), method: r.Method, contentType: r.Header.Get("Content-Type")}
+// receive reads a caller's request, as far as it needs no knowledge of its path. Its errors
+// have a failure.Kind; a part of the body may then be unread.
+func (f *Front) receive(w http.ResponseWriter, r *http.Request) (*job, error) {
 	c := f.config.Current()
 	if c == nil {
-		return j, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
+		return nil, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
 	}
 	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	ws, ok := c.Workspace(key)
 	if !ok {
-		return j, failure.New(failure.Unauthorized, "send Authorization: Bearer with a key of a declared workspace")
+		return nil, failure.New(failure.Unauthorized, "send Authorization: Bearer with a key of a declared workspace")
+	}
+	j := &job{
+		id: uuid.NewString(), acceptedAt: f.clk.Now(), key: key, workspace: ws,
+		method: r.Method, contentType: r.Header.Get("Content-Type"),
 	}
-	j.key, j.workspace = key, ws
 	if err := f.setDeadline(r, j); err != nil {
-		return j, err
+		return nil, err
 	}
 	if err := f.readBody(w, r, j); err != nil {
-		return j, err
+		return nil, err
 	}
+	return j, nil
+}
+
+// parse validates a request that was received. Its errors have a failure.Kind.
+func (f *Front) parse(r *http.Request, j *job) error {
+	c := f.config.Current()
 	service, rest, isService := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
 	var err error
 	if isService && strings.HasPrefix(r.URL.Path, "/v1/services/") {
@@ -93,10 +101,10 @@
 		err = f.parseCompletion(c, r, j)
 	}
 	if err != nil {
-		return j, err
+		return err
 	}
-	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(ws.Name+j.path) ^ xxhash.Sum64(j.body))
-	return j, nil
+	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(j.workspace.Name+j.path) ^ xxhash.Sum64(j.body))
+	return nil
 }
 
 // isAuthorized reports whether the key of j is still one of its workspace.
