--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -76,10 +76,20 @@
 
 func newFixture(t *testing.T, graceSeconds float64) *fixture {
 	t.Helper()
-	return newFixtureWithStore(t, metastore.New(systemclock.New()), graceSeconds)
+	return newFixtureWith(t, metastore.New(systemclock.New()), graceSeconds, 512)
 }
 
 func newFixtureWithStore(t *testing.T, store *metastore.Store, graceSeconds float64) *fixture {
+	t.Helper()
+	return newFixtureWith(t, store, graceSeconds, 512)
+}
+
+func newFixtureWithMemory(t *testing.T, graceSeconds, memoryMB float64) *fixture {
+	t.Helper()
+	return newFixtureWith(t, metastore.New(systemclock.New()), graceSeconds, memoryMB)
+}
+
+func newFixtureWith(t *testing.T, store *metastore.Store, graceSeconds, memoryMB float64) *fixture {
 	t.Helper()
 	b := &fixture{
 		store: store, log: &logBuffer{}, callers: testlib.NewAddress(t), directory: testlib.NewAddress(t), ended: make(chan error, 1),
@@ -88,7 +98,7 @@
 	t.Cleanup(server.Close)
 	s := config.EntrySettings{
 		Name: "n", DataCentre: "a", CallerListen: b.callers, ReadyListen: testlib.NewAddress(t), DirectoryListen: b.directory,
-		PeerListen: testlib.NewAddress(t), Store: strings.TrimPrefix(server.URL, "http://"), MemoryMB: 512, GraceSeconds: graceSeconds,
+		PeerListen: testlib.NewAddress(t), Store: strings.TrimPrefix(server.URL, "http://"), MemoryMB: memoryMB, GraceSeconds: graceSeconds,
 	}.WithDefaults()
 	e, err := entry.New(s, b.log)
 	if err != nil {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -4,36 +4,64 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburnnotch/auburnnotch/internal/discarder"
+	"github.com/auburnnotch/auburnnotch/internal/limitreader"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
-// lingerTimeout bounds the reading of the rest of a refused request.
-const lingerTimeout = 500 * time.Millisecond
+// bodyPatience is how long a body may wait for memory.
+const bodyPatience = 750 * time.Millisecond
 
-// readBodyInTime is readBody until the deadline of the request.
-func (f *Front) readBodyInTime(w http.ResponseWriter, r *http.Request, j *job) error {
+// readBody reads the body of a request until the request's deadline.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, j *job) error {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	if r.ContentLength > f.limits.BodyBytes {
+		return failure.New(failure.TooLarge, "the body has %d bytes; %d is the limit", r.ContentLength, f.limits.BodyBytes)
+	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(j.deadline) // fails only if the connection is closed
-	err := f.readBody(r, j)
+	b, err := f.memory.ReadBody(r.Context(), memorykeeper.Source{
+		Reader: r.Body, Length: r.ContentLength, Limit: f.limits.BodyBytes, Workspace: j.workspace.Name, Patience: bodyPatience,
+	})
 	// From the end of the body on, the server reads to detect that the caller disconnects, and
 	// would take a deadline that passes for that.
 	_ = rc.SetReadDeadline(time.Time{})
-	if !f.clk.Now().Before(j.deadline) {
+	switch {
+	case !f.clk.Now().Before(j.deadline):
+		if err == nil {
+			b.Release()
+		}
 		return failure.New(failure.RequestTimeout, "the body hadn't arrived when the time of the request was over; send it faster, or set a later deadline")
+	case errors.Is(err, limitreader.ErrTooLong):
+		return failure.New(failure.TooLarge, "the body has more than %d bytes, the limit", f.limits.BodyBytes)
+	case errors.Is(err, memorykeeper.ErrFull):
+		return failure.New(failure.Overloaded, "other requests take the memory of this entry; try again after the time in Retry-After, or at another entry")
+	case err != nil:
+		return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
 	}
-	return err
+	j.memory, j.body = b, b.Bytes
+	if b.Waited > 0 {
+		f.log.WithFields(logrus.Fields{"event": "bodyWaited", "request": j.id, "waitedMs": b.Waited.Milliseconds()}).Info("request body waited for memory")
+	}
+	return nil
 }
 
-// closeUnread closes the connection of a request whose body may not have been read to its
-// end, once it is refused. The server reads on for a while, since a connection that is closed
-// with bytes unread is reset, which may cost the caller the refusal.
-func (f *Front) closeUnread(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
+// refuseUnread refuses a request whose body may not have been read to its end.
+func (f *Front) refuseUnread(w http.ResponseWriter, r *http.Request, k failure.Kind, msg string) {
+	d := discarder.New(f.clk)
+	broken := k == failure.BadRequest || k == failure.RequestTimeout // net/http then reports an end that isn't there
+	if r.ContentLength == 0 || !broken && d.ReadShort(w, r) {
+		f.refuse(w, uuid.NewString(), k, msg)
 		return
 	}
 	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(f.clk.Now().Add(lingerTimeout)) // fails only if the connection is closed
+	f.refuse(w, uuid.NewString(), k, msg)
+	d.ReadLong(w, r, f.limits.BodyBytes)
 }
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/token"
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
@@ -38,6 +38,7 @@
 	path           string // path at the upstream
 	contentType    string
 	body           []byte
+	memory         *memorykeeper.Body // of body, nil if there is none
 	pool           string
 	isCompletion   bool // a completion, served by an engine
 	streaming      bool
@@ -58,6 +59,13 @@
 	maxIdempotencyKeyLength = 255
 )
 
+// release returns the memory of the request.
+func (j *job) release() {
+	if j.memory != nil {
+		j.memory.Release()
+	}
+}
+
 // receive reads a caller's request, as far as it needs no knowledge of its path. Its errors
 // have a failure.Kind; a part of the body may then be unread.
 func (f *Front) receive(w http.ResponseWriter, r *http.Request) (*job, error) {
@@ -77,7 +85,7 @@
 	if err := f.setDeadline(r, j); err != nil {
 		return nil, err
 	}
-	if err := f.readBodyInTime(w, r, j); err != nil {
+	if err := f.readBody(w, r, j); err != nil {
 		return nil, err
 	}
 	return j, nil
@@ -112,29 +120,6 @@
 	return failure.None
 }
 
-func (f *Front) readBody(r *http.Request, j *job) error {
-	limit := f.limits.BodyBytes
-	if r.ContentLength > limit {
-		return failure.New(failure.TooLarge, "the body has %d bytes; %d is the limit", r.ContentLength, limit)
-	}
-	if r.ContentLength > 0 {
-		j.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, j.body); err != nil {
-			return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
-		}
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
-	}
-	if int64(len(body)) > limit {
-		return failure.New(failure.TooLarge, "the body has more than %d bytes, the limit", limit)
-	}
-	j.body = body
-	return nil
-}
-
 // setDeadline takes the deadline from the request's header. Without the header,
 // the longest allowed time applies.
 func (f *Front) setDeadline(r *http.Request, j *job) error {
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/pkg/admitter"
@@ -52,7 +53,8 @@
 	send           dispatcher.Send
 	attemptStarted bool // the last Routed event caused a Send
 	sentText       strings.Builder
-	attempts       int // number of attempts so far
+	attempts       int                // number of attempts so far
+	answer         *memorykeeper.Body // the response, unless it is streamed
 	eventIDPrefix  string
 	buf            []byte
 }
@@ -95,6 +97,7 @@
 // release releases the slot of the request, its first pick, if that was not used, and
 // after a panic its run.
 func (r *runner) release() {
+	r.releaseAnswer()
 	r.endRun(scheduler.Result{Refused: true})
 	if r.firstPick != nil && r.firstPick.Found() {
 		r.f.sched.RecordEnd(r.firstPick.Run, scheduler.Result{Refused: true})
@@ -104,6 +107,13 @@
 	}
 }
 
+func (r *runner) releaseAnswer() {
+	if r.answer != nil {
+		r.answer.Release()
+		r.answer = nil
+	}
+}
+
 func (r *runner) handle(e dispatcher.Event) {
 	for _, a := range r.machine.Handle(r.f.clk.Now(), e) {
 		r.perform(a)
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -1,11 +1,57 @@
 package relayer
 
 import (
+	"context"
+	"time"
+
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
+// Arrival is a request of which only the header has been read.
+type Arrival struct {
+	u    *relay
+	kind failure.Kind
+}
+
+// Examine checks a request before its body is read, so that no memory is spent on one that
+// can't be served.
+func (r *Relayer) Examine(ctx context.Context, req *Request, w ResponseWriter) *Arrival {
+	u := &relay{r: r, ctx: ctx, req: req, w: w}
+	return &Arrival{u: u, kind: u.admitHeader()}
+}
+
+// Kind returns why the request can't be served; failure.None if it can as far as its header
+// tells.
+func (a *Arrival) Kind() failure.Kind { return a.kind }
+
+// Workspace returns the name of the workspace that the request's key belongs to, or an
+// empty string if the request needs no key.
+func (a *Arrival) Workspace() string {
+	if a.u.workspace == nil {
+		return ""
+	}
+	return a.u.workspace.Name
+}
+
+// Deadline returns the time until which the caller waits for the response.
+func (a *Arrival) Deadline() time.Time { return a.u.deadline }
+
+// Refuse ends the request, of which nothing was sent.
+func (a *Arrival) Refuse(k failure.Kind, reason string) {
+	a.u.reason = reason
+	a.u.refuse(k, a.u.retryAfter(k))
+}
+
 // admit determines the route, workspace, deadline and service of the request.
 func (u *relay) admit() failure.Kind {
+	if k := u.admitHeader(); k != failure.None {
+		return k
+	}
+	u.service = u.pickService()
+	return failure.None
+}
+
+func (u *relay) admitHeader() failure.Kind {
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
@@ -14,7 +60,6 @@
 		timeout = u.req.Timeout
 	}
 	u.deadline = u.req.Arrived.Add(timeout)
-	u.service = u.pickService()
 	return failure.None
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -16,6 +16,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
@@ -166,7 +167,7 @@
 	t.Cleanup(func() { _ = metrics.Close() })
 	b.relay = relayer.New(settings, relayer.Dependencies{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: b.dialect,
-		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
+		Memory: memorykeeper.New(clk, metrics.Scope(), 112<<20), CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var ups []traffic.Upstream
 	for i, s := range scripts {
