--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +59,12 @@
 	return append([]receivedOrder(nil), e.received...)
 }
 
+func (e *engines) versions() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.done)
+}
+
 func (*engines) Suspend(string, time.Time)                       {}
 func (*engines) RecordUpgrade(string, string, int)               {}
 func (*engines) Status(string) placer.UpstreamStatus             { return placer.UpstreamStatus{Reachable: true} }
@@ -86,11 +93,12 @@
 	clk   *testlib.Clock
 	store *testlib.Store
 	ups   *engines
+	gap   time.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
 	clk := testlib.NewClock(time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC))
-	f := &fleet{t: t, clk: clk, store: testlib.NewStore(), ups: &engines{clk: clk, done: map[string]int{}}}
+	f := &fleet{t: t, clk: clk, store: testlib.NewStore(), ups: &engines{clk: clk, done: map[string]int{}}, gap: gap}
 	f.store.Set("config", "1")
 	f.store.Set("weights", "2")
 	for i := range 12 {
@@ -101,10 +109,14 @@
 
 // start runs a node. The returned function stops it and waits for its end.
 func (f *fleet) start(name string) (*observer.Observer, func()) {
+	return f.startWith(name, f.store)
+}
+
+func (f *fleet) startWith(name string, st platform.Store) (*observer.Observer, func()) {
 	log, _ := logtest.NewNullLogger()
-	obs := observer.New(f.clk, f.clk, log, f.store, observer.Layout{OperatorPrefix: "none/", Decode: decode})
+	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
 	obs.SetListener(f.ups)
-	o := orderer.New(orderer.Settings{Node: name, HandoverGap: gap}, f.clk, f.clk, log, f.store, obs, f.ups, f.ups)
+	o := orderer.New(orderer.Settings{Node: name, HandoverGap: f.gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = obs.Run(ctx) })
@@ -198,20 +210,22 @@
 	}
 }
 
+func packed(t *testing.T, v any) string {
+	t.Helper()
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
 // Guards against an unreadable list of announcements that stays in the store for ever,
 // since the leader's write expects that there is none.
 func TestOddAnnouncementsAreReplaced(t *testing.T) {
-	pack := func(v any) string {
-		b, err := msgpack.Marshal(v)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return string(b)
-	}
 	for name, odd := range map[string]string{
 		"empty": "", "text": "odd", "nested": strings.Repeat("\x91", 1000), "list without elements": "\xdd\xff\xff\xff\xff",
-		"version too large":  pack([]traffic.Announcement{{Version: 1 << 40}}),
-		"versions backwards": pack([]traffic.Announcement{{Version: 9}, {Version: 1}}),
+		"version too large":  packed(t, []traffic.Announcement{{Version: 1 << 40}}),
+		"versions backwards": packed(t, []traffic.Announcement{{Version: 9}, {Version: 1}}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
--- a/internal/relayer/advised_test.go
+++ b/internal/relayer/advised_test.go
@@ -32,10 +32,12 @@
 	return placer.Advice{Upstream: g.key, Misses: 10, Coordinator: "hub"}, g.verdict
 }
 
-func servePrompt(b *fixture) *reply {
+func servePrompt(b *fixture) *reply { return servePromptWithin(b, 2*time.Second) }
+
+func servePromptWithin(b *fixture, timeout time.Duration) *reply {
 	r := &reply{}
 	b.relay.Serve(context.Background(), &relayer.Request{
-		ID: "id", Method: "POST", Target: "/safe/", Path: "/safe/", Host: "h", Key: "key", Timeout: 2 * time.Second, Arrived: time.Now(),
+		ID: "id", Method: "POST", Target: "/safe/", Path: "/safe/", Host: "h", Key: "key", Timeout: timeout, Arrived: time.Now(),
 		Prompt: &traffic.Prompt{Model: "m", Tokens: 10, Parts: []traffic.Part{{ID: "a", Tokens: 10}}},
 	}, r)
 	return r
@@ -107,3 +109,18 @@
 		t.Errorf("the log line lacks the node that found no capacity: %v", e.Data)
 	}
 }
+
+// Guards against load that is counted twice for good: a question whose asking panicked stayed
+// open, so that no later one was reported as settled.
+func TestQuestionOfPanickedRequestIsSettled(t *testing.T) {
+	b := newFixture(t, ok)
+	g := &fakeAdviser{key: placer.Key("u0@1"), verdict: placer.Placed, onAsk: func() { panic("broken adviser") }}
+	b.relay.Adviser = g
+	func() {
+		defer func() { _ = recover() }()
+		servePrompt(b)
+	}()
+	if after := b.relay.TakeReport().Settled; len(g.asked) != 1 || after < g.asked[0] {
+		t.Errorf("questions %v, up to %d reported as settled", g.asked, after)
+	}
+}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
-	"github.com/auburnnotch/auburnnotch/internal/limitreader"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -73,9 +70,11 @@
 	lastEventID       string // ID of the last event forwarded that has one
 	resumable         bool   // the last event forwarded has an ID
 	choice            placer.Choice
-	advised           bool   // the choice follows the advice of the placement coordinator
-	adviser           string // node that answered the last question, if any
-	firstEventSeen    bool   // the current attempt has returned its first event
+	running           bool    // the request counts as running at the chosen upstream
+	kept              *answer // failure of an upstream, for the case that no retry has an answer
+	advised           bool    // the choice follows the advice of the placement coordinator
+	adviser           string  // node that answered the last question, if any
+	firstEventSeen    bool    // the current attempt has returned its first event
 	sentAt            time.Time
 	timeToFirstEvent  time.Duration // from the last send to its first event
 	responseStartedAt time.Time     // when forwarding of the response started
@@ -100,6 +99,8 @@
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
+	defer u.keep(nil)
+	defer u.endRun() // after a panic
 	u.r.recordRequest(u.service)
 	for u.attempt() {
 	}
@@ -161,9 +162,9 @@
 
 func (u *relay) send(q *placer.Query) (*connector.Exchange, connector.Outcome, error) {
 	remaining := u.deadline.Sub(u.r.Clock.Now())
-	a := Attempt{Remaining: remaining, Upstream: u.choice.Upstream.ID, Priority: -1, LastEventID: u.lastEventID}
-	if u.workspace != nil {
-		a.Workspace = u.workspace.Name
+	a := Attempt{
+		Remaining: remaining, Upstream: u.choice.Upstream.ID, Workspace: u.workspaceName(),
+		Priority: -1, LastEventID: u.lastEventID,
 	}
 	if q.Prompt != nil {
 		a.Version = u.choice.Version
@@ -187,10 +188,11 @@
 
 // permit returns an error if the request must not be sent to the chosen upstream any
 // more. It is called right before the send: the process may have been suspended since the
-// upstream was chosen, and a key or the upstream may have been taken away meanwhile.
+// upstream was chosen, and a key or the upstream may have been taken away meanwhile, or the
+// key may belong to another workspace.
 func (u *relay) permit() error {
-	service := u.service
-	if u.checkSend() != failure.None || u.service != service {
+	service, workspace, scope := u.service, u.workspaceName(), u.cacheScope()
+	if u.checkSend() != failure.None || u.service != service || u.workspaceName() != workspace || u.cacheScope() != scope {
 		return errNotPermitted
 	}
 	u.r.mu.Lock()
@@ -214,12 +216,6 @@
 	return nil
 }
 
-// cacheSalt returns the salt that separates cached parts of different models,
-// versions and cache scopes. An isolated workspace has a cache scope of its own.
-func cacheSalt(model string, version int, cacheScope string) string {
-	return model + "." + strconv.Itoa(version) + "." + cacheScope
-}
-
 // priority maps the priorities of the workspace and the route to a priority of
 // the engines.
 func (u *relay) priority() int {
@@ -267,10 +263,18 @@
 func (u *relay) endAttempt(f func(p *placer.Placer, c placer.Choice)) {
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
+	u.running = false
 	u.r.placer.RecordEnd(u.choice, u.firstEventSeen)
 	f(u.r.placer, u.choice)
 }
 
+// endRun ends an attempt at hand.
+func (u *relay) endRun() {
+	if u.running {
+		u.endAttempt(func(*placer.Placer, placer.Choice) {})
+	}
+}
+
 // handleUnreachable handles an attempt of which nothing was sent and reports
 // whether to make another one.
 func (u *relay) handleUnreachable(err error) bool {
@@ -349,88 +353,11 @@
 	return true
 }
 
-// relayWhole forwards a response that is not a stream once it is complete, and
-// reports whether to make another attempt.
-func (u *relay) relayWhole(x *connector.Exchange) bool {
-	if err := x.SetReadTimeout(max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
-		return u.handleBroken(errors.Annotate(err, "read response"))
-	}
-	buffered := reservation{limit: &u.r.bufferLimit}
-	defer buffered.release()
-	pieces, size, err := readBody(x, &buffered)
-	if err != nil {
-		return u.handleBroken(errors.Annotate(err, "read response"))
-	}
-	failed := x.Status >= http.StatusInternalServerError
-	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		if failed {
-			p.RecordFailure(u.r.Clock.Now(), c)
-			return
-		}
-		p.RecordSuccess(c)
-		u.recordDuration()
-		if x.Status < http.StatusMultipleChoices {
-			u.recordSuccess()
-		}
-	})
-	if failed && !u.responseStarted && u.mayMove() {
-		u.exclude = append(u.exclude, u.choice.Incarnation())
-		u.logEntry("answerFailed").WithField("status", x.Status).Info("upstream returned a server error; retrying the request")
-		return true
-	}
-	if u.responseStarted { // a stream was to be resumed
-		u.reason = "upstream responded to the resumption with status " + strconv.Itoa(x.Status)
-		u.fail(failure.StreamLost)
-		return false
-	}
-	u.w.Begin(x.Status, x.Header, size)
-	for _, p := range pieces {
-		if err = u.w.Write(p); err != nil {
-			break
-		}
-	}
-	u.recordResponse(x.Status, err)
-	return false
-}
-
-// readBody reads a body to its end. It reads into pieces, so that no byte is held
-// in memory twice. A body of more than maxResponseBytes is an error, since a part
-// of it would look complete.
-func readBody(x *connector.Exchange, buffered *reservation) (pieces [][]byte, size int64, err error) {
-	if x.Length > maxResponseBytes {
-		return nil, 0, limitreader.ErrTooLong
-	}
-	first := int64(readBufferBytes)
-	if x.Length >= 0 {
-		first = min(ownBufferBytes, x.Length+1) // one byte of space for the read that returns io.EOF
-	}
-	p := make([]byte, 0, first)
-	for {
-		n, err := x.Read(p[len(p):cap(p)])
-		p = p[:len(p)+n]
-		size += int64(n)
-		switch {
-		case err == io.EOF:
-			return append(pieces, p), size, nil
-		case err != nil:
-			return nil, 0, errors.Trace(err)
-		case size > maxResponseBytes:
-			return nil, 0, limitreader.ErrTooLong
-		case len(p) == cap(p):
-			if err := buffered.reserve(ownBufferBytes); err != nil {
-				return nil, 0, err
-			}
-			pieces = append(pieces, p)
-			p = make([]byte, 0, ownBufferBytes)
-		}
-	}
-}
-
 // canRetry reports whether a retry would find an upstream, enough time and retry
 // budget. Otherwise the response at hand is kept.
 func (u *relay) canRetry() bool {
 	now := u.r.Clock.Now()
-	if u.deadline.Sub(now) < u.route.LatencyObjective/2 || !u.mayStart(now) {
+	if u.deadline.Sub(now) < u.route.LatencyObjective/2 || !u.mayFinish(now) {
 		return false
 	}
 	q := u.placementQuery()
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -82,7 +82,7 @@
 func New(clk clock.Clock) *Upstreamer {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleConnTimeout}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleConnTimeout,
+		DialContext: dialContext(dialer), MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleConnTimeout,
 		DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 		MaxResponseHeaderBytes: limitreader.MaxHeaderBytes,
 	}
@@ -146,6 +146,10 @@
 		u.pooled.CloseIdleConnections() // the response to this attempt may still arrive
 		return nil, Broken, errOtherAttempt
 	}
+	if resp.StatusCode < http.StatusOK { // the transport skips interim responses, but for 101
+		a.Close()
+		return nil, Broken, errors.Errorf("upstream responded with status %d", resp.StatusCode)
+	}
 	a.Extend()
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wire.HeaderNotRun) == "true" {
 		a.Close()
@@ -201,6 +205,12 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that the
+// end of a broken connection may look like its end.
+func (a *Attempt) EndsWithConnection() bool {
+	return a.Response.ContentLength < 0 && len(a.Response.TransferEncoding) == 0
+}
+
 // Extend starts the timeout between chunks anew.
 func (a *Attempt) Extend() { a.timer.Reset(a.chunkTimeout) }
 
