test(issuer): some writes without a response are executed late

The simulation of concurrent leaders of serve lost responses, but executed each write at once. Now one in 40 campaigns, renewals and writes of the intents gets no response and is executed 1 to 6 s later if its condition still holds. TestConcurrentIssuers passes as before; it was not red.

--- a/pkg/issuer/issuer_test.go
+++ b/pkg/issuer/issuer_test.go
@@ -11,8 +11,9 @@
 )
 
 // simulation runs several issuers against engines with and without fencing token
-// checks. Processes pause, leases expire and responses are lost. A paused issuer
-// performs its pending actions when it continues.
+// checks. Processes pause, leases expire, responses are lost, and some of these writes
+// are executed late if their condition still holds. A paused issuer performs its
+// pending actions when it continues.
 type simulation struct {
 	rnd            *rand.Rand
 	now            time.Time
@@ -26,6 +27,7 @@
 	version        uint64
 	engines        map[string]*engine
 	inFlight       []delivery
+	lateWrites     []lateWrite
 	maxLoads       int
 	problems       []string
 	peakLoads      int
@@ -45,6 +47,12 @@
 	send issuer.Send
 }
 
+// lateWrite is a write without a response that the platform executes later.
+type lateWrite struct {
+	at      time.Time
+	execute func()
+}
+
 var timing = issuer.Timing{Order: 2 * time.Second, Load: 10 * time.Second, Lease: 10 * time.Second}
 
 func newSimulation(seed uint64, engines, maxLoads int) *simulation {
@@ -72,6 +80,7 @@
 func (sim *simulation) run(d time.Duration) {
 	for end := sim.now.Add(d); sim.now.Before(end); sim.now = sim.now.Add(100 * time.Millisecond) {
 		sim.deliver()
+		sim.executeLateWrites()
 		for i := range sim.issuers {
 			if sim.now.Before(sim.paused[i]) {
 				continue
@@ -101,7 +110,61 @@
 	}
 }
 
+func (sim *simulation) executeLateWrites() {
+	pending := sim.lateWrites[:0]
+	for _, w := range sim.lateWrites {
+		if sim.now.Before(w.at) {
+			pending = append(pending, w)
+		} else {
+			w.execute()
+		}
+	}
+	sim.lateWrites = pending
+}
+
+// performLate reports whether a write gets no response and is executed late.
+func (sim *simulation) performLate(i int, a issuer.Action) bool {
+	if sim.rnd.IntN(40) != 0 {
+		return false
+	}
+	sent := sim.now
+	var execute func()
+	switch a := a.(type) {
+	case issuer.Campaign:
+		execute = func() {
+			until := sent.Add(timing.Lease) // the lease was granted before
+			if sim.leaseHolder >= 0 && sim.now.Before(sim.leaseUntil) || !sim.now.Before(until) {
+				return
+			}
+			sim.leaseHolder, sim.leaseUntil = i, until
+			sim.token++
+		}
+	case issuer.Renew:
+		execute = func() {
+			if sim.leaseHolder == i && sim.now.Before(sim.leaseUntil) {
+				sim.leaseUntil = sim.now.Add(timing.Lease)
+			}
+		}
+	case issuer.WritePage:
+		sim.handle(i, issuer.PageWritten{Failed: true})
+		execute = func() {
+			if a.Version == sim.version {
+				sim.version++
+				sim.page = a.Page
+			}
+		}
+	default:
+		return false
+	}
+	at := sent.Add(time.Second + time.Duration(sim.rnd.Int64N(int64(5*time.Second))))
+	sim.lateWrites = append(sim.lateWrites, lateWrite{at: at, execute: execute})
+	return true
+}
+
 func (sim *simulation) perform(i int, a issuer.Action) {
+	if sim.performLate(i, a) {
+		return
+	}
 	lost := sim.rnd.IntN(20) == 0
 	switch a := a.(type) {
 	case issuer.Campaign:
@@ -183,7 +246,8 @@
 }
 
 // Guards against orders of a former leader that arrive after newer ones, and
-// against more concurrent loads than allowed, when leaders pause or lose responses.
+// against more concurrent loads than allowed, when leaders pause or lose responses,
+// also those of writes that are executed late.
 func TestConcurrentIssuers(t *testing.T) {
 	for _, c := range []struct{ engines, loads int }{{18, 3}, {12, 2}} {
 		peak := 0
