fix: a node that starts after an outage of the store learns of it from its peers

Cause: a restarted node learns from its peers when weights were named, but not that the store was down since. It counted the time for older weights from the naming and refused most requests, while its peers that had seen the outage served them.

Messages between nodes now end with how long the store has been in reach since the last outage (protocol 3). A node takes such a report only for the time before its first read of the store, with 2 s for a peer that notices the end later: where it has read the store all the while, only the peer was cut off.

Ruled out: counting from the node's own start. When all nodes lose power the store isn't disturbed, so that the rule's time counts on.

TestNodeStartedAfterOutageServesOlderWeights fails with the report ignored ("refused 4 s after the outage"). TestMessageOfProtocolTwo now packs exactly the fields of protocol two, as the one of protocol one does; TestMessageOfProtocolThree has the new golden file, and reads the new message as the earlier release does.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -106,6 +106,9 @@
 	// Evidence is what the sender knows of requests that crash upstreams. Nodes have it
 	// since ProtocolEvidence.
 	Evidence detector.Evidence
+	// StoreAgeMS is how long the platform's store has been in reach of the sender since the
+	// last outage, 0 if it knows of none. Nodes have it since ProtocolOutage.
+	StoreAgeMS int64
 }
 
 // Kind is the first byte of a datagram.
--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -88,9 +88,18 @@
 	return m
 }
 
+// ProtocolOne is embedded by an exported name, which the decoder requires.
+type ProtocolOne = earlierMessage
+
+// protocolTwo has the fields of protocol two, in their order.
+type protocolTwo struct {
+	ProtocolOne
+	Evidence detector.Evidence
+}
+
 func TestMessageOfProtocolTwo(t *testing.T) {
 	m := protocolTwoMessage()
-	b, err := packer.Pack(&m)
+	b, err := packer.Pack(&protocolTwo{earlier(m), m.Evidence})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -99,3 +108,20 @@
 		t.Errorf("got %+v, error %v", got, err)
 	}
 }
+
+func TestMessageOfProtocolThree(t *testing.T) {
+	m := protocolTwoMessage()
+	m.StoreAgeMS = 39
+	b, err := packer.Pack(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got broadcaster.Message
+	if err := packer.New(testlib.Golden(t, "protocol-3-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old protocolTwo
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old.Evidence, m.Evidence) || !reflect.DeepEqual(old.ProtocolOne, earlier(m)) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -80,6 +80,9 @@
 	if age, ok := proof.Age(s.boot.Elapsed()); ok {
 		m.ConfigVersion, m.ProofAgeMS = proof.Version(), age.Milliseconds()+1
 	}
+	if since, now := s.obs.StoreInReachSince(), s.clk.Now(); !since.IsZero() {
+		m.StoreAgeMS = now.Sub(since).Milliseconds()
+	}
 	if v := s.obs.View(); v != nil {
 		now := s.clk.Now()
 		for model, versions := range v.Versions {
@@ -136,6 +139,9 @@
 		s.obs.ReceiveDigest(m.From, d)
 		s.cache.ReceiveState(m.CacheStoreDown)
 	}
+	if m.StoreAgeMS > 0 {
+		s.obs.ReceiveOutage(time.Duration(m.StoreAgeMS) * time.Millisecond)
+	}
 	for _, w := range m.Announcements {
 		s.obs.ReceiveAnnouncement(w.Model, w.Version, time.Duration(w.AgeMS)*time.Millisecond)
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -159,6 +159,13 @@
 	return o.outage.InReachSince(o.clk.Now())
 }
 
+// ReceiveOutage handles a peer's report of how long ago the last outage of the store ended.
+func (o *Observer) ReceiveOutage(age time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.outage = o.outage.WithReport(o.clk.Now().Add(-age))
+}
+
 // Snapshot returns the latest snapshot of the store.
 func (o *Observer) Snapshot() *Snapshot { return o.snapshot.Load() }
 
--- a/internal/relayer/outage_test.go
+++ b/internal/relayer/outage_test.go
@@ -149,3 +149,23 @@
 		t.Error("served on older weights after the time for them")
 	}
 }
+
+// Guards against refusals by nodes that have started after an outage of the store: they learn
+// from their peers when weights were named, and must learn of the outage, too.
+func TestNodeStartedAfterOutageServesOlderWeights(t *testing.T) {
+	w := newWeightsFixture(t)
+	w.store.Set("ops/weights", "2")
+	w.step(2 * time.Second)
+	w.obs.ReceiveAnnouncement("m", 2, versionCutoff-time.Second)
+	if w.served() {
+		t.Fatal("served on older weights after the time for them")
+	}
+	w.obs.ReceiveOutage(4 * time.Second)
+	if !w.served() {
+		t.Error("refused 4 s after the outage")
+	}
+	w.step(versionCutoff - 4*time.Second)
+	if w.served() {
+		t.Error("served on older weights 12 s after the outage")
+	}
+}
--- a/pkg/outage/outage.go
+++ b/pkg/outage/outage.go
@@ -12,12 +12,16 @@
 	minDuration = 500 * time.Millisecond
 )
 
+// noticeTime is how much later than this node a peer may notice the end of an outage.
+const noticeTime = 2 * time.Second
+
 // Outage is what a node knows of the last outage of the store. It is an immutable value;
 // the zero value has seen none.
 type Outage struct {
 	failures     int // in a row
 	failingSince time.Time
 	endedAt      time.Time
+	firstRead    time.Time // zero before the first read that succeeded
 }
 
 // WithFailure returns an Outage with a read that failed at now.
@@ -35,6 +39,18 @@
 		o.endedAt = now
 	}
 	o.failures = 0
+	if o.firstRead.IsZero() {
+		o.firstRead = now
+	}
+	return o
+}
+
+// WithReport returns an Outage with a peer's report of when the last one ended. It counts if
+// this node had not read the store before, since otherwise only the peer was cut off.
+func (o Outage) WithReport(endedAt time.Time) Outage {
+	if !o.firstRead.IsZero() && endedAt.After(o.endedAt) && !endedAt.After(o.firstRead.Add(noticeTime)) {
+		o.endedAt = endedAt
+	}
 	return o
 }
 
--- a/pkg/outage/outage_test.go
+++ b/pkg/outage/outage_test.go
@@ -14,6 +14,7 @@
 	const never = -1
 	for _, c := range []struct {
 		name            string
+		reported        float64   // end of an outage that a peer reports last, 0 for none
 		failed          []float64 // times of failed reads, in seconds
 		succeeded       []float64
 		at, wantSeconds float64
@@ -28,6 +29,11 @@
 		{name: "outage has ended", failed: []float64{1, 2, 3}, succeeded: []float64{4, 5}, at: 9, wantSeconds: 4},
 		{name: "a single failure after an outage", failed: []float64{1, 2, 6}, succeeded: []float64{4, 6.4}, at: 9, wantSeconds: 4},
 		{name: "second outage", failed: []float64{1, 2, 6, 7}, succeeded: []float64{4, 8}, at: 9, wantSeconds: 8},
+		{name: "peer's outage before the first read", succeeded: []float64{5, 6}, reported: 4, at: 9, wantSeconds: 4},
+		{name: "peer noticed its end later", succeeded: []float64{5, 6}, reported: 6.5, at: 9, wantSeconds: 6.5},
+		{name: "peer's outage without one here", succeeded: []float64{1, 2, 3, 4, 5}, reported: 4, at: 9, wantSeconds: never},
+		{name: "peer's earlier outage", failed: []float64{1, 2}, succeeded: []float64{3}, reported: 2.5, at: 9, wantSeconds: 3},
+		{name: "peer's outage before any read", reported: 2, at: 9, wantSeconds: never},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
@@ -40,6 +46,9 @@
 					o, succeeded = o.WithSuccess(at(succeeded[0])), succeeded[1:]
 				}
 			}
+			if c.reported != 0 {
+				o = o.WithReport(at(c.reported))
+			}
 			var want time.Time
 			if c.wantSeconds != never {
 				want = at(c.wantSeconds)
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -86,8 +86,10 @@
 	// upstreams, and with the upstreams that are unavailable to a node that asks for a
 	// placement.
 	ProtocolEvidence = 2
+	// ProtocolOutage is the first protocol with the end of the store's last outage.
+	ProtocolOutage = 3
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolEvidence
+	CurrentProtocol = ProtocolOutage
 )
 
 // Leader is the node that sends orders to engines.
