test: bodies, stalled senders and endless responses at once stay within memory

20 callers with bodies of 4 MB, 20 whose responses never end, again and again, beside 50 senders that stall: small requests beside them are all served, each caller gets an answer, and the heap grows by less than half of the memory of 112 MB. Large messages of peers aren't in the test.

--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -21,7 +21,7 @@
 )
 
 // bodyEngine is an upstream that keeps no body. It responds to requests for /r/long
-// once release is closed.
+// once release is closed, and to those for /r/endless without end.
 type bodyEngine struct {
 	release chan struct{}
 	mu      sync.Mutex
@@ -41,6 +41,9 @@
 	}
 	w.Header().Set(translate.HeaderRequestID, id)
 	w.Header().Set(translate.HeaderStamp, "s")
+	for err := error(nil); r.URL.Path == "/r/endless" && err == nil; {
+		_, err = w.Write(make([]byte, 16<<10))
+	}
 	_, _ = io.WriteString(w, "ok") // the test sees a response that is missing
 }
 
@@ -220,3 +223,68 @@
 		t.Errorf("%d stalled bodies hold %d bytes, want at most %d", stalled, held, most)
 	}
 }
+
+// Guards against a node that is killed for its memory while bodies of the largest size,
+// stalled ones and endless responses come at once, each kind within its own bound.
+func TestBodiesAndEndlessResponsesStayWithinMemory(t *testing.T) {
+	const (
+		memoryMB  = 112
+		bodyBytes = 4 << 20
+		most      = memoryMB << 20 / 2
+	)
+	b, e := newBodyFixture(t, memoryMB, bodyBytes)
+	body := make([]byte, bodyBytes)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 50 {
+		conn, err := net.Dial("tcp4", b.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		writeHead(conn, fmt.Sprintf("stalled-%d", i), "/r/long", fmt.Sprintf("Content-Length: %d", bodyBytes))
+		_, _ = conn.Write(body[:2<<10]) // the requests below show what the node holds
+	}
+	stop := make(chan struct{})
+	var others, small sync.WaitGroup
+	repeat := func(name, path string, body []byte) {
+		others.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if status, _ := b.exchange(fmt.Sprint(name, "-", n), path, body, n%2 == 0); status == 0 {
+					t.Errorf("%s: no answer", name)
+					return
+				}
+			}
+		})
+	}
+	for i := range 20 {
+		repeat(fmt.Sprint("long-", i), "/r/long", body)
+		repeat(fmt.Sprint("endless-", i), "/r/endless", body[:1])
+	}
+	for i := range 100 {
+		small.Go(func() {
+			time.Sleep(time.Duration(i) * 30 * time.Millisecond)
+			if status, _ := b.exchange(fmt.Sprint("short-", i), "/r/short", body[:1700], i%2 == 0); status != http.StatusOK {
+				t.Errorf("short request %d: status %d", i, status)
+			}
+		})
+	}
+	for range 8 {
+		time.Sleep(300 * time.Millisecond)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		if held := int64(after.HeapAlloc) - int64(before.HeapAlloc); held > most {
+			t.Errorf("bodies and responses hold %d bytes, want at most %d", held, most)
+		}
+	}
+	small.Wait()
+	close(stop)
+	close(e.release)
+	others.Wait()
+}
