--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -159,9 +159,24 @@
 	return o.outage.InReachSince(o.clk.Now())
 }
 
+// ReceiveOutage handles a peer's report of how long ago the last outage of the store ended.
+func (o *Observer) ReceiveOutage(age time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.outage = o.outage.WithReport(o.clk.Now().Add(-age))
+}
+
 // Snapshot returns the latest snapshot of the store.
 func (o *Observer) Snapshot() *Snapshot { return o.snapshot.Load() }
 
+// KeyRevision returns the revision of a key in the latest snapshot, 0 if it is absent, and
+// the revision of the store that the snapshot covers, 0 before the first read.
+func (o *Observer) KeyRevision(key string) (revision, asOf uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.items[key].revision, o.revision
+}
+
 // Name implements supervisor.Service.
 func (o *Observer) Name() string { return "observer" }
 
