fix(relayer): what crashes upstreams stays rejected though all nodes restart at once

Cause: rejections lived in the nodes' memory alone; the other nodes' evidence is no help to a fleet that starts at once. Class: what must last lives in a process (as announcements of weights did before they were stored).

Change: the store keeps the rejections in one key, compared and swapped. A rejection ends when it would have, ten minutes after it was found; a success still ends it sooner.

Ruled out: evidence that wasn't delivered, limits, successes of other requests (the logs show none of them).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
 	"github.com/auburnnotch/auburnnotch/internal/prober"
 	"github.com/auburnnotch/auburnnotch/internal/registrar"
+	"github.com/auburnnotch/auburnnotch/internal/rejectionkeeper"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/reloader"
 	"github.com/auburnnotch/auburnnotch/internal/supervisor"
@@ -147,7 +148,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, in, registrar.New(clk, log, st, self))
+	kept := rejectionkeeper.New(clk, log, st, obs, relay, isAggregator)
+	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, kept, in, registrar.New(clk, log, st, self))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -46,13 +46,16 @@
 	return l.b.Write(p)
 }
 
+func (l *logBuffer) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), text)
+}
+
 func (l *logBuffer) await(t *testing.T, text string) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		l.mu.Lock()
-		found := strings.Contains(l.b.String(), text)
-		l.mu.Unlock()
-		if found {
+		if l.contains(text) {
 			return
 		}
 	}
@@ -63,28 +66,23 @@
 	store   *metastore.Store
 	log     *logBuffer
 	callers string
-	signal  context.CancelFunc
-	ended   chan error
+	// newEntry returns the node, not started yet.
+	newEntry func() (*entry.Entry, error)
+	signal   context.CancelFunc
+	ended    chan error
 }
 
 func newFixture(t *testing.T, graceSeconds float64) *fixture {
 	t.Helper()
-	b := &fixture{store: metastore.New(systemclock.New()), log: &logBuffer{}, callers: testlib.NewAddress(t), ended: make(chan error, 1)}
+	b := &fixture{store: metastore.New(systemclock.New()), log: &logBuffer{}, callers: testlib.NewAddress(t)}
 	server := httptest.NewServer(b.store.Handler("n"))
 	t.Cleanup(server.Close)
 	s := config.EntrySettings{
 		Name: "n", DataCentre: "a", CallerListen: b.callers, ReadyListen: testlib.NewAddress(t), DirectoryListen: testlib.NewAddress(t),
 		PeerListen: testlib.NewAddress(t), Store: strings.TrimPrefix(server.URL, "http://"), MemoryMB: 512, GraceSeconds: graceSeconds,
 	}.WithDefaults()
-	e, err := entry.New(s, b.log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	b.signal = cancel
-	go func() { b.ended <- e.Run(ctx); close(b.ended) }()
-	t.Cleanup(func() { cancel(); b.store.SetFaults("n", metastore.Faults{}); <-b.ended })
-	b.log.await(t, "event=registered")
+	b.newEntry = func() (*entry.Entry, error) { return entry.New(s, b.log) }
+	b.start(t)
 	return b
 }
 
--- a/internal/feeder/feeder_test.go
+++ b/internal/feeder/feeder_test.go
@@ -52,6 +52,7 @@
 type ignoringListener struct{}
 
 func (ignoringListener) SetUpstreams([]traffic.Upstream, map[string]int) {}
+func (ignoringListener) RestoreRejections([]traffic.Rejection)           {}
 
 // fleet is a number of nodes, of which the first ones read the store for the others.
 type fleet struct {
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -112,6 +112,8 @@
 			s.Leader = f
 		case *traffic.Announcements:
 			s.Announcements = append(s.Announcements, *f)
+		case *traffic.Rejections:
+			s.Rejections = *f
 		}
 	}
 	sort.Slice(s.Upstreams, func(i, j int) bool { return s.Upstreams[i].ID < s.Upstreams[j].ID })
@@ -125,6 +127,10 @@
 	if o.catalog == nil {
 		return
 	}
+	if s.Loaded && !o.restored {
+		o.restored = true
+		o.listener.RestoreRejections(s.Rejections.Rejections)
+	}
 	v := &relayer.View{Nodes: len(s.Nodes), Versions: make(map[string][]relayer.ModelVersion, len(o.weights))}
 	for model, w := range o.weights {
 		v.Versions[model] = w
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -70,6 +70,8 @@
 // Listener is notified of changes. Calls are not concurrent.
 type Listener interface {
 	SetUpstreams(ups []traffic.Upstream, memory map[string]int)
+	// RestoreRejections is called once, with what the store held when the node started.
+	RestoreRejections(rejections []traffic.Rejection)
 }
 
 // Snapshot is the result of one read of the whole store.
@@ -81,6 +83,8 @@
 	Leader *traffic.Leader
 	// Announcements holds the announcement times of weights, as stored.
 	Announcements []traffic.Announcements
+	// Rejections is what the fleet rejects, as stored.
+	Rejections traffic.Rejections
 	// Roster assigns the fleet-wide roles to Nodes.
 	Roster *roster.Roster
 	// Loaded is true once the store has been read.
@@ -118,6 +122,7 @@
 	downSince     time.Time
 	hash          uint64 // of the last snapshot
 	generation    uint64 // number of snapshots published
+	restored      bool   // the listener has the rejections of the first read
 	feed          feed
 	trigger       chan struct{}
 	isStoreReader func() bool
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -20,8 +20,9 @@
 
 var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 
-// decode decodes three kinds of keys: "up/ID" with "STARTED [draining]",
-// "ops/config" with a version, and "ops/weights" with a version.
+// decode decodes four kinds of keys: "up/ID" with "STARTED [draining]",
+// "ops/config" with a version, "ops/weights" with a version, and "rejected" with the number of
+// features of a rejection.
 func decode(it platform.Item) (traffic.StoreRecord, error) {
 	value := string(it.Value)
 	switch {
@@ -38,6 +39,9 @@
 			return nil, errors.Trace(err)
 		}
 		return &traffic.Catalog{Version: v}, nil
+	case it.Key == "rejected":
+		n, err := strconv.Atoi(value)
+		return &traffic.Rejections{Rejections: []traffic.Rejection{{Features: make([]uint64, n)}}}, errors.Trace(err)
 	case it.Key == "ops/weights":
 		v, err := strconv.Atoi(value)
 		return &traffic.Weights{Model: "m", Version: v}, errors.Trace(err)
@@ -46,8 +50,10 @@
 }
 
 type recordingListener struct {
-	mu  sync.Mutex
-	ups []traffic.Upstream
+	mu       sync.Mutex
+	ups      []traffic.Upstream
+	restored [][]traffic.Rejection // of each call
+	early    bool                  // upstreams were set before
 }
 
 func (l *recordingListener) SetUpstreams(ups []traffic.Upstream, _ map[string]int) {
@@ -56,6 +62,19 @@
 	l.ups = ups
 }
 
+func (l *recordingListener) RestoreRejections(rejections []traffic.Rejection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.early = len(l.ups) > 0
+	l.restored = append(l.restored, rejections)
+}
+
+func (l *recordingListener) calls() [][]traffic.Rejection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restored
+}
+
 func (l *recordingListener) ids() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -319,3 +338,21 @@
 		t.Errorf("upstreams known %v after the store is back, want at most 2 s", took)
 	}
 }
+
+// Guards against a node that sends requests before it knows what the fleet rejected before
+// the node started, or that later restores what has been given up since.
+func TestStoredRejectionsAreRestoredOnceBeforeUpstreamsAreKnown(t *testing.T) {
+	b := startFixture(t, true, platform.Unavailable)
+	b.store.Set("rejected", "1")
+	b.step(time.Second)
+	if restored := b.listener.calls(); len(restored) > 0 {
+		t.Fatalf("restored %v without the store", restored)
+	}
+	b.store.SetError(nil)
+	b.until("the first read", func() bool { return b.listener.ids() != "" })
+	b.store.Set("rejected", "2")
+	b.until("the next read", func() bool { return len(b.obs.Snapshot().Rejections.Rejections[0].Features) == 2 })
+	if restored := b.listener.calls(); len(restored) != 1 || len(restored[0]) != 1 || len(restored[0][0].Features) != 1 || b.listener.early {
+		t.Errorf("restored %v, upstreams were known before: %t; want one rejection with one feature, once, before", restored, b.listener.early)
+	}
+}
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -62,6 +62,7 @@
 func (*engines) RecordUpgrade(string, string, int)               {}
 func (*engines) Status(string) placer.UpstreamStatus             { return placer.UpstreamStatus{Reachable: true} }
 func (*engines) SetUpstreams([]traffic.Upstream, map[string]int) {}
+func (*engines) RestoreRejections([]traffic.Rejection)           {}
 
 func decode(it platform.Item) (traffic.StoreRecord, error) {
 	switch {
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -11,6 +11,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
 // crashSuspicionTime is how long after its first event a run may still crash its engine.
@@ -83,6 +84,40 @@
 	r.detector.Merge(r.Clock.Now(), e)
 }
 
+// Rejections returns what this node rejects since it crashes upstreams.
+func (r *Relayer) Rejections() []traffic.Rejection {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	var out []traffic.Rejection
+	for _, p := range r.detector.Rejections(now) {
+		features := make([]uint64, len(p.Features))
+		for i, f := range p.Features {
+			features[i] = uint64(f)
+		}
+		out = append(out, traffic.Rejection{Features: features, Until: now.Add(time.Duration(p.RemainingMS) * time.Millisecond)})
+	}
+	return out
+}
+
+// RestoreRejections rejects what the fleet rejected before this node started.
+func (r *Relayer) RestoreRejections(rejections []traffic.Rejection) {
+	if len(rejections) == 0 {
+		return
+	}
+	now := r.Clock.Now()
+	var e detector.Evidence
+	for _, p := range rejections {
+		features := make([]detector.Feature, len(p.Features))
+		for i, f := range p.Features {
+			features[i] = detector.Feature(f)
+		}
+		e.Poisons = append(e.Poisons, detector.Poison{Features: features, RemainingMS: p.Until.Sub(now).Milliseconds()})
+	}
+	r.MergeEvidence(e)
+	r.Log.WithFields(logrus.Fields{"event": "rejectionsRestored", "rejections": len(rejections)}).Info("rejecting what the fleet rejected before this node started")
+}
+
 // SetJudge sets whether the evidence of all nodes reaches this node.
 func (r *Relayer) SetJudge(judges bool) {
 	r.mu.Lock()
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -14,12 +14,19 @@
 			Upstream: r.item.upstream, AgeMS: now.Sub(r.at).Milliseconds(), DurationMS: r.at.Sub(r.item.sentAt).Milliseconds(), Features: r.item.features, Service: r.item.service,
 		})
 	}
+	e.Poisons = d.Rejections(now)
+	return e
+}
+
+// Rejections returns what this node rejects.
+func (d *Detector) Rejections(now time.Time) []Poison {
+	var out []Poison
 	for _, p := range d.poisons {
 		if now.Before(p.until) {
-			e.Poisons = append(e.Poisons, Poison{Features: p.features, RemainingMS: p.until.Sub(now).Milliseconds()})
+			out = append(out, Poison{Features: p.features, RemainingMS: p.until.Sub(now).Milliseconds()})
 		}
 	}
-	return e
+	return out
 }
 
 // repeatedSuspects returns the suspects that were lost at two crashes or more. Those of one
--- a/pkg/traffic/storerecord.go
+++ b/pkg/traffic/storerecord.go
@@ -1,7 +1,7 @@
 package traffic
 
 // StoreRecord is the decoded value of one key of the platform's store: a *Catalog,
-// an *Upstream, a *Weights, a *Node, a *Leader or an *Announcements.
+// an *Upstream, a *Weights, a *Node, a *Leader, an *Announcements or a *Rejections.
 type StoreRecord interface{ storeRecord() }
 
 func (*Catalog) storeRecord()       {}
@@ -10,3 +10,4 @@
 func (*Node) storeRecord()          {}
 func (*Leader) storeRecord()        {}
 func (*Announcements) storeRecord() {}
+func (*Rejections) storeRecord()    {}
