fix(detector): rejections that become equal by a success count once

After a success with one of their features two rejections could be the same: both were reported to the peers, and took two of the places for 32.

Cause: a success takes its feature out of each rejection, and only those without features were dropped.

Test: TestRejectionsThatBecomeEqualAreOne was red (two, of 60 and 30 s).

--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -148,10 +148,19 @@
 			c.runs[i].features = without(c.runs[i].features, f)
 		}
 	}
+	var left []*poison
 	for _, p := range d.poisons {
 		p.features = without(p.features, f)
+		i := slices.IndexFunc(left, func(q *poison) bool { return slices.Equal(q.features, p.features) })
+		switch {
+		case len(p.features) == 0:
+		case i < 0:
+			left = append(left, p)
+		case p.until.After(left[i].until):
+			left[i].until = p.until
+		}
 	}
-	d.poisons = slices.DeleteFunc(d.poisons, func(p *poison) bool { return len(p.features) == 0 })
+	d.poisons = left
 }
 
 func without(features []Feature, f Feature) []Feature {
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -689,3 +689,14 @@
 		}
 	}
 }
+
+// Guards against rejections that are counted twice: after a success with a feature, two of
+// them were the same.
+func TestRejectionsThatBecomeEqualAreOne(t *testing.T) {
+	d := detector.New()
+	d.Merge(start, detector.Evidence{Poisons: []detector.Poison{{Features: []detector.Feature{1, 2}, RemainingMS: 60_000}, {Features: []detector.Feature{2}, RemainingMS: 30_000}}})
+	d.RecordSuccess(start, 1, []detector.Feature{1})
+	if got := d.Rejections(start); len(got) != 1 || len(got[0].Features) != 1 || got[0].RemainingMS != 60_000 {
+		t.Errorf("got %+v, want one with one feature for a minute", got)
+	}
+}
