fix: queued log lines are bounded in bytes

A node whose output nobody reads kept up to 4,096 lines of any length, and a line holds the request ID that a caller sent, up to 32 KB: 131 MB in the test, more than the process has. Cause: the queue was bounded in number, on the assumption of short lines; the class of fault is that of the bodies (bounded one by one). Lines beyond 4 MiB in sum are dropped and counted like those beyond the number.

--- a/internal/linewriter/linewriter.go
+++ b/internal/linewriter/linewriter.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,8 +16,9 @@
 )
 
 const (
-	// queueLength bounds the number of queued lines, about 1 MB in total.
-	queueLength = 4096
+	// queueLength and maxQueuedBytes bound the queued lines.
+	queueLength    = 4096
+	maxQueuedBytes = 4 << 20
 	// flushInterval is the time in which lines are collected into one write.
 	flushInterval = 50 * time.Millisecond
 	maxBatchBytes = 32 << 10
@@ -29,6 +31,8 @@
 	clk           clock.Clock
 	out           io.Writer
 	queue         *queue.Queue[[]byte]
+	queuedBytes   atomic.Int64
+	tooLong       atomic.Int64 // lines dropped for maxQueuedBytes
 	reportedDrops int64
 }
 
@@ -42,10 +46,24 @@
 
 // Write queues a line. It never blocks and never returns an error.
 func (w *Writer) Write(p []byte) (int, error) {
-	w.queue.Offer(append([]byte(nil), p...))
+	n := int64(len(p))
+	if w.queuedBytes.Add(n) > maxQueuedBytes {
+		w.tooLong.Add(1)
+		w.queuedBytes.Add(-n)
+		return len(p), nil
+	}
+	if !w.queue.Offer(append([]byte(nil), p...)) {
+		w.queuedBytes.Add(-n)
+	}
 	return len(p), nil
 }
 
+// appendLine appends a line that was taken out of the queue.
+func (w *Writer) appendLine(buf, line []byte) []byte {
+	w.queuedBytes.Add(-int64(len(line)))
+	return append(buf, line...)
+}
+
 // Run writes the queued lines until ctx is canceled and the queue is empty.
 func (w *Writer) Run(ctx context.Context) error {
 	buf := make([]byte, 0, maxBatchBytes)
@@ -55,7 +73,7 @@
 			w.flush(w.appendQueued(buf[:0]))
 			return nil
 		case line := <-w.queue.Items():
-			buf = append(buf[:0], line...)
+			buf = w.appendLine(buf[:0], line)
 		}
 		select {
 		case <-ctx.Done():
@@ -90,7 +108,7 @@
 	for {
 		select {
 		case line := <-w.queue.Items():
-			buf = append(buf, line...)
+			buf = w.appendLine(buf, line)
 			if len(buf) > maxBatchBytes {
 				w.flush(buf)
 				buf = buf[:0]
@@ -104,7 +122,7 @@
 // flush writes buf and the number of newly dropped lines. Write errors are ignored,
 // since they can't be logged either.
 func (w *Writer) flush(buf []byte) {
-	if n := w.queue.Dropped(); n > w.reportedDrops {
+	if n := w.queue.Dropped() + w.tooLong.Load(); n > w.reportedDrops {
 		buf = fmt.Appendf(buf, "level=warning event=linesDropped lines=%d\n", n-w.reportedDrops)
 		w.reportedDrops = n
 	}
