test(soak): writes that the store executes late, at starts, stops and elections

The soak drew lost responses to all writes of a node, executed at once. Seeds whose remainder by 6 is 0 or 1 now also kill all nodes and, at that moment and around one more stop, start, election or roll-out, let the store lose 20 to 60% of the responses, drawn from the seed, and execute these writes 1 to 6 s late. The other seeds draw what they drew, so that those that failed before keep their faults (TestRegressionSeedsKeepTheirFaults). TestPlansCoverAllFaults expects 25 kinds of faults in place of 24: there is one more.

New rule: once the leases that were granted by then have ended, each node's directory names each node.

--- a/cmd/soak/regressions.go
+++ b/cmd/soak/regressions.go
@@ -11,6 +11,7 @@
 		8,   // the same with streams that can't be resumed
 		20,  // one request that crashes engines kept reaching them, sent again and again (internal/relayer)
 		28,  // the same with upstreams of a plain service
+		12,  // a registration that was executed late removed its node from the directories (internal/registrar)
 		23,  // a node that started without the store never read it in full (internal/observer)
 	}
 }
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -79,6 +79,13 @@
 		Scope Scope
 		For   time.Duration
 	}
+	// StoreLate makes the store lose a share of the responses to each node, drawn from
+	// Seed, and execute these writes late.
+	StoreLate struct {
+		Share     float64
+		Seed      uint64
+		Late, For time.Duration
+	}
 	// StoreRefuses makes the store reject requests with a status.
 	StoreRefuses struct {
 		Scope  Scope
@@ -166,6 +173,7 @@
 func (StoreDown) fault()              {}
 func (StoreSlow) fault()              {}
 func (StoreLoses) fault()             {}
+func (StoreLate) fault()              {}
 func (StoreRefuses) fault()           {}
 func (StoreForgets) fault()           {}
 func (Link) fault()                   {}
@@ -213,6 +221,8 @@
 	// they go on after the length of the soak, when few other faults excuse them.
 	poisonStartSpan = 2 * time.Second
 	poisonOverrun   = 6 * time.Second
+	// maxLate limits the random part of the time to a late write.
+	maxLate = 5 * time.Second
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
 	// in which a revoked key must be rejected, so that some faults last longer.
 	maxDuration = 7 * time.Second
@@ -228,7 +238,10 @@
 	// newest draws the kinds added after those. It is nil for odd seeds, so that those
 	// that failed before draw no other faults than then.
 	newest *rand.Rand
-	opts   Options
+	// late draws late writes. It is nil for most seeds: those that failed before draw no
+	// other faults than then.
+	late *rand.Rand
+	opts Options
 }
 
 // New returns a Planner for a seed.
@@ -238,6 +251,9 @@
 	if seed%2 == 0 {
 		p.newest = source(0x50a6)
 	}
+	if seed%6 < 2 {
+		p.late = source(0x50a7)
+	}
 	return p
 }
 
@@ -266,10 +282,42 @@
 			out = append(out, Step{At: at, Fault: p.drawNewest()})
 		}
 	}
+	if p.late != nil {
+		out = append(out, p.drawLateWrites(out)...)
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
 
+// drawLateWrites draws late writes around a kill of all nodes and around one of the faults
+// of plan after which nodes write to the store: stops, starts, elections and roll-outs.
+func (p *Planner) drawLateWrites(plan []Step) []Step {
+	kill := Kill{Rest: time.Duration(p.late.Int64N(int64(time.Second)))}
+	for i := range p.opts.Nodes {
+		kill.Nodes = append(kill.Nodes, i)
+	}
+	at := startupTime + time.Duration(p.late.Int64N(int64(p.opts.Length-startupTime-recoveryTime)))
+	out := []Step{{At: at, Fault: kill}, {At: at, Fault: p.drawLate()}}
+	var writing []Step
+	for _, s := range plan {
+		switch s.Fault.(type) {
+		case Stop, StopAll, Kill, StoreDown, WeightsNamed:
+			writing = append(writing, s)
+		}
+	}
+	if len(writing) > 0 {
+		out = append(out, Step{At: writing[p.late.IntN(len(writing))].At, Fault: p.drawLate()})
+	}
+	return out
+}
+
+func (p *Planner) drawLate() StoreLate {
+	return StoreLate{
+		Share: 0.2 + 0.4*p.late.Float64(), Seed: p.late.Uint64(),
+		Late: time.Second + time.Duration(p.late.Int64N(int64(maxLate))), For: 2*time.Second + time.Duration(p.late.Int64N(int64(2500*time.Millisecond))),
+	}
+}
+
 // duration draws the duration of a fault.
 func (p *Planner) duration(remaining time.Duration) time.Duration {
 	limit := max(500*time.Millisecond, min(maxDuration, remaining))
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -43,8 +43,8 @@
 			}
 		}
 	}
-	if len(kinds) != 24 {
-		t.Errorf("%d types of faults, want 24: %v", len(kinds), kinds)
+	if len(kinds) != 25 {
+		t.Errorf("%d types of faults, want 25: %v", len(kinds), kinds)
 	}
 	if overlapping < 50 {
 		t.Errorf("only %d faults start within 400 ms of the previous one", overlapping)
@@ -53,7 +53,7 @@
 
 // The seeds that failed before must keep drawing the faults under which they failed.
 func TestRegressionSeedsKeepTheirFaults(t *testing.T) {
-	for seed, want := range map[uint64]uint64{9: 0x4068078b1e5bf77f, 69: 0x3ae010dec23ae1ac, 119: 0x19e88554fb020105, 2: 0x2d2f3e5704ced94f, 8: 0xa1460fb1813cbace, 20: 0xfc5435fcccd8cd73, 28: 0xd0543eb99c8a208c, 23: 0xafa2642d70169aa8} {
+	for seed, want := range map[uint64]uint64{9: 0x4068078b1e5bf77f, 69: 0x3ae010dec23ae1ac, 119: 0x19e88554fb020105, 2: 0x2d2f3e5704ced94f, 8: 0xa1460fb1813cbace, 20: 0xfc5435fcccd8cd73, 28: 0xd0543eb99c8a208c, 23: 0xafa2642d70169aa8, 12: 0x8c138d08a7091611} {
 		var plan string
 		for _, s := range planner.New(seed, opts).Plan() {
 			plan += fmt.Sprintf("%v %T%+v\n", s.At, s.Fault, s.Fault)
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/soak/checker"
 	"github.com/auburnnotch/auburnnotch/internal/soak/planner"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/platform/standin/client"
 	"github.com/auburnnotch/auburnnotch/platform/standin/metastore"
 	"github.com/auburnnotch/auburnnotch/platform/standin/upstream"
 )
@@ -17,6 +20,8 @@
 	// graceMargin is the time after the grace period by which the process must have
 	// exited.
 	graceMargin = time.Second
+	// directoryTries is how often a directory that lacks a node is asked again.
+	directoryTries = 5
 	// drainTime is how long a draining upstream keeps running.
 	drainTime = 4 * time.Second
 	// poisonRestartTime is how long an upstream is down after a crash by poison.
@@ -51,6 +56,8 @@
 		s.injectStoreFault(ctx, planner.All, metastore.Faults{Delay: f.Delay}, f.For)
 	case planner.StoreLoses:
 		s.injectStoreFault(ctx, f.Scope, metastore.Faults{Losses: metastore.Losses{Loses: func(int) bool { return true }}}, f.For)
+	case planner.StoreLate:
+		s.injectLateWrites(ctx, f)
 	case planner.StoreRefuses:
 		s.injectStoreFault(ctx, f.Scope, metastore.Faults{ErrorStatus: f.Status}, f.For)
 	case planner.StoreForgets:
@@ -280,6 +287,58 @@
 	})
 }
 
+// injectLateWrites makes the store lose responses and execute these writes late. The
+// disturbance lasts until the last one is done.
+func (s *Soaker) injectLateWrites(ctx context.Context, f planner.StoreLate) {
+	loses := func(n int) bool { return rand.New(rand.NewPCG(f.Seed, uint64(n))).Float64() < f.Share }
+	disturbance := s.beginDisturbance(checker.Disturbance{Node: int(planner.All), StoreOnly: true})
+	s.store.SetFaults("", metastore.Faults{Losses: metastore.Losses{Loses: loses, Late: f.Late}})
+	s.mu.Lock()
+	s.lateUntil = s.clk.Now().Add(f.For + f.Late)
+	s.mu.Unlock()
+	s.runAsync(func() {
+		clock.Sleep(ctx, s.clk, f.For)
+		s.store.SetFaults("", metastore.Faults{})
+		clock.Sleep(ctx, s.clk, f.Late)
+		s.endDisturbance(disturbance)
+	})
+}
+
+// checkDirectories checks that each node's directory names all nodes once late writes have
+// had their effect, which is when the leases that were granted before have ended.
+func (s *Soaker) checkDirectories(ctx context.Context) {
+	s.mu.Lock()
+	until := s.lateUntil
+	s.mu.Unlock()
+	if until.IsZero() {
+		return
+	}
+	clock.Sleep(ctx, s.clk, until.Add(leaseTime).Sub(s.clk.Now()))
+	for _, n := range s.nodes {
+		missing := s.missingFrom(n)
+		for range directoryTries { // the machine may stall
+			if len(missing) > 0 && clock.Sleep(ctx, s.clk, dialTimeout) {
+				missing = s.missingFrom(n)
+			}
+		}
+		if len(missing) > 0 {
+			s.addProblem("the directory of %s doesn't name %v, %v after the last late write", n.name, missing, leaseTime)
+		}
+	}
+}
+
+// missingFrom returns the nodes that a node's directory doesn't name.
+func (s *Soaker) missingFrom(n *node) []string {
+	addresses, _, err := client.Resolve(fmt.Sprint(n.ip, ":", portDirectory), dataCentre, dialTimeout)
+	var out []string
+	for _, other := range s.nodes {
+		if err != nil || !slices.Contains(addresses, other.callerAddr()) {
+			out = append(out, other.name)
+		}
+	}
+	return out
+}
+
 // injectLinkFault injects a fault into a proxy for a duration.
 func (s *Soaker) injectLinkFault(ctx context.Context, f planner.Link) {
 	proxy, node := s.endpoints[f.Index].proxy, -1
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -68,6 +68,8 @@
 	// finalWait is the time after the traffic in which upstreams may still send their
 	// last responses and receive late requests.
 	finalWait = 2 * time.Second
+	// leaseTime is how long a lease of a node's registration lasts, and some time to mend.
+	leaseTime = 16 * time.Second
 )
 
 // Soaker runs one soak test.
@@ -90,6 +92,8 @@
 	weightsVersion   int
 	routeMoved       bool
 	upstreamsStarted int // number of upstream IDs assigned so far
+	// lateUntil is when the last late write has been executed; zero if there was none.
+	lateUntil time.Time
 }
 
 type runKey struct{ id, upstream string }
@@ -139,6 +143,7 @@
 	s.mu.Unlock()
 	clock.Sleep(ctx, s.clk, startedAt.Add(s.settings.Length).Sub(s.clk.Now()))
 	s.awaitRecovery(ctx)
+	s.checkDirectories(ctx)
 	stopTraffic()
 	_ = callers.Wait() // the goroutines return no errors
 	clock.Sleep(ctx, s.clk, finalWait)
