--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -37,6 +37,9 @@
 	// aggregatorSilence is the same for an aggregator of a large fleet, which sends a
 	// message to each node in every fifth round.
 	aggregatorSilence = 2 * time.Second
+	// hearingTime is how long after its start a node may hear nothing from the others.
+	// They send to it once they have read its registration.
+	hearingTime = 1500 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer, which holds any
 	// datagram.
 	maxDatagramBytes = 64 << 10
@@ -155,6 +158,12 @@
 	announcedAt time.Time
 }
 
+// leaver is a node in graceful shutdown, which isn't registered any more.
+type leaver struct {
+	peer string // its address
+	at   time.Time
+}
+
 // Broadcaster is a supervisor service that exchanges messages with all peers.
 type Broadcaster struct {
 	clk   clock.Clock
@@ -177,10 +186,14 @@
 	// reportedSilent is the last report about silent nodes, of this node while it is an
 	// aggregator, or else of another one.
 	reportedSilent []string
-	suspensions    []announcedSuspension
-	upgrades       []announcedUpgrade
-	leaving        bool
-	unreachable    map[string]bool
+	// hasReport is set once a node of a large fleet has received a report.
+	hasReport bool
+	// leavers are the nodes that have announced that they are leaving, by name.
+	leavers     map[string]leaver
+	suspensions []announcedSuspension
+	upgrades    []announcedUpgrade
+	leaving     bool
+	unreachable map[string]bool
 	// unreadable has the senders of unreadable datagrams, by address, and the BootID of
 	// their incarnation, 0 if it isn't known.
 	unreadable map[string]uint64
@@ -208,7 +221,7 @@
 	}
 	return &Broadcaster{
 		clk: clk, boot: boot, log: log, self: self, startedAt: clk.Now(), conn: conn, fleet: fleet, state: state, scope: scope, handlers: map[Kind]Handler{},
-		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, unreachable: map[string]bool{}, unreadable: map[string]uint64{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
+		echoes: map[string]echo{}, lastReceived: map[string]time.Time{}, leavers: map[string]leaver{}, unreachable: map[string]bool{}, unreadable: map[string]uint64{}, aggregator: newAggregator(), sendNow: make(chan struct{}, 1), storeReaders: map[string]time.Time{},
 	}, nil
 }
 
@@ -391,7 +404,10 @@
 		b.storeReaders[m.From] = b.clk.Now()
 	}
 	if m.Aggregated {
-		b.reportedSilent = m.SilentNodes
+		b.reportedSilent, b.hasReport = m.SilentNodes, true
+	}
+	if m.Leaving {
+		b.leavers[m.From] = leaver{peer: from, at: b.clk.Now()}
 	}
 	b.mu.Unlock()
 	if fleet := b.fleet(); !m.Aggregated && !fleet.FullMesh() && fleet.IsAggregator(b.self.Name) {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +16,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/token"
@@ -206,12 +207,19 @@
 
 // readFullAnswer reads a response that is not streamed.
 func (r *runner) readFullAnswer(a *upstreamer.Attempt) {
-	body, err := io.ReadAll(io.LimitReader(a, r.f.limits.BodyBytes+1))
-	if err != nil || int64(len(body)) > r.f.limits.BodyBytes {
+	r.releaseAnswer()
+	answer, err := r.f.memory.ReadResponse(r.ctx, memorykeeper.Source{Reader: a, Length: -1, Limit: r.f.limits.BodyBytes})
+	if err != nil {
 		r.handleBroken(errors.Annotate(err, "read the response body"), a.TimedOut())
 		return
 	}
+	r.answer = answer
+	body := answer.Bytes
 	if r.job.isCompletion {
+		if a.EndsWithConnection() && a.Response.StatusCode == http.StatusOK && !json.Valid(body) {
+			r.handleBroken(errors.New("completion ends early"), false)
+			return
+		}
 		r.recordCacheHits(gjson.GetBytes(body, "usage"))
 	}
 	r.recordToken()
@@ -256,6 +264,12 @@
 				r.recordCacheHits(gjson.Get(ev.Data, "usage"))
 			}
 			r.handle(dispatcher.Chunk{Attempt: r.send.Attempt, Offset: offset, Data: []byte(ev.Data)})
+			if r.sentText.Len() > maxRequestTokens*bytesPerToken {
+				r.log.WithFields(logrus.Fields{"event": "streamTooLong", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream}).
+					Warn("ending a stream with more text than a request may have")
+				r.endRun(scheduler.Result{Failed: true, Incarnation: r.send.Target.Incarnation})
+				r.handle(dispatcher.Abandoned{Attempt: r.send.Attempt})
+			}
 		}
 		if r.machine.Done() || r.next != nil {
 			r.endRun(scheduler.Result{Failed: !r.machine.Done(), Incarnation: r.send.Target.Incarnation})
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/token"
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
@@ -32,11 +32,13 @@
 	deadline       time.Time
 	key            string // of the workspace, as the caller sent it
 	workspace      config.Workspace
+	model          string // empty for requests to services
 	class          config.Class
 	method         string
 	path           string // path at the upstream
 	contentType    string
 	body           []byte
+	memory         *memorykeeper.Body // of body, nil if there is none
 	pool           string
 	isCompletion   bool // a completion, served by an engine
 	streaming      bool
@@ -57,8 +59,16 @@
 	maxIdempotencyKeyLength = 255
 )
 
-// parse validates a caller's request. Its errors have a failure.Kind.
-func (f *Front) parse(r *http.Request) (*job, error) {
+// release returns the memory of the request.
+func (j *job) release() {
+	if j.memory != nil {
+		j.memory.Release()
+	}
+}
+
+// receive reads a caller's request, as far as it needs no knowledge of its path. Its errors
+// have a failure.Kind; a part of the body may then be unread.
+func (f *Front) receive(w http.ResponseWriter, r *http.Request) (*job, error) {
 	c := f.config.Current()
 	if c == nil {
 		return nil, failure.New(failure.NoUpstream, "no configuration is in force yet; apply one or try another entry")
@@ -72,12 +82,18 @@
 		id: uuid.NewString(), acceptedAt: f.clk.Now(), key: key, workspace: ws,
 		method: r.Method, contentType: r.Header.Get("Content-Type"),
 	}
-	if err := f.readBody(r, j); err != nil {
+	if err := f.setDeadline(r, j); err != nil {
 		return nil, err
 	}
-	if err := f.setDeadline(r, j); err != nil {
+	if err := f.readBody(w, r, j); err != nil {
 		return nil, err
 	}
+	return j, nil
+}
+
+// parse validates a request that was received. Its errors have a failure.Kind.
+func (f *Front) parse(r *http.Request, j *job) error {
+	c := f.config.Current()
 	service, rest, isService := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
 	var err error
 	if isService && strings.HasPrefix(r.URL.Path, "/v1/services/") {
@@ -86,39 +102,22 @@
 		err = f.parseCompletion(c, r, j)
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
-	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(ws.Name+j.path) ^ xxhash.Sum64(j.body))
-	return j, nil
+	j.fingerprint = quarantiner.Fingerprint(xxhash.Sum64String(j.workspace.Name+j.path) ^ xxhash.Sum64(j.body))
+	return nil
 }
 
-// isAuthorized reports whether the key of j is still one of its workspace.
-func (f *Front) isAuthorized(j *job) bool {
+// permission returns why the workspace of j may no longer send it, or failure.None.
+func (f *Front) permission(j *job) failure.Kind {
 	ws, ok := f.config.Current().Workspace(j.key)
-	return ok && ws.Name == j.workspace.Name
-}
-
-func (f *Front) readBody(r *http.Request, j *job) error {
-	limit := f.limits.BodyBytes
-	if r.ContentLength > limit {
-		return failure.New(failure.TooLarge, "the body has %d bytes; %d is the limit", r.ContentLength, limit)
-	}
-	if r.ContentLength > 0 {
-		j.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, j.body); err != nil {
-			return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
-		}
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return failure.Wrap(failure.BadRequest, err, "read the body; send it whole")
-	}
-	if int64(len(body)) > limit {
-		return failure.New(failure.TooLarge, "the body has more than %d bytes, the limit", limit)
+	switch {
+	case !ok || ws.Name != j.workspace.Name:
+		return failure.Unauthorized
+	case j.model != "" && !mayUseModel(ws, j.model):
+		return failure.UnknownModel
 	}
-	j.body = body
-	return nil
+	return failure.None
 }
 
 // setDeadline takes the deadline from the request's header. Without the header,
@@ -172,7 +171,7 @@
 	if len(text) == 0 || prompt == "messages" && text[0] != '[' {
 		return failure.New(failure.BadRequest, "%s: is missing or of the wrong type", prompt)
 	}
-	j.pool, j.streaming, j.continuable = pool.Name, body.Stream, true
+	j.model, j.pool, j.streaming, j.continuable = body.Model, pool.Name, body.Stream, true
 	j.class = pool.Class
 	if err := setClass(r, j); err != nil {
 		return err
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/pkg/admitter"
@@ -44,6 +45,7 @@
 
 	next           func() // next step; nil if none is due
 	admitted       bool
+	callerGone     bool                  // the request ended without a response, since its caller is gone
 	firstPick      *scheduler.PickResult // picked on admission; nil once used
 	firstTokenAt   time.Time             // zero before the response has begun
 	lastTokenAt    time.Time
@@ -51,7 +53,8 @@
 	send           dispatcher.Send
 	attemptStarted bool // the last Routed event caused a Send
 	sentText       strings.Builder
-	attempts       int // number of attempts so far
+	attempts       int                // number of attempts so far
+	answer         *memorykeeper.Body // the response, unless it is streamed
 	eventIDPrefix  string
 	buf            []byte
 }
@@ -91,9 +94,11 @@
 	}
 }
 
-// release releases the slot of the request and its first pick, if that was not
-// used.
+// release releases the slot of the request, its first pick, if that was not used, and
+// after a panic its run.
 func (r *runner) release() {
+	r.releaseAnswer()
+	r.endRun(scheduler.Result{Refused: true})
 	if r.firstPick != nil && r.firstPick.Found() {
 		r.f.sched.RecordEnd(r.firstPick.Run, scheduler.Result{Refused: true})
 	}
@@ -102,6 +107,13 @@
 	}
 }
 
+func (r *runner) releaseAnswer() {
+	if r.answer != nil {
+		r.answer.Release()
+		r.answer = nil
+	}
+}
+
 func (r *runner) handle(e dispatcher.Event) {
 	for _, a := range r.machine.Handle(r.f.clk.Now(), e) {
 		r.perform(a)
@@ -196,10 +208,10 @@
 		r.handle(dispatcher.CallerGone{})
 		return
 	}
-	// The key may have been revoked while the request waited. A request that has begun
-	// is finished.
-	if r.attempts == 0 && !r.f.isAuthorized(r.job) {
-		r.handle(dispatcher.Routed{Kind: failure.Unauthorized})
+	// The key or the model may have been taken away while the request waited. A request
+	// that has begun is finished.
+	if k := r.f.permission(r.job); r.attempts == 0 && k != failure.None {
+		r.handle(dispatcher.Routed{Kind: k})
 		return
 	}
 	if a.Retry {
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -1,11 +1,57 @@
 package relayer
 
 import (
+	"context"
+	"time"
+
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
+// Arrival is a request of which only the header has been read.
+type Arrival struct {
+	u    *relay
+	kind failure.Kind
+}
+
+// Examine checks a request before its body is read, so that no memory is spent on one that
+// can't be served.
+func (r *Relayer) Examine(ctx context.Context, req *Request, w ResponseWriter) *Arrival {
+	u := &relay{r: r, ctx: ctx, req: req, w: w}
+	return &Arrival{u: u, kind: u.admitHeader()}
+}
+
+// Kind returns why the request can't be served; failure.None if it can as far as its header
+// tells.
+func (a *Arrival) Kind() failure.Kind { return a.kind }
+
+// Workspace returns the name of the workspace that the request's key belongs to, or an
+// empty string if the request needs no key.
+func (a *Arrival) Workspace() string {
+	if a.u.workspace == nil {
+		return ""
+	}
+	return a.u.workspace.Name
+}
+
+// Deadline returns the time until which the caller waits for the response.
+func (a *Arrival) Deadline() time.Time { return a.u.deadline }
+
+// Refuse ends the request, of which nothing was sent.
+func (a *Arrival) Refuse(k failure.Kind, reason string) {
+	a.u.reason = reason
+	a.u.refuse(k, a.u.retryAfter(k))
+}
+
 // admit determines the route, workspace, deadline and service of the request.
 func (u *relay) admit() failure.Kind {
+	if k := u.admitHeader(); k != failure.None {
+		return k
+	}
+	u.service = u.pickService()
+	return failure.None
+}
+
+func (u *relay) admitHeader() failure.Kind {
 	if k := u.authorize(); k != failure.None {
 		return k
 	}
@@ -14,7 +60,6 @@
 		timeout = u.req.Timeout
 	}
 	u.deadline = u.req.Arrived.Add(timeout)
-	u.service = u.pickService()
 	return failure.None
 }
 
@@ -35,7 +80,7 @@
 		}
 		return failure.UnknownRoute
 	}
-	u.route = route
+	u.route, u.workspace = route, nil
 	if u.route.Public || !m.RequiresKey() {
 		return failure.None
 	}
@@ -63,9 +108,7 @@
 	if sum == 0 {
 		return ""
 	}
-	u.r.mu.Lock()
-	n := u.r.Rand.IntN(sum)
-	u.r.mu.Unlock()
+	n := u.r.randomBelow(sum)
 	for _, t := range targets {
 		if n -= max(0, t.Weight); n < 0 {
 			return t.Service
@@ -74,6 +117,12 @@
 	return ""
 }
 
+func (r *Relayer) randomBelow(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Rand.IntN(n)
+}
+
 // serviceRouted reports whether the route still includes the request's service.
 func (u *relay) serviceRouted() bool {
 	for _, t := range u.route.Targets {
--- /dev/null
+++ b/internal/relayer/scope_test.go
@@ -0,0 +1,106 @@
+package relayer_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// servePrompt sends a prompt of the workspace that holds the key and returns the header
+// that the upstream received.
+func (b *fixture) servePrompt(t *testing.T, key string) (salt, workspace string) {
+	t.Helper()
+	h := b.sendPrompt(t, key)
+	return h.Get("Salt"), h.Get("Workspace")
+}
+
+func (b *fixture) sendPrompt(t *testing.T, key string) http.Header {
+	t.Helper()
+	r := &reply{}
+	b.relay.Serve(context.Background(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: key, Timeout: 2 * time.Second, Arrived: time.Now(),
+		Prompt: &traffic.Prompt{Model: "m", Tokens: 1010, MaxOutput: 5, Parts: []traffic.Part{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 10}}},
+	}, r)
+	got := b.ups[0].Received()
+	if r.status != 200 || len(got) == 0 {
+		t.Fatalf("status %d, kind %s, %d requests received", r.status, r.kind, len(got))
+	}
+	return got[len(got)-1].Header
+}
+
+func isolation(version uint64, isolated bool, keys ...string) *traffic.Catalog {
+	c := catalog(version)
+	c.Workspaces = []traffic.Workspace{{Name: "a", Keys: []string{"keyA"}, Isolated: isolated}, {Name: "b", Keys: append(keys, "keyB")}}
+	return c
+}
+
+// Guards against WALL: once a workspace is isolated, requests of others were sent with the
+// salt under which upstreams keep the parts that it made before.
+func TestIsolatedWorkspaceLeavesNoPartToOthers(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	b.fleet.set(isolation(1, false), b.boot.Elapsed())
+	before, _ := b.servePrompt(t, "keyA")
+	if other, _ := b.servePrompt(t, "keyB"); other != before {
+		t.Errorf("workspaces that share parts have salts %q and %q", before, other)
+	}
+	b.fleet.set(isolation(2, true), b.boot.Elapsed())
+	own, _ := b.servePrompt(t, "keyA")
+	other, _ := b.servePrompt(t, "keyB")
+	if other == before || own == before || own == other {
+		t.Errorf("salt %q before the isolation; then %q of the isolated workspace and %q of the other", before, own, other)
+	}
+}
+
+// Guards against WALL: a key moved to another workspace between the choice of an upstream
+// and the send, and the request was sent for the workspace that had held it.
+func TestKeyThatMovesBeforeTheSendCountsForItsNewWorkspace(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	first := isolation(1, true)
+	first.Workspaces[0].Keys = []string{"moving"}
+	b.fleet.set(first, b.boot.Elapsed())
+	b.dialect.onAppend = func() { b.fleet.set(isolation(2, true, "moving"), b.boot.Elapsed()) }
+	salt, workspace := b.servePrompt(t, "moving")
+	if want, _ := b.servePrompt(t, "keyB"); workspace != "b" || salt != want {
+		t.Errorf("sent for workspace %q with salt %q, want b and %q", workspace, salt, want)
+	}
+}
+
+// Guards against WALL and UNASKED: a route became public before the send, and the request
+// kept the workspace of the configuration before, which is isolated now.
+func TestRouteThatBecomesPublicBeforeTheSendHasNoWorkspace(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	b.fleet.set(isolation(1, false), b.boot.Elapsed())
+	b.dialect.onAppend = func() {
+		public := isolation(2, true)
+		for i := range public.Routes {
+			public.Routes[i].Public = true
+		}
+		b.fleet.set(public, b.boot.Elapsed())
+	}
+	salt, workspace := b.servePrompt(t, "keyA")
+	if want, _ := b.servePrompt(t, ""); workspace != "" || salt != want {
+		t.Errorf("sent for workspace %q with salt %q, want none and %q", workspace, salt, want)
+	}
+}
+
+// Guards against STALE: parts made on weights of an unknown version were saved in the cache
+// store and fetched from it under one salt, whatever version an upstream had.
+func TestPartsOfUnknownVersionAreNotShared(t *testing.T) {
+	const store = "10.0.0.9:1"
+	b := newFixture(t, streaming(0))
+	c := catalog(1, "key")
+	c.Services = []traffic.Service{{Name: "store", CacheAddress: store, CacheTokens: 100_000}}
+	b.fleet.set(c, b.boot.Elapsed())
+	for version, want := range []string{"", store} {
+		b.relay.SetUpstreams([]traffic.Upstream{{
+			ID: "u0", StartedMS: 1, Service: "s", Address: b.ups[0].Addr, DataCentre: "a", Slots: 8, Models: map[string]int{"m": version},
+		}}, nil)
+		if h := b.sendPrompt(t, "key"); h.Get("Source") != want || h.Get("Save") != want {
+			t.Errorf("version %d: fetched from %q and saved to %q, want %q", version, h.Get("Source"), h.Get("Save"), want)
+		}
+	}
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -35,8 +35,8 @@
 		return u.handleBrokenStream(err)
 	}
 	u.watchStream()
-	buffered := reservation{limit: &u.r.bufferLimit}
-	defer buffered.release()
+	buffered := u.r.Memory.Response()
+	defer buffered.Release()
 	buf := make([]byte, 0, readBufferBytes)
 	empty := true
 	resumes := u.responseStarted // until the first event has been checked
@@ -46,7 +46,7 @@
 				return u.handleBrokenStream(errors.NotValidf("event of more than %d bytes", maxEventBytes))
 			}
 			if cap(buf) >= ownBufferBytes {
-				if err := buffered.reserve(cap(buf)); err != nil {
+				if err := buffered.Reserve(int64(cap(buf))); err != nil {
 					return u.handleBrokenStream(err)
 				}
 			}
@@ -70,7 +70,7 @@
 			buf = buf[:copy(buf, buf[end:])]
 			if cap(buf) > ownBufferBytes && len(buf) < readBufferBytes {
 				buf = append(make([]byte, 0, readBufferBytes), buf...)
-				buffered.release()
+				buffered.Release()
 			}
 		}
 		switch {
@@ -102,16 +102,7 @@
 // writeEvents forwards complete events to the caller.
 func (u *relay) writeEvents(x *connector.Exchange, b []byte, events eventSummary) error {
 	now := u.r.Clock.Now()
-	u.r.mu.Lock()
-	u.r.placer.RecordActivity(now, u.choice)
-	if !u.firstEventSeen {
-		u.r.placer.RecordFirstEvent(u.choice)
-	}
-	u.r.mu.Unlock()
-	if !u.firstEventSeen {
-		u.firstEventSeen = true
-		u.timeToFirstEvent = now.Sub(u.sentAt)
-	}
+	u.recordEvent(now)
 	if !u.responseStarted {
 		u.responseStarted, u.responseStartedAt = true, now
 		u.recorder().RecordFirstToken(u.r.Clock.Now().Sub(u.req.Arrived))
@@ -125,6 +116,18 @@
 	return u.w.Write(b)
 }
 
+// recordEvent records that events have arrived.
+func (u *relay) recordEvent(now time.Time) {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	u.r.placer.RecordActivity(now, u.choice)
+	if !u.firstEventSeen {
+		u.firstEventSeen = true
+		u.timeToFirstEvent = now.Sub(u.sentAt)
+		u.r.placer.RecordFirstEvent(u.choice)
+	}
+}
+
 func (u *relay) finishStream(x *connector.Exchange) {
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
 		p.RecordSuccess(c)
