--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/selector"
@@ -34,6 +35,7 @@
 	Clock     clock.Clock
 	Log       logrus.FieldLogger
 	Meter     *meter.Meter
+	Memory    *memorykeeper.Keeper
 	Config    *configkeeper.Keeper
 	Members   *gossiper.Gossiper
 	Scheduler *scheduler.Scheduler
@@ -49,6 +51,7 @@
 	clk       clock.Clock
 	log       logrus.FieldLogger
 	meter     *meter.Meter
+	memory    *memorykeeper.Keeper
 	config    *configkeeper.Keeper
 	members   *gossiper.Gossiper
 	sched     *scheduler.Scheduler
@@ -73,7 +76,7 @@
 		return nil, errors.Annotatef(err, "listen on the configured address; choose a free one in the settings")
 	}
 	return &Front{
-		clk: deps.Clock, log: deps.Log, meter: deps.Meter, config: deps.Config, members: deps.Members, sched: deps.Scheduler,
+		clk: deps.Clock, log: deps.Log, meter: deps.Meter, memory: deps.Memory, config: deps.Config, members: deps.Members, sched: deps.Scheduler,
 		ledger: deps.Ledger, upstreams: deps.Upstreams, hinter: deps.Hinter, selector: deps.Selector, drainer: deps.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
 		listener: netutil.LimitListener(ln, s.Limits.Connections),
 	}, nil
@@ -163,16 +166,28 @@
 // handleCall serves a completion request or a service call.
 func (f *Front) handleCall(w http.ResponseWriter, r *http.Request) {
 	if err := f.members.AwaitPeers(r.Context()); err != nil {
-		return
+		panic(http.ErrAbortHandler) // the caller is gone; a return would answer 200
 	}
 	f.awaitConfig(r.Context())
-	j, err := f.parse(r)
+	j, err := f.receive(w, r)
 	if err != nil {
 		k, msg := asFailure(err)
-		f.refuse(w, uuid.NewString(), k, msg)
+		f.refuseUnread(w, r, k, msg)
 		return
 	}
-	f.newRunner(w, r, j).serve()
+	defer j.release()
+	if err := f.parse(r, j); err != nil {
+		k, msg := asFailure(err)
+		f.refuse(w, j.id, k, msg)
+		return
+	}
+	call := f.newRunner(w, r, j)
+	call.serve()
+	if call.callerGone {
+		// A return would answer 200, or end a stream as if it were complete. A caller that has
+		// closed its sending side only would take that for the upstream's response.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // awaitConfig waits briefly for a node that has just started to receive the
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -16,6 +16,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
@@ -30,14 +31,19 @@
 )
 
 // dialect is the protocol of the test upstreams.
-type dialect struct{}
+type dialect struct {
+	onAppend func() // called between the choice of an upstream and the send
+}
 
-func (dialect) AppendHeader(dst []byte, r *relayer.Request, a *relayer.Attempt) []byte {
-	return fmt.Appendf(dst, "Id: %s\r\nUpstream: %s\r\nWorkspace: %s\r\nAfter: %s\r\nWait: %d\r\nSalt: %s\r\n",
-		r.ID, a.Upstream, a.Workspace, a.LastEventID, a.Remaining.Milliseconds(), a.Salt)
+func (d *dialect) AppendHeader(dst []byte, r *relayer.Request, a *relayer.Attempt) []byte {
+	if d.onAppend != nil {
+		d.onAppend()
+	}
+	return fmt.Appendf(dst, "Id: %s\r\nUpstream: %s\r\nWorkspace: %s\r\nAfter: %s\r\nWait: %d\r\nSalt: %s\r\nSource: %s\r\nSave: %s\r\n",
+		r.ID, a.Upstream, a.Workspace, a.LastEventID, a.Remaining.Milliseconds(), a.Salt, a.Source, a.SaveTo)
 }
 
-func (dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
+func (*dialect) ParseResponse(status int, h http.Header) relayer.ResponseInfo {
 	version, _ := strconv.Atoi(h.Get("Version"))
 	turnAway, _ := strconv.Atoi(h.Get("Turn-Away"))
 	return relayer.ResponseInfo{
@@ -108,11 +114,13 @@
 }
 
 type fixture struct {
-	relay *relayer.Relayer
-	fleet *fleet
-	boot  *testlib.Clock
-	ups   []*testlib.Upstream
-	hook  *logtest.Hook
+	relay   *relayer.Relayer
+	fleet   *fleet
+	dialect *dialect
+	boot    *testlib.Clock
+	ups     []*testlib.Upstream
+	hook    *logtest.Hook
+	log     *logrus.Logger
 }
 
 const maxProofAge = 4 * time.Second
@@ -153,13 +161,13 @@
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	log.SetLevel(logrus.DebugLevel)
-	b := &fixture{fleet: &fleet{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook}
+	b := &fixture{fleet: &fleet{}, dialect: &dialect{}, boot: testlib.NewClock(time.Unix(100, 0)), hook: hook, log: log}
 	conns := connector.New(clk)
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
 	b.relay = relayer.New(settings, relayer.Dependencies{
-		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: dialect{},
-		CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
+		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: b.dialect,
+		Memory: memorykeeper.New(clk, metrics.Scope(), 112<<20), CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var ups []traffic.Upstream
 	for i, s := range scripts {
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -21,17 +21,39 @@
 	return finisher.Finisher{}
 }
 
-// mayStart reports whether the request may be sent. During graceful shutdown
-// that depends on its deadline and its expected duration.
+// mayStart reports whether the request may be sent for the first time. During graceful
+// shutdown that depends on its deadline and its expected duration.
 func (u *relay) mayStart(now time.Time) bool {
 	f := u.r.shutdownSchedule()
 	if _, stops := f.SignaledAt(); !stops {
 		return true
 	}
+	expected, known := u.estimate(now)
+	return f.MayStart(now, u.deadline, expected, known)
+}
+
+// mayFinish reports whether a further attempt would end in time. During graceful shutdown
+// that depends on its deadline and its expected duration.
+func (u *relay) mayFinish(now time.Time) bool {
+	f := u.r.shutdownSchedule()
+	if _, stops := f.SignaledAt(); !stops {
+		return true
+	}
+	expected, known := u.estimate(now)
+	return f.MayRetry(now, u.deadline, expected, known)
+}
+
+// estimate returns how long the request is expected to take, and whether the node may
+// rely on that: a request that may not be repeated is lost if it takes longer.
+func (u *relay) estimate(now time.Time) (expected time.Duration, known bool) {
 	u.r.mu.Lock()
-	u.expectedDuration = u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
-	u.r.mu.Unlock()
-	return f.MayStart(now, u.deadline, u.expectedDuration)
+	defer u.r.mu.Unlock()
+	expected, known = u.r.estimator.Estimate(now, u.route.Name, u.maxOutput())
+	if known {
+		expected += queueingDelay(u.choice)
+	}
+	u.expectedDuration = expected
+	return expected, known && u.route.Repeatable()
 }
 
 // recordDuration records how long the complete response took. The relayer's lock
