--- a/internal/relayer/outage_test.go
+++ b/internal/relayer/outage_test.go
@@ -25,6 +25,7 @@
 type noListener struct{}
 
 func (noListener) SetUpstreams([]traffic.Upstream, map[string]int) {}
+func (noListener) RestoreRejections([]traffic.Rejection)           {}
 
 // weightsFixture is a fixture whose fleet is an observer over a store. Its upstreams are
 // engines with version 1 of the model m.
