--- a/internal/relayer/changes_test.go
+++ b/internal/relayer/changes_test.go
@@ -171,11 +171,12 @@
 // has run.
 func TestRequestsAreAnsweredWhileANodeStopsAndConfigurationChanges(t *testing.T) {
 	const (
-		rounds  = 8
-		callers = 24
-		calm    = 60 * time.Millisecond
-		cached  = 100 * time.Millisecond // after the signal
-		grace   = 400 * time.Millisecond
+		rounds   = 8
+		callers  = 24
+		calm     = 60 * time.Millisecond
+		cached   = 100 * time.Millisecond // after the signal
+		grace    = 400 * time.Millisecond
+		afterCut = 20 * time.Millisecond
 	)
 	for round := range uint64(rounds) {
 		t.Run(fmt.Sprint(round), func(t *testing.T) {
@@ -187,19 +188,23 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			var changes, asks sync.WaitGroup
 			changes.Go(func() { b.changeAtRandom(ctx, rand.New(rand.NewPCG(34, round))) })
-			start := time.Now()
-			signal := start.Add(calm)
+			var answers, refusals, retries atomic.Int32
+			var ended atomic.Bool
 			changes.Go(func() {
-				time.Sleep(calm)
+				defer ended.Store(true)
+				for time.Sleep(calm); answers.Load() == 0 && ctx.Err() == nil; { // on a busy processor
+					time.Sleep(calm)
+				}
+				signal := time.Now()
 				b.relay.BeginShutdown(finisher.New(signal, signal.Add(cached), signal.Add(grace)))
-				time.Sleep(time.Until(signal.Add(grace)))
+				time.Sleep(grace)
 				cutOff(relayer.ErrShutdownDeadline)
+				time.Sleep(afterCut)
 			})
-			var answers, refusals, retries atomic.Int32
 			for caller := range callers {
 				rnd := rand.New(rand.NewPCG(34, round*1000+uint64(caller)))
 				asks.Go(func() {
-					for i := 0; time.Since(start) < calm+grace+20*time.Millisecond; i++ {
+					for i := 0; !ended.Load(); i++ {
 						path := []string{"/safe/", "/unsafe/", "/stream/", "/other/"}[rnd.IntN(4)]
 						r := &reply{}
 						req := &relayer.Request{
