test(entry): a request keeps a node in shutdown until its deadline again

The fixture now sends a part of a request that the node would serve, and TestShutdownEndsWithinGracePeriod demands that the node has cut it off.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -112,10 +112,21 @@
 	return b
 }
 
-// sendPartialRequest sends a part of a request, which keeps a node in graceful
-// shutdown running until its shutdown deadline.
+// sendPartialRequest sends a part of a request that the node would serve. It keeps a node in
+// graceful shutdown running until its shutdown deadline.
 func (b *fixture) sendPartialRequest(t *testing.T) {
 	t.Helper()
+	err := operator.New(b.store).Configure(&traffic.Catalog{
+		Version: 1, Limits: traffic.Limits{BodyBytes: 1000}, Services: []traffic.Service{{Name: "s"}},
+		Routes: []traffic.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: traffic.Safe, MaxAttempts: 1, Timeout: time.Minute, LatencyObjective: time.Second,
+			Public: true, Targets: []traffic.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.log.await(t, "event=configTaken")
 	conn, err := net.Dial("tcp4", b.callers)
 	if err != nil {
 		t.Fatal(err)
@@ -159,7 +170,11 @@
 			if err := <-b.ended; err != nil {
 				t.Error(err)
 			}
-			if d := time.Since(signal); d > graceSeconds*time.Second {
+			d := time.Since(signal)
+			if !b.log.contains("cutOff=1 event=drained") {
+				t.Errorf("node ended %v after the signal and didn't wait for its request until the shutdown deadline", d)
+			}
+			if d > graceSeconds*time.Second {
 				t.Errorf("node ended %v after the signal; the platform kills it after %d s", d, graceSeconds)
 			}
 		})
