fix(ingress): the reserve of a shutdown follows a short grace period

What callers saw: with a grace period of less than 6 s, requests from before the signal were cut before its last sixth, where cuts are excused; a node abandoned its services before it with less than 1.8 s. With the 8 s of the known deployments nothing changes. Cause: the reserves for the last responses, a late signal and the exit were durations, while what they are taken from is a setting. Class: a constant beside a configured bound.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,9 +53,11 @@
 	// writeTimeout bounds each write to a caller. A caller on a congested link takes
 	// some seconds for one.
 	writeTimeout = 10 * time.Second
-	// exitReserve is the part of the grace period that is left to the process to exit
-	// once it has abandoned a service that didn't stop.
-	exitReserve = 300 * time.Millisecond
+	// maxExitReserve is the part of the grace period that is left to the process to exit
+	// once it has abandoned a service that didn't stop. exitShare divides a short grace
+	// period, so that interrupted requests have ended by then.
+	maxExitReserve = 300 * time.Millisecond
+	exitShare      = 20
 	// defaultBodyBytes bounds request bodies until a configuration is known.
 	defaultBodyBytes = 4 << 20
 )
@@ -156,7 +158,7 @@
 		return nil, errors.Trace(err)
 	}
 	grace := config.Seconds(s.GraceSeconds)
-	sup = sup.WithStopTimeout(clk, max(grace-exitReserve, grace/2), func(service string) {
+	sup = sup.WithStopTimeout(clk, grace-min(maxExitReserve, grace/exitShare), func(service string) {
 		log.WithFields(logrus.Fields{"event": "serviceAbandoned", "service": service}).Error("service didn't stop within the grace period; ending the process without it")
 	})
 	return &Entry{supervisor: sup, beginShutdown: func() { ord.StopCampaigning(); in.BeginShutdown() }, meter: metrics, log: log}, nil
