fix(relayer): a lack of memory at the node is no failure of the upstream

What callers saw: while a node has no memory left for whole responses or long events, each such response counted as a failure of the upstream that sent it. Three in a row opened the circuit breaker of a healthy upstream, which then had a slow start, and which peers avoid once enough nodes report it. Cause: the limit of the node and faults of the upstream ended an attempt the same way. Change: the attempt ends as before, but says nothing about the upstream. Whether the request crashes upstreams was never judged by it (only a connection that the upstream ended counts). Test: TestLackOfMemoryIsNoFailureOfUpstream failed before (the breaker has tripped).

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -121,6 +121,7 @@
 	ups     []*testlib.Upstream
 	hook    *logtest.Hook
 	log     *logrus.Logger
+	memory  *memorykeeper.Keeper
 }
 
 const maxProofAge = 4 * time.Second
@@ -165,9 +166,10 @@
 	conns := connector.New(clk)
 	metrics := meter.New()
 	t.Cleanup(func() { _ = metrics.Close() })
+	b.memory = memorykeeper.New(clk, metrics.Scope(), 112<<20)
 	b.relay = relayer.New(settings, relayer.Dependencies{
 		Clock: clk, Boot: b.boot, Log: log, Fleet: b.fleet, Connector: conns, Dialect: b.dialect,
-		Memory: memorykeeper.New(clk, metrics.Scope(), 112<<20), CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
+		Memory: b.memory, CacheDown: func(string) bool { return false }, Meter: metrics, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var ups []traffic.Upstream
 	for i, s := range scripts {
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -344,7 +345,7 @@
 func (u *relay) handleBroken(err error) bool {
 	callerGone := u.ctx.Err() != nil
 	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		if !callerGone {
+		if !callerGone && !errors.Is(err, memorykeeper.ErrFull) {
 			p.RecordFailure(u.r.Clock.Now(), c)
 			u.recordLoss(err)
 		}
