fix(front): a lack of memory at the entry is no failure of the upstream

The attempt still ends as one that may have run, and the request doesn't go to that upstream again; nothing is recorded about the upstream. Test: TestLackOfMemoryIsNoFailureOfUpstream failed before (status 503, want 502 and 200).

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -131,6 +131,16 @@
 	r.handle(dispatcher.Broken{Attempt: r.send.Attempt, RequestWritten: true, Crashed: health != healthy, Silent: silent})
 }
 
+// handleNoMemory ends an attempt for whose response the node has no memory. That says nothing
+// about the upstream.
+func (r *runner) handleNoMemory(err error) {
+	r.log.WithFields(logrus.Fields{
+		"event": "attemptBroken", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream,
+	}).WithError(err).Warn("attempt ended before its response was complete")
+	r.endRun(scheduler.Result{Refused: true})
+	r.handle(dispatcher.Broken{Attempt: r.send.Attempt, RequestWritten: true})
+}
+
 // reportCrash records that the upstream of the current attempt crashed, and sends
 // the fingerprints of the requests in flight there to all members as suspects.
 func (r *runner) reportCrash() {
@@ -209,7 +219,11 @@
 func (r *runner) readFullAnswer(a *upstreamer.Attempt) {
 	r.releaseAnswer()
 	answer, err := r.f.memory.ReadResponse(r.ctx, memorykeeper.Source{Reader: a, Length: -1, Limit: r.f.limits.BodyBytes})
-	if err != nil {
+	switch {
+	case errors.Is(err, memorykeeper.ErrFull):
+		r.handleNoMemory(err)
+		return
+	case err != nil:
 		r.handleBroken(errors.Annotate(err, "read the response body"), a.TimedOut())
 		return
 	}
