--- a/internal/relayer/outage_test.go
+++ b/internal/relayer/outage_test.go
@@ -25,6 +25,7 @@
 type noListener struct{}
 
 func (noListener) SetUpstreams([]traffic.Upstream, map[string]int) {}
+func (noListener) RestoreRejections([]traffic.Rejection)           {}
 
 // weightsFixture is a fixture whose fleet is an observer over a store. Its upstreams are
 // engines with version 1 of the model m.
@@ -72,6 +73,14 @@
 	}
 }
 
+// awaitRead steps the clock until the next read of the store.
+func (w *weightsFixture) awaitRead() {
+	calls := w.store.RangeCalls()
+	for w.store.RangeCalls() == calls {
+		w.step(clockStep)
+	}
+}
+
 // served reports whether a prompt is served. It steps the clock while the request waits for
 // an engine.
 func (w *weightsFixture) served() bool {
@@ -125,11 +134,9 @@
 	w.store.Set("ops/weights", "2")
 	for range 8 {
 		w.step(900 * time.Millisecond)
+		w.awaitRead() // on a busy processor the step may have ended before a read
 		w.store.SetError(platform.Unavailable)
-		calls := w.store.RangeCalls()
-		for w.store.RangeCalls() == calls {
-			w.step(clockStep)
-		}
+		w.awaitRead()
 		w.store.SetError(nil)
 	}
 	w.step(versionCutoff - 9*time.Second)
@@ -149,3 +156,23 @@
 		t.Error("served on older weights after the time for them")
 	}
 }
+
+// Guards against refusals by nodes that have started after an outage of the store: they learn
+// from their peers when weights were named, and must learn of the outage, too.
+func TestNodeStartedAfterOutageServesOlderWeights(t *testing.T) {
+	w := newWeightsFixture(t)
+	w.store.Set("ops/weights", "2")
+	w.step(2 * time.Second)
+	w.obs.ReceiveAnnouncement("m", 2, versionCutoff-time.Second)
+	if w.served() {
+		t.Fatal("served on older weights after the time for them")
+	}
+	w.obs.ReceiveOutage(4 * time.Second)
+	if !w.served() {
+		t.Error("refused 4 s after the outage")
+	}
+	w.step(versionCutoff - 4*time.Second)
+	if w.served() {
+		t.Error("served on older weights 12 s after the outage")
+	}
+}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -38,6 +38,9 @@
 	pickWaitDivisor = 8
 	// maxResponseBytes is the maximum size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	// ownBufferBytes is how much each response may buffer without a reservation. Usual
+	// responses and events need less, and hundreds at once fit into a node.
+	ownBufferBytes = 32 << 10
 	// firstEventObjectives is how long an upstream may be silent before the first
 	// event of a stream that may be retried at another one, in latency objectives.
 	firstEventObjectives = 3
@@ -145,6 +148,9 @@
 		return u.handleBroken(errors.Errorf("response with status %d has no stamp of the upstream", x.Status))
 	}
 	u.runs++
+	if !u.mayRetry(0) {
+		u.req.dropBody()
+	}
 	if u.req.Prompt != nil && a.Version > 0 {
 		u.recordVersion(a.Version)
 	}
@@ -170,7 +176,9 @@
 		a.Version = u.choice.Version
 		a.Salt = cacheSalt(q.Prompt.Model, a.Version, q.CacheScope)
 		a.Priority = u.priority()
-		a.Source, a.SaveTo = u.choice.Source, u.choice.SaveTo
+		if a.Version > 0 { // the salt tells apart only versions that are known
+			a.Source, a.SaveTo = u.choice.Source, u.choice.SaveTo
+		}
 	}
 	id := u.req.ID
 	u.sentAt = u.r.Clock.Now()
--- a/internal/relayer/whole.go
+++ b/internal/relayer/whole.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/limitreader"
+	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 )
@@ -19,7 +20,7 @@
 	header   http.Header
 	pieces   [][]byte
 	size     int64
-	buffered reservation
+	buffered *memorykeeper.Reservation
 }
 
 // relayWhole forwards a response that is not a stream once it is complete, and
@@ -28,11 +29,11 @@
 	if err := x.SetReadTimeout(max(minRemaining, u.deadline.Sub(u.r.Clock.Now()))); err != nil {
 		return u.handleBroken(errors.Annotate(err, "read response"))
 	}
-	a := &answer{status: x.Status, header: x.Header, buffered: reservation{limit: &u.r.bufferLimit}}
+	a := &answer{status: x.Status, header: x.Header, buffered: u.r.Memory.Response()}
 	kept := false
 	defer func() {
 		if !kept {
-			a.buffered.release()
+			a.buffered.Release()
 		}
 	}()
 	if err := a.read(x); err != nil {
@@ -69,7 +70,7 @@
 // keep replaces the answer that is kept, nil for none.
 func (u *relay) keep(a *answer) {
 	if u.kept != nil {
-		u.kept.buffered.release()
+		u.kept.buffered.Release()
 	}
 	u.kept = a
 }
@@ -110,7 +111,7 @@
 		case a.size > maxResponseBytes:
 			return limitreader.ErrTooLong
 		case len(p) == cap(p):
-			if err := a.buffered.reserve(ownBufferBytes); err != nil {
+			if err := a.buffered.Reserve(ownBufferBytes); err != nil {
 				return err
 			}
 			a.pieces = append(a.pieces, p)
