fix(relayer): a stopping node refuses before it reads the body

What callers saw: a node in graceful shutdown that would refuse their request in any case read its body first, for as long as it arrived or waited for memory (2.5 s in the test, to the cut of the shutdown). Cause: the check before the body looked at routes and keys alone, and whether a request may start was asked at the first send. Class: a certain refusal comes after what it makes needless. Change: Examine asks that, too. The check at the send stays, since the shutdown may begin meanwhile. Test: TestShutdownRefusesRequestBeforeItsBody failed before (the node tried to read the body).

--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -17,7 +18,11 @@
 // can't be served.
 func (r *Relayer) Examine(ctx context.Context, req *Request, w ResponseWriter) *Arrival {
 	u := &relay{r: r, ctx: ctx, req: req, w: w}
-	return &Arrival{u: u, kind: u.admitHeader()}
+	k := u.admitHeader()
+	if k == failure.None && !u.mayStart(r.Clock.Now()) {
+		k, u.reason = failure.Draining, unstartedReason
+	}
+	return &Arrival{u: u, kind: k}
 }
 
 // Kind returns why the request can't be served; failure.None if it can as far as its header
@@ -36,9 +41,10 @@
 // Deadline returns the time until which the caller waits for the response.
 func (a *Arrival) Deadline() time.Time { return a.u.deadline }
 
-// Refuse ends the request, of which nothing was sent.
+// Refuse ends the request, of which nothing was sent. An empty reason stands for the one that
+// Examine found.
 func (a *Arrival) Refuse(k failure.Kind, reason string) {
-	a.u.reason = reason
+	a.u.reason = cmp.Or(reason, a.u.reason)
 	a.u.refuse(k, a.u.retryAfter(k))
 }
 
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -61,7 +61,7 @@
 		return failure.Quarantined
 	}
 	if u.runs == 0 && !u.mayStart(now) {
-		u.reason = "request may not finish before the node shuts down"
+		u.reason = unstartedReason
 		return failure.Draining
 	}
 	if u.runs > 0 && !u.responseStarted && !u.mayFinish(now) { // a broken stream can't end otherwise
--- a/internal/relayer/shutdown.go
+++ b/internal/relayer/shutdown.go
@@ -14,6 +14,9 @@
 // are still in flight at the node's shutdown deadline.
 const ErrShutdownDeadline = errors.ConstError("the node reached its shutdown deadline")
 
+// unstartedReason is why a node in graceful shutdown refuses a request.
+const unstartedReason = "request may not finish before the node shuts down"
+
 func (r *Relayer) shutdownSchedule() finisher.Finisher {
 	if f := r.finisher.Load(); f != nil {
 		return *f
