fix(orderer): an office that a former release may have held needs the handover gap

Needs a rolling change of releases, a cut of the leader and an end of the other one at the same time. Class: a new record is trusted while there are still writers that don't keep it. Change: while a node is registered that doesn't report ProtocolOutage, with which the record came, the last leader forgets that it was the last one, and takes the office as any other. Remains: a node of a former release that registers, leads and is gone again, all while the leader is cut off.

--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburnnotch/auburnnotch/internal/observer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
@@ -44,7 +46,7 @@
 		snapshot := o.obs.Snapshot()
 		switch {
 		case o.campaignStopped.Load():
-		case o.mayRetake(snapshot.Leader):
+		case o.mayRetake(snapshot):
 			o.campaign(ctx, nil)
 		case !snapshot.Loaded || snapshot.Leader != nil && snapshot.Leader.Node != "":
 			vacantSince = time.Time{}
@@ -76,20 +78,32 @@
 	}
 }
 
-// mayRetake reports whether this node has been the last leader, as far as it knows. leader is
-// the one in the last snapshot.
-func (o *Orderer) mayRetake(leader *traffic.Leader) bool {
+// mayRetake reports whether this node has been the last leader, as far as it knows. s is the
+// last snapshot.
+func (o *Orderer) mayRetake(s *observer.Snapshot) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if leader != nil && leader.Node != o.set.Node {
+	if s.Leader != nil && s.Leader.Node != o.set.Node || !allWriteHolder(s.Roster) {
 		o.holderRevision = 0
 	}
 	return o.holderRevision != 0
 }
 
+// allWriteHolder reports whether all nodes would write lastHolderKey as leaders.
+func allWriteHolder(r *roster.Roster) bool {
+	return !slices.ContainsFunc(r.Nodes(), func(n traffic.Node) bool { return n.Protocol < traffic.ProtocolOutage })
+}
+
 // findHolderRevision reads at which revision this node wrote lastHolderKey, unless it is known.
+// It forgets it while there are nodes that don't write the key.
 func (o *Orderer) findHolderRevision(ctx context.Context) {
+	all := allWriteHolder(o.obs.Snapshot().Roster)
 	o.mu.Lock()
+	if !all {
+		o.holderRevision = 0
+		o.mu.Unlock()
+		return
+	}
 	lease, known := o.lease, o.holderRevision != 0
 	o.mu.Unlock()
 	if known {
--- a/internal/orderer/office_test.go
+++ b/internal/orderer/office_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/auburnnotch/auburnnotch/internal/orderer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
 const (
@@ -212,3 +215,41 @@
 		}
 	}
 }
+
+// formerRelease is the way to the store of a node that doesn't tell who was the last leader.
+type formerRelease struct{ *reach }
+
+func (r formerRelease) Commit(ctx context.Context, l platform.Line, t platform.Txn) (uint64, error) {
+	t.Put = slices.DeleteFunc(slices.Clone(t.Put), func(p platform.Put) bool { return p.Key != orderer.LeaderKey })
+	return r.reach.Commit(ctx, l, t)
+}
+
+// Guards against a former leader that skips the handover gap, though a node of the release
+// before was the leader while it couldn't reach the store.
+func TestOfficeThatFormerReleaseHeldNeedsHandoverGap(t *testing.T) {
+	f := newFleet(t)
+	f.gap = 2 * gap
+	f.store.Set("node/a", strconv.Itoa(traffic.CurrentProtocol))
+	f.store.Set("node/b", strconv.Itoa(traffic.ProtocolEvidence))
+	a, b := &reach{Store: f.store}, &reach{Store: f.store}
+	f.startWith("a", a)
+	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+	f.pass(time.Second)
+	a.setCut(true)
+	f.pass(lease)
+	f.store.ExpireLeases()
+	f.startWith("b", formerRelease{b})
+	f.store.Set("weights", "3")
+	f.until("an order of b", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "b" })
+	b.setCut(true)
+	f.pass(lease)
+	f.store.ExpireLeases()
+	a.setCut(false)
+	f.until("an order of a", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "a" })
+	l := f.ups.list()
+	for i := 1; i < len(l); i++ {
+		if d := l[i].at.Sub(l[i-1].at); l[i].leader != l[i-1].leader && d < f.gap {
+			t.Errorf("%s sent an order %v after %s", l[i].leader, d, l[i-1].leader)
+		}
+	}
+}
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -80,6 +80,9 @@
 		return &traffic.Weights{Model: "m", Version: v}, err
 	case strings.HasPrefix(it.Key, "up/"):
 		return &traffic.Upstream{ID: it.Key, Service: "s", Models: map[string]int{"m": 1}}, nil
+	case strings.HasPrefix(it.Key, "node/"):
+		v, err := strconv.Atoi(string(it.Value))
+		return &traffic.Node{Name: strings.TrimPrefix(it.Key, "node/"), Protocol: v}, err
 	case it.Key == orderer.LeaderKey:
 		return &traffic.Leader{Node: string(it.Value), Revision: it.Revision}, nil
 	case strings.HasPrefix(it.Key, orderer.AnnouncementsPrefix):
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -86,7 +86,8 @@
 	// upstreams, and with the upstreams that are unavailable to a node that asks for a
 	// placement.
 	ProtocolEvidence = 2
-	// ProtocolOutage is the first protocol with the end of the store's last outage.
+	// ProtocolOutage is the first protocol with the end of the store's last outage. Since
+	// then, each leader also writes to the store that it was the last one.
 	ProtocolOutage = 3
 	// CurrentProtocol is the protocol of this release.
 	CurrentProtocol = ProtocolOutage
