fix(discarder): the end of a shutdown also ends the reading before a refusal

What callers saw: a request that is refused by its header (no route, or not to be started) while its short body arrives, in the last half second before the cut of a graceful shutdown, got no answer: its connection was closed. Cause: the reading of the rest of a short body, 0.5 s at most, replaced the read deadline with which the cut ends the reading of bodies, and outlasted the 0.35 s that the cut leaves. Such a request had not been read whole, so that no rule counts it. Class: two owners of a deadline. Change: ReadShort ends with the context of the request, as ReadLong does; the refusal is sent at once and announces the end of the connection.

--- a/internal/discarder/discarder.go
+++ b/internal/discarder/discarder.go
@@ -36,10 +36,12 @@
 	if rc.SetReadDeadline(d.clk.Now().Add(shortTimeout)) != nil {
 		return false
 	}
+	stop := stopReading(rc, r)
+	defer stop()
 	if _, err := io.CopyN(io.Discard, r.Body, shortBytes+1); err != io.EOF {
 		return false
 	}
-	return rc.SetReadDeadline(time.Time{}) == nil
+	return stop() && rc.SetReadDeadline(time.Time{}) == nil
 }
 
 // ReadLong sends a refusal that was written and announced the end of the connection. Then it
@@ -49,7 +51,12 @@
 	if rc.Flush() != nil || rc.SetReadDeadline(d.clk.Now().Add(longTimeout)) != nil {
 		return
 	}
-	stop := context.AfterFunc(r.Context(), func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) }) // fails only if the connection is closed
+	stop := stopReading(rc, r)
 	defer stop()
 	_, _ = io.CopyN(io.Discard, r.Body, limit) // the connection is closed in any case
 }
+
+// stopReading ends the reading of a body once the context of its request is done.
+func stopReading(rc *http.ResponseController, r *http.Request) (stop func() bool) {
+	return context.AfterFunc(r.Context(), func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) }) // fails only if the connection is closed
+}
