--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -1,11 +1,9 @@
 package front_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,47 +13,6 @@
 	"github.com/auburnnotch/auburnnotch/pkg/config"
 )
 
-// closeSending stands for a caller that closes its sending side and still reads.
-const closeSending = "\x00"
-
-// rawCall sends parts one after another on a connection of its own, with a pause between
-// them, and returns the response; nil if there is none.
-func rawCall(t *testing.T, addr string, pause time.Duration, parts ...string) (*http.Response, string) {
-	t.Helper()
-	conn, err := net.Dial("tcp4", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	for i, p := range parts {
-		if i > 0 {
-			time.Sleep(pause)
-		}
-		if p == closeSending {
-			_ = conn.(*net.TCPConn).CloseWrite()
-			continue
-		}
-		_, _ = io.WriteString(conn, p)
-	}
-	in := bufio.NewReader(conn)
-	for {
-		resp, err := http.ReadResponse(in, nil)
-		if err != nil {
-			t.Logf("no response: %v", err)
-			return nil, ""
-		}
-		if resp.StatusCode == http.StatusContinue {
-			continue
-		}
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return nil, string(body)
-		}
-		return resp, string(body)
-	}
-}
-
 func post(path string, lines ...string) string {
 	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + testlib.Key + "\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
@@ -79,9 +36,9 @@
 		want  int
 		kind  string
 	}{
-		{"ends early", []string{post(path, "Content-Length: 5"), "ab", closeSending}, 400, "badRequest"},
-		{"ends within a chunk", []string{post(path, chunked), "5\r\nab", closeSending}, 400, "badRequest"},
-		{"ends within the trailer", []string{post(path, chunked), "2\r\nab\r\n0\r\nA: b", closeSending}, 400, "badRequest"},
+		{"ends early", []string{post(path, "Content-Length: 5"), "ab", testlib.CloseSending}, 400, "badRequest"},
+		{"ends within a chunk", []string{post(path, chunked), "5\r\nab", testlib.CloseSending}, 400, "badRequest"},
+		{"ends within the trailer", []string{post(path, chunked), "2\r\nab\r\n0\r\nA: b", testlib.CloseSending}, 400, "badRequest"},
 		{"malformed length of a chunk", []string{post(path, chunked), "zz\r\nab\r\n"}, 400, "badRequest"},
 		{"stalls", []string{post(path, "Content-Length: 5", deadline), "ab"}, 408, "requestTimeout"},
 		{"stalls within a chunk", []string{post(path, chunked, deadline), "5\r\nab"}, 408, "requestTimeout"},
@@ -98,7 +55,7 @@
 				runs.Add(1)
 				return answer(conn, r)
 			})
-			resp, body := rawCall(t, f.addr, 10*time.Millisecond, c.parts...)
+			resp, body := testlib.SendParts(t, f.addr, 10*time.Millisecond, c.parts...)
 			switch {
 			case resp == nil:
 				t.Error("the connection was closed without an answer")
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -47,7 +47,7 @@
 						end(conn)
 						return false
 					})
-					resp, got := rawCall(t, f.addr, 0, post(c.path, "X-Deadline-Seconds: 0.3", "Content-Length: "+strconv.Itoa(len(c.body)))+c.body)
+					resp, got := testlib.SendParts(t, f.addr, 0, post(c.path, "X-Deadline-Seconds: 0.3", "Content-Length: "+strconv.Itoa(len(c.body)))+c.body)
 					f.stop()
 					complete := resp != nil && resp.StatusCode == 200 && strings.Contains(got, c.want) &&
 						(c.want != "[DONE]" || strings.Contains(got, `{"a":1}`) && strings.Contains(got, `{"a":2}`))
--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -72,7 +72,7 @@
 			case "/v1/chat/completions":
 				body = chatBody
 			}
-			resp, got := rawCall(t, f.addr, 0, post(path, "X-Deadline-Seconds: 3", "Content-Length: "+strconv.Itoa(len(body)))+body)
+			resp, got := testlib.SendParts(t, f.addr, 0, post(path, "X-Deadline-Seconds: 3", "Content-Length: "+strconv.Itoa(len(body)))+body)
 			switch {
 			case resp == nil:
 				t.Error("no answer")
--- a/internal/front/garbage_test.go
+++ b/internal/front/garbage_test.go
@@ -59,7 +59,7 @@
 					_, _ = io.WriteString(conn, spoilt)
 					return false
 				})
-				resp, _ := rawCall(t, f.addr, 0, post(c.path, "X-Deadline-Seconds: 0.3", "Idempotency-Key: k", "Connection: close", "Content-Length: "+strconv.Itoa(len(c.body)))+c.body)
+				resp, _ := testlib.SendParts(t, f.addr, 0, post(c.path, "X-Deadline-Seconds: 0.3", "Idempotency-Key: k", "Connection: close", "Content-Length: "+strconv.Itoa(len(c.body)))+c.body)
 				if resp == nil {
 					t.Errorf("upstream sent %q: the connection was closed without an answer", spoilt)
 				}
--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -36,7 +36,7 @@
 				return false
 			})
 			head := strings.Replace(post(c.path, "Content-Length: "+strconv.Itoa(len(c.body))), "HTTP/1.1", c.proto, 1)
-			resp, body := rawCall(t, f.addr, 150*time.Millisecond, head+c.body, closeSending)
+			resp, body := testlib.SendParts(t, f.addr, 150*time.Millisecond, head+c.body, testlib.CloseSending)
 			// Without framing, only the end mark tells whether a stream is complete.
 			if strings.Contains(name, "begun") && c.proto == "HTTP/1.0" && !strings.Contains(body, "[DONE]") {
 				return
--- a/internal/front/status_test.go
+++ b/internal/front/status_test.go
@@ -23,7 +23,7 @@
 					return false
 				})
 				body := chatBody
-				resp, got := rawCall(t, f.addr, 0, post(path, "X-Deadline-Seconds: 0.3", "Idempotency-Key: k", "Content-Length: "+strconv.Itoa(len(body)))+body)
+				resp, got := testlib.SendParts(t, f.addr, 0, post(path, "X-Deadline-Seconds: 0.3", "Idempotency-Key: k", "Content-Length: "+strconv.Itoa(len(body)))+body)
 				if resp == nil {
 					t.Fatal("the connection was closed without an answer")
 				}
--- /dev/null
+++ b/internal/testlib/parts.go
@@ -0,0 +1,53 @@
+package testlib
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// CloseSending stands for a caller that closes its sending side and still reads.
+const CloseSending = "\x00"
+
+// SendParts sends parts of a request one after another on a connection of its own, with a
+// pause between them. It returns the response and its body; nil if
+// there is no whole response.
+func SendParts(t testing.TB, addr string, pause time.Duration, parts ...string) (*http.Response, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	for i, p := range parts {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		if p == CloseSending {
+			_ = conn.(*net.TCPConn).CloseWrite()
+			continue
+		}
+		_, _ = io.WriteString(conn, p)
+	}
+	in := bufio.NewReader(conn)
+	for {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Logf("no response: %v", err)
+			return nil, ""
+		}
+		if resp.StatusCode == http.StatusContinue {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Logf("read the response: %v", err)
+			return nil, ""
+		}
+		return resp, string(body)
+	}
+}
