--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -71,6 +71,11 @@
 func (r *Relayer) evidence(now time.Time) detector.Evidence {
 	runs := func(upstream uint32) bool { return r.placer.RunsRequests(now, upstream, maxLoadAge) }
 	r.logFindings(r.detector.Judge(now, runs))
+	for _, d := range r.detector.Doubts(now) {
+		r.Log.WithFields(logrus.Fields{
+			"event": "poisonDoubted", "feature": hexFeatures([]detector.Feature{d.Feature}), "crashes": d.Crashes, "reason": string(d.Reason),
+		}).Info("not rejecting a suspect that was lost at several crashes")
+	}
 	return r.detector.Evidence(now)
 }
 
@@ -127,12 +132,25 @@
 
 func (r *Relayer) logFindings(found []detector.Finding) {
 	for _, f := range found {
-		hashes := make([]string, len(f.Features))
-		for i, feature := range f.Features {
-			hashes[i] = fmt.Sprintf("%x", uint64(feature))
-		}
 		r.Log.WithFields(logrus.Fields{
-			"event": "poisonFound", "features": strings.Join(hashes, ","), "crashes": f.Crashes, "byPeer": f.Crashes == 0,
+			"event": "poisonFound", "features": hexFeatures(f.Features), "crashes": f.Crashes, "byPeer": f.Crashes == 0,
 		}).Warn("rejecting requests that crash upstreams")
 	}
 }
+
+// hexFeatures returns the features for a log line, separated by commas.
+func hexFeatures(features []detector.Feature) string {
+	hashes := make([]string, len(features))
+	for i, f := range features {
+		hashes[i] = fmt.Sprintf("%x", uint64(f))
+	}
+	return strings.Join(hashes, ",")
+}
+
+// maxLoggedFeatures bounds the features in a log line.
+const maxLoggedFeatures = 4
+
+// lastFeatures returns the most specific of a request's features, for the log.
+func lastFeatures(features []detector.Feature) []detector.Feature {
+	return features[max(0, len(features)-maxLoggedFeatures):]
+}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -351,7 +351,7 @@
 		}
 	})
 	u.logEntry("attemptBroken").WithError(err).WithFields(logrus.Fields{
-		"endedBy": u.endedBy(err), "parts": u.sharedParts(),
+		"endedBy": u.endedBy(err), "parts": u.sharedParts(), "features": hexFeatures(lastFeatures(u.features)),
 	}).Info("attempt ended before the response was complete")
 	if callerGone || !u.mayRetry(0) || u.sends >= maxSends {
 		u.reason = "upstream failed before the response was complete"
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -51,6 +51,10 @@
 	clearings   []report[Feature]
 	vouchings   []report[Feature]
 	foundLately []Finding
+
+	doubted   map[Feature]Reason // the last doubt of each suspect
+	newDoubts []Doubt
+	doubtsAt  time.Time
 }
 
 // Finding reports that a node started to reject requests.
@@ -66,6 +70,7 @@
 		survivors: map[uint32][]time.Time{},
 		suspects:  map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
 		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{},
+		doubted: map[Feature]Reason{},
 	}
 }
 
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -164,6 +164,11 @@
 	dropExpired(d.suspects, now)
 	dropExpired(d.vouched, now)
 	dropExpired(d.cleared, now)
+	for f := range d.doubted {
+		if _, suspected := d.suspects[f]; !suspected {
+			delete(d.doubted, f)
+		}
+	}
 }
 
 func dropOld[T any](reports []report[T], now time.Time) []report[T] {
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -102,8 +102,12 @@
 	}
 	var candidates []*tally
 	for _, t := range d.count(settled) {
-		if d.qualifies(now, t, settled) {
+		reason := d.objection(now, t, settled)
+		switch {
+		case reason == "":
 			candidates = append(candidates, t)
+		case t.crashes >= minCrashes:
+			d.doubt(t, reason)
 		}
 	}
 	slices.SortFunc(candidates, (*tally).compare)
@@ -113,6 +117,7 @@
 			continue
 		}
 		if t.isAmbiguous(common, candidates[i+1:]) {
+			d.doubt(t, OtherSuspect)
 			return nil, 0
 		}
 		return common, t.crashes
@@ -164,16 +169,24 @@
 	return slices.ContainsFunc(d.poisons, func(p *poison) bool { return p.accountsFor(r) })
 }
 
-func (d *Detector) qualifies(now time.Time, t *tally, crashes []*crash) bool {
+// objection returns why a suspect isn't poison, "" if it may be.
+func (d *Detector) objection(now time.Time, t *tally, crashes []*crash) Reason {
 	factor := 1
 	if t.vouched {
 		factor = vouchedFactor
 	}
 	first := crashes[t.first]
-	return t.crashes >= factor*minCrashes && t.laterRuns >= factor*minLaterRuns &&
-		now.Sub(first.reportedAt) >= observationTime &&
-		t.crashes*minShare >= unexplained(crashes[t.first:]) &&
-		d.otherRunsSucceed(first)
+	switch {
+	case t.crashes < factor*minCrashes, t.laterRuns < factor*minLaterRuns:
+		return TooFewCrashes
+	case now.Sub(first.reportedAt) < observationTime:
+		return Observed
+	case t.crashes*minShare < unexplained(crashes[t.first:]):
+		return OtherCrashes
+	case !d.otherRunsSucceed(first):
+		return NothingSucceeds
+	}
+	return ""
 }
 
 // otherRunsSucceed reports whether a fair share of this node's runs at the service has
