fix(relayer): a deadly request is one suspect, whatever key or query it comes with

Cause, the third hypothesis: a plain request has a single feature, a hash that holds the caller's key. The upstream never sees it, it gets the workspace. Each key, and each query, made a new suspect that needs its three crashes. A request now has what its upstream receives as features, with and without query and workspace; what is common to the lost runs and hasn't succeeded is rejected, so that a deadly query rejects no other. A rejection that a node of the release before keeps in the store or reports is found anew by this one: its hash is another.

--- a/internal/relayer/plainpoison_test.go
+++ b/internal/relayer/plainpoison_test.go
@@ -16,7 +16,10 @@
 // deadlyCallers is a pattern of requests that crash upstreams, without prompts.
 type deadlyCallers struct {
 	keys, queries int // how many the deadly requests take turns with
-	soundEvery    int // deadly requests for each sound one, which differs in its body
+	soundEvery    int // deadly requests for each sound one
+	// oneQuery is set if it is the query that is deadly, and sound requests differ from the
+	// deadly one in nothing else.
+	oneQuery bool
 }
 
 // Guards against BUDGET: one deadly request without a prompt reached upstreams again and again,
@@ -27,6 +30,8 @@
 		"twelve keys":                     {keys: 12, queries: 1, soundEvery: 1},
 		"twelve queries":                  {keys: 1, queries: 12, soundEvery: 1},
 		"keys and queries":                {keys: 3, queries: 4, soundEvery: 1},
+		"one query of a path":             {keys: 12, soundEvery: 1, oneQuery: true},
+		"one query, few sound requests":   {keys: 12, soundEvery: 5, oneQuery: true},
 		"one key, few sound requests":     {keys: 1, queries: 1, soundEvery: 5},
 		"twelve keys, few sound requests": {keys: 12, queries: 1, soundEvery: 5},
 	} {
@@ -43,7 +48,11 @@
 	f := newPlainFixture(t, 12, 12)
 	rejected, lastRun := 0, 0
 	for i := range requests {
-		r := f.send(fmt.Sprint("key", i%c.keys), fmt.Sprint("/unsafe/deadly?q=", i%c.queries), "body")
+		deadly, sound, body := "/unsafe/any?deadly", fmt.Sprint("/unsafe/any?", i), "body"
+		if !c.oneQuery {
+			deadly, sound, body = fmt.Sprint("/unsafe/deadly?", i%c.queries), "/unsafe/sound?0", fmt.Sprint("body", i)
+		}
+		r := f.send(fmt.Sprint("key", i%c.keys), deadly, "body")
 		switch r.kind {
 		case failure.Quarantined:
 			rejected++
@@ -52,7 +61,7 @@
 		}
 		f.relay.TakeReport() // as the node does before each message to its peers
 		if i%c.soundEvery == 0 {
-			if r := f.send("key0", "/unsafe/sound?q=0", fmt.Sprint("body", i)); r.kind == failure.Quarantined {
+			if r := f.send("key0", sound, body); r.kind == failure.Quarantined {
 				t.Fatal("a sound request was rejected")
 			}
 		}
@@ -64,13 +73,13 @@
 }
 
 // newPlainFixture returns a judging relayer whose workspace has the given number of keys, and
-// whose upstreams reset the connections of requests to a path that ends in "deadly".
+// whose upstreams reset the connections of requests with "deadly" in their URL.
 func newPlainFixture(t *testing.T, upstreams, keys int) *fixture {
 	t.Helper()
 	scripts := make([]testlib.Script, upstreams)
 	for i := range scripts {
 		scripts[i] = func(conn net.Conn, r testlib.Received) bool {
-			if strings.HasSuffix(r.URL.Path, "deadly") {
+			if strings.Contains(r.URL.String(), "deadly") {
 				testlib.Reset(conn)
 				return false
 			}
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"encoding/binary"
 	"fmt"
 	"strings"
 	"time"
@@ -22,22 +23,44 @@
 const maxLoadAge = 300 * time.Millisecond
 
 // requestFeatures returns what a request may have in common with others that crash
-// upstreams: the parts of its prompt but the last, which belongs to it alone, and the
-// whole request.
-func requestFeatures(req *Request) []detector.Feature {
+// upstreams: the parts of its prompt but the last, which belongs to it alone, and what its
+// upstream receives, with and without the query and the workspace. The key isn't among it:
+// a workspace may have several, and upstreams don't see them.
+func requestFeatures(req *Request, workspace string) []detector.Feature {
 	var out []detector.Feature
 	if p := req.Prompt; p != nil {
 		for i := 0; i+1 < len(p.Parts); i++ {
 			out = append(out, detector.Feature(xxhash.Sum64String(p.Parts[i].ID)))
 		}
 	}
+	path, query, _ := strings.Cut(req.Target, "?")
 	h := xxhash.New()
-	for _, s := range []string{req.Method, req.Host, req.Target, req.Key} {
+	writeStrings(h, req.Method, req.Host, path)
+	_, _ = h.Write(req.Body) // never fails
+	content := h.Sum64()
+	with := func(parts ...string) detector.Feature {
+		h.Reset()
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, content))
+		writeStrings(h, parts...)
+		return detector.Feature(h.Sum64())
+	}
+	if query != "" && workspace != "" {
+		out = append(out, with("both", query, workspace))
+	}
+	if workspace != "" {
+		out = append(out, with("workspace", workspace))
+	}
+	if query != "" {
+		out = append(out, with("query", query))
+	}
+	return append(out, detector.Feature(content))
+}
+
+func writeStrings(h *xxhash.Digest, parts ...string) {
+	for _, s := range parts {
 		_, _ = h.WriteString(s) // never fails
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(req.Body)
-	return append(out, detector.Feature(h.Sum64()))
 }
 
 // isPoison reports whether the request would crash the upstream that runs it.
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -99,7 +99,7 @@
 		u.refuse(k, u.retryAfter(k))
 		return
 	}
-	u.features = requestFeatures(u.req)
+	u.features = requestFeatures(u.req, u.workspaceName())
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	u.ctx = ctx
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -104,7 +104,7 @@
 }
 
 // newRun returns a run with at most maxFeatures features. The last one identifies the
-// whole request.
+// request.
 func newRun(sentAt time.Time, features []Feature) run {
 	if over := len(features) - maxFeatures; over > 0 {
 		features = features[over:]
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -18,7 +18,8 @@
 	// AgeMS is how long ago the run was lost, and DurationMS how long before that its
 	// request was sent.
 	AgeMS, DurationMS int64
-	// Features are those of the request, the most general first.
+	// Features are those of the request. The last one identifies it, whatever else it shares
+	// with others.
 	Features []Feature
 	Service  Service
 }
@@ -59,7 +60,7 @@
 // run is a lost run as the Detector keeps it.
 type run struct {
 	id       uint64  // identifies its reports
-	request  Feature // the most specific of its features
+	request  Feature // identifies the request, also if it comes again
 	sentAt   time.Time
 	features []Feature
 }
