fix(detector): a request that takes down its whole service is rejected before anything succeeds

Cause: a judge took what the request did for an outage. (1) It decided only if another run at the service had succeeded since the first crash, among its own; with four upstreams gone in 0.25 s nothing could. (2) The losses of the request, and of the runs beside it, counted against it. (3) The crashes of other services did. Now losses count that the suspect doesn't account for, at its own services. A single request that came again, and was lost at every crash of its service since the first one, is rejected without a success, for 15 s; so are up to four that tie. Then one may run at each node, 0 to 15 s later than elsewhere: lost again, it is rejected for ten minutes and the others that had run beside it are absolved; a success clears it as before. So a sound request that was alone in an outage isn't kept out. Ruled out: deciding later, once something succeeds. In an outage this also rejects sound requests, for ten minutes, and where sound requests are few the deadly one comes first.

--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -156,7 +156,7 @@
 func (r *Relayer) logFindings(found []detector.Finding) {
 	for _, f := range found {
 		r.Log.WithFields(logrus.Fields{
-			"event": "poisonFound", "features": hexFeatures(f.Features), "crashes": f.Crashes, "byPeer": f.Crashes == 0,
+			"event": "poisonFound", "features": hexFeatures(f.Features), "crashes": f.Crashes, "byPeer": f.Crashes == 0, "provisional": f.Provisional,
 		}).Warn("rejecting requests that crash upstreams")
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -79,7 +79,7 @@
 // New returns a Relayer without upstreams.
 func New(s Settings, deps Dependencies) *Relayer {
 	return &Relayer{
-		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(), estimator: estimator.New(), retryBudgets: map[string]*budgeter.Budgeter{},
+		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(deps.Rand), estimator: estimator.New(), retryBudgets: map[string]*budgeter.Budgeter{},
 		// Question numbers of earlier incarnations of this node are smaller.
 		lastQuestion: uint64(deps.Clock.Now().UnixMicro()), openQuestions: map[uint64]struct{}{},
 	}
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -206,9 +206,11 @@
 	}
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
-	if !u.r.placer.MaySend(u.r.Clock.Now(), u.choice.Incarnation()) {
+	now := u.r.Clock.Now()
+	if !u.r.placer.MaySend(now, u.choice.Incarnation()) {
 		return errNotPermitted
 	}
+	u.r.detector.RecordSend(now, u.features)
 	return nil
 }
 
--- a/pkg/detector/bench_test.go
+++ b/pkg/detector/bench_test.go
@@ -13,7 +13,7 @@
 func BenchmarkRejects(b *testing.B) {
 	for name, poisons := range map[string]int{"nothing": 0, "32 poisons": 32} {
 		b.Run(name, func(b *testing.B) {
-			d := detector.New()
+			d := detector.New(newRand())
 			for i := range poisons {
 				d.Merge(start, detector.Evidence{Poisons: []detector.Poison{{Features: []detector.Feature{detector.Feature(100 + i)}, RemainingMS: 60_000}}})
 			}
@@ -26,7 +26,7 @@
 }
 
 func BenchmarkRecordSuccess(b *testing.B) {
-	d := detector.New()
+	d := detector.New(newRand())
 	b.ReportAllocs()
 	features := append([]detector.Feature(nil), benchmarkFeatures...)
 	for b.Loop() {
@@ -37,7 +37,7 @@
 
 // BenchmarkJudge judges 128 crashes with eight lost runs each.
 func BenchmarkJudge(b *testing.B) {
-	d := detector.New()
+	d := detector.New(newRand())
 	d.SetJudge(true)
 	for i := range 128 {
 		for j := range 8 {
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -8,6 +9,12 @@
 const (
 	// poisonTTL is how long requests are rejected before one may run again.
 	poisonTTL = 10 * time.Minute
+	// provisionalTTL is the same for requests that may have been lost in an outage.
+	provisionalTTL = 15 * time.Second
+	// maxDelay is by how much a node may let such a request run later than others, so that
+	// they don't all try at once, and trialTime how long it waits for the outcome of a run.
+	maxDelay  = 15 * time.Second
+	trialTime = 5 * time.Second
 	// paroleTTL is how long after that a single crash suffices to reject them again.
 	paroleTTL = time.Hour
 	// suspicionTTL is how long a crash is remembered.
@@ -35,6 +42,7 @@
 
 // Detector holds the evidence known to a node. It is not safe for concurrent use.
 type Detector struct {
+	delay      time.Duration // by which rejections are longer than those of other nodes
 	judges     bool
 	crashes    []*crash               // by time
 	reportedAt time.Time              // when the last lost run was reported
@@ -62,11 +70,14 @@
 	Features []Feature
 	// Crashes is the number of crashes that support it, 0 if a peer reported it.
 	Crashes int
+	// Provisional is set if it may have been an outage: the rejection ends soon.
+	Provisional bool
 }
 
 // New returns a Detector without evidence.
-func New() *Detector {
+func New(rnd *rand.Rand) *Detector {
 	return &Detector{
+		delay:     time.Duration(rnd.Int64N(int64(maxDelay))),
 		survivors: map[uint32][]time.Time{},
 		suspects:  map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
 		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{},
@@ -81,18 +92,35 @@
 // Rejects reports whether a request with the given features must not run.
 func (d *Detector) Rejects(now time.Time, features []Feature) bool {
 	for _, p := range d.poisons {
-		if now.Before(p.until) && p.matches(features) {
+		if !d.mayTry(now, p) && p.matches(features) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayTry reports whether a request that was rejected may run again.
+func (d *Detector) mayTry(now time.Time, p *poison) bool {
+	return !now.Before(p.until.Add(d.delay)) && !now.Before(p.triedUntil)
+}
+
+// RecordSend records that a request is sent to an upstream. If it is the first one after a
+// rejection, the others are rejected until its outcome is known.
+func (d *Detector) RecordSend(now time.Time, features []Feature) {
+	for _, p := range d.poisons {
+		if d.mayTry(now, p) && p.matches(features) {
+			p.triedUntil = now.Add(trialTime)
+		}
+	}
+}
+
 // RecordLoss records that a run was lost when its upstream ended the connection.
 func (d *Detector) RecordLoss(now time.Time, service Service, upstream uint32, sentAt time.Time, features []Feature) {
 	l := lostRun{service: service, upstream: upstream, run: newRun(sentAt, features)}
 	d.countRuns(service, runTotals{lost: 1})
-	d.addLostRun(now, now, l)
+	if c := d.addLostRun(now, now, l); c != nil {
+		c.ownRuns++
+	}
 	if len(d.lostRuns) < maxReports {
 		d.lostRuns = append(d.lostRuns, report[lostRun]{l, now})
 	}
@@ -175,34 +203,36 @@
 	return slices.DeleteFunc(slices.Clone(features), func(g Feature) bool { return g == f })
 }
 
-// addLostRun adds a run to the crash of its upstream, unless it is known already.
-func (d *Detector) addLostRun(now, lostAt time.Time, l lostRun) {
+// addLostRun adds a run to the crash of its upstream, unless it is known already, and returns
+// the crash, nil if the upstream has survived.
+func (d *Detector) addLostRun(now, lostAt time.Time, l lostRun) *crash {
 	if d.survived(l.upstream, lostAt) {
-		return
+		return nil
 	}
 	c, r := d.crashOf(now, lostAt, &l), l.run
 	if c.has(r.id) || len(c.runs) >= maxRuns {
-		return
+		return c
 	}
 	c.runs = append(c.runs, r)
 	d.reportedAt = now
-	for _, p := range d.poisons {
+	for _, p := range slices.Clone(d.poisons) {
 		if !p.matches(r.features) {
 			continue
 		}
 		if !now.Before(p.until) {
-			p.until = now.Add(poisonTTL)
+			d.renew(now, p, now.Add(poisonTTL))
 			d.foundLately = append(d.foundLately, Finding{Features: p.features, Crashes: 1})
 		}
 		c.explain(p.features)
 	}
 	if c.explained && !d.Rejects(now, r.features) {
 		c.runs[len(c.runs)-1].features = nil
-		return
+		return c
 	}
 	for _, f := range r.features {
 		d.suspect(now, f)
 	}
+	return c
 }
 
 // crashOf returns the crash at about the given time at which a run was lost.
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -28,6 +28,8 @@
 	plain
 )
 
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 // noRuns is for upstreams that have crashed.
 func noRuns(uint32) bool { return false }
 
@@ -92,7 +94,7 @@
 	rnd := rand.New(rand.NewPCG(l.seed, 1))
 	nodes := make([]*detector.Detector, l.nodes)
 	for i := range nodes {
-		nodes[i] = detector.New()
+		nodes[i] = detector.New(newRand())
 		nodes[i].SetJudge(!l.aggregated || i < 2)
 	}
 	running := make([][]simulatedRun, l.engines)
@@ -291,7 +293,7 @@
 }
 
 func TestSuccessClearsSuspects(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := crashSeries(d, start, 5, root, deadly)
 	d.RecordSuccess(now, model, []detector.Feature{root, 77})
 	if found := judge(d, now); len(found) != 1 || !slices.Equal(found[0].Features, []detector.Feature{deadly}) {
@@ -309,7 +311,7 @@
 // Several parts that always come together can't be told apart. Only requests with all of them
 // are rejected until one of them succeeds alone.
 func TestPartsThatAlwaysCrashTogetherAreRejectedTogether(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := crashSeries(d, start, 4, subject, deadly)
 	judge(d, now)
 	if !d.Rejects(now, []detector.Feature{subject, deadly}) || d.Rejects(now, []detector.Feature{subject}) || d.Rejects(now, []detector.Feature{deadly}) {
@@ -322,7 +324,7 @@
 }
 
 func TestWholeRequestThatComesAgainIsRejected(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := start
 	for i := range 3 {
 		d.RecordLoss(now.Add(time.Second), model, uint32(i), now, []detector.Feature{42})
@@ -340,7 +342,7 @@
 
 // While every run is lost, the requests aren't the cause.
 func TestNothingIsRejectedWhileNothingSucceeds(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := start
 	for i := range 8 {
 		d.RecordLoss(now.Add(time.Second), model, uint32(i), now, []detector.Feature{root, detector.Feature(100 + i)})
@@ -352,7 +354,7 @@
 }
 
 func TestRejectionEndsAndReturnsAtNextCrash(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := crashSeries(d, start, 4, deadly)
 	judge(d, now)
 	later := now.Add(11 * time.Minute)
@@ -367,7 +369,7 @@
 }
 
 func TestEvidenceIsBounded(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	d.SetJudge(true)
 	now := start
 	for i := range 20_000 {
@@ -388,7 +390,7 @@
 // Peers repeat what they report, and messages cross: a rejection that was lifted must not
 // come back that way.
 func TestPeerReportDoesNotRestoreLiftedRejection(t *testing.T) {
-	one, two := detector.New(), detector.New()
+	one, two := detector.New(newRand()), detector.New(newRand())
 	now := crashSeries(one, start, 4, deadly)
 	judge(one, now)
 	stale := one.Evidence(now)
@@ -407,7 +409,7 @@
 }
 
 func Example() {
-	d := detector.New()
+	d := detector.New(newRand())
 	d.SetJudge(true)
 	now := time.Unix(0, 0)
 	for upstream := range uint32(3) { // three upstreams crash, other requests succeed meanwhile
@@ -434,7 +436,7 @@
 
 // Upstreams that crash together lose runs with common features, whatever the cause.
 func TestCrashOfManyUpstreamsAtOnceRejectsNothing(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	loseRuns(d, start, 8, subject)
 	now := start.Add(2 * time.Second)
 	for range 20 {
@@ -447,7 +449,7 @@
 
 // A peer has served the sound part before, so the part that came with it is the cause.
 func TestPeerVouchesForSoundPart(t *testing.T) {
-	one, two := detector.New(), detector.New()
+	one, two := detector.New(newRand()), detector.New(newRand())
 	two.RecordSuccess(start, model, []detector.Feature{subject})
 	now := crashSeries(one, start.Add(time.Second), 4, deadly, subject)
 	two.Merge(now, one.Evidence(now))
@@ -459,7 +461,7 @@
 
 // What was lost beside poison is innocent: its next loss is its first.
 func TestRunsLostBesidePoisonAreNotSuspects(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := start
 	for i := range 4 {
 		sentAt := now
@@ -485,7 +487,7 @@
 // The nodes report a crash at different times: at first only the runs beside the cause are
 // known.
 func TestReportsOfCrashAreAwaited(t *testing.T) {
-	one, two := detector.New(), detector.New()
+	one, two := detector.New(newRand()), detector.New(newRand())
 	now := start
 	for i := range 4 {
 		sentAt := now
@@ -514,7 +516,7 @@
 
 // A sound part was lost at each crash of a deadly one, in other requests.
 func TestNothingIsRejectedWhileTwoCausesAreAsProbable(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := start
 	crash := func(i int, features ...detector.Feature) {
 		d.RecordLoss(now, model, uint32(i), now.Add(-500*time.Millisecond), append(features, detector.Feature(500+10*i)+features[0]))
@@ -539,7 +541,7 @@
 
 // A node that receives only what the judges pass on clears a suspect that it hasn't seen crash.
 func TestNodeOfLargeFleetClearsSuspect(t *testing.T) {
-	aggregator, node := detector.New(), detector.New()
+	aggregator, node := detector.New(newRand()), detector.New(newRand())
 	aggregator.SetJudge(true)
 	now := crashSeries(aggregator, start, 2, root)
 	node.Merge(now, aggregator.Evidence(now).WithoutReports())
@@ -551,7 +553,7 @@
 
 // A burst of crashes within a second has many sound parts in common, until their first success.
 func TestSuspectsOfBurstAreObservedFirst(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := start
 	for i := range 6 {
 		d.RecordSuccess(now, model, []detector.Feature{9_000})
@@ -567,7 +569,7 @@
 // lost as often, and was rejected instead of left alone.
 func TestFindingOfPeerAbsolvesOtherParts(t *testing.T) {
 	for _, mergeFirst := range []bool{true, false} {
-		one, two := detector.New(), detector.New()
+		one, two := detector.New(newRand()), detector.New(newRand())
 		two.RecordSuccess(start, model, []detector.Feature{root})
 		now := start.Add(time.Second)
 		for i := range 9 {
@@ -597,7 +599,7 @@
 // An aggregator that callers don't use, as before its shutdown, learns from its peers that
 // other runs succeed.
 func TestAggregatorWithoutRunsOfItsOwnFindsPoison(t *testing.T) {
-	aggregator, node := detector.New(), detector.New()
+	aggregator, node := detector.New(newRand()), detector.New(newRand())
 	aggregator.SetJudge(true)
 	now := start
 	for i := range 4 {
@@ -624,7 +626,7 @@
 	const perSecond = 20
 	for name, before := range map[string]int{"served before": 100, "never served": 0} {
 		t.Run(name, func(t *testing.T) {
-			d := detector.New()
+			d := detector.New(newRand())
 			d.SetJudge(true)
 			now := start
 			request := firstRequest
@@ -650,7 +652,7 @@
 // Connections are reset again and again, but the upstreams go on. What was lost there says
 // nothing about the requests.
 func TestUpstreamsThatSurviveHaveNotCrashed(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	d.SetJudge(true)
 	now := start
 	survives := func(upstream uint32) bool { return upstream >= 1000 }
@@ -674,7 +676,7 @@
 // A deadly part may stand anywhere in a long prompt.
 func TestDeadlyPartOfLongPromptIsFound(t *testing.T) {
 	for _, position := range []int{0, 20, 40} {
-		d := detector.New()
+		d := detector.New(newRand())
 		now := start
 		for i := range 4 {
 			features := make([]detector.Feature, 0, 42)
@@ -693,7 +695,7 @@
 // Guards against rejections that are counted twice: after a success with a feature, two of
 // them were the same.
 func TestRejectionsThatBecomeEqualAreOne(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	d.Merge(start, detector.Evidence{Poisons: []detector.Poison{{Features: []detector.Feature{1, 2}, RemainingMS: 60_000}, {Features: []detector.Feature{2}, RemainingMS: 30_000}}})
 	d.RecordSuccess(start, 1, []detector.Feature{1})
 	if got := d.Rejections(start); len(got) != 1 || len(got[0].Features) != 1 || got[0].RemainingMS != 60_000 {
--- a/pkg/detector/doubt_test.go
+++ b/pkg/detector/doubt_test.go
@@ -9,7 +9,7 @@
 
 // A judge that keeps silent about a suspect leaves the operator without the reason.
 func TestDoubtNamesTheReason(t *testing.T) {
-	d := detector.New()
+	d := detector.New(newRand())
 	now := start
 	for i := range 4 {
 		d.RecordLoss(now.Add(time.Second), model, uint32(i), now, []detector.Feature{42})
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -88,6 +88,8 @@
 	// explained is set if a run lost there was poison: then the others are innocent.
 	explained bool
 	runs      []run
+	// ownRuns is how many runs this node lost there.
+	ownRuns uint64
 }
 
 // explain absolves the other runs of a crash if one with all of the given features was lost
@@ -117,6 +119,10 @@
 type poison struct {
 	features []Feature // sorted
 	until    time.Time
+	// provisional is set if an outage may be the cause.
+	provisional bool
+	// triedUntil is set while one request runs after that.
+	triedUntil time.Time
 }
 
 // accountsFor reports whether the loss of a run is no evidence against its other features. Of
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -127,27 +127,55 @@
 }
 
 // reject rejects requests with all of the features until the given time, and reports
-// whether they weren't rejected before.
+// whether they weren't rejected before. A provisional rejection absolves no other run that was lost.
 func (d *Detector) reject(now time.Time, features []Feature, until time.Time) bool {
 	features = slices.Clone(features)
 	slices.Sort(features)
 	for _, p := range d.poisons {
 		if slices.Equal(p.features, features) {
-			expired := !now.Before(p.until)
-			if until.Sub(p.until) > renewalSlack {
-				p.until = until
+			if until.Sub(p.until) <= renewalSlack {
+				return false
 			}
+			expired := !now.Before(p.until)
+			d.renew(now, p, until)
 			return expired
 		}
 	}
 	if len(d.poisons) >= maxPoisons {
 		d.poisons = slices.Delete(d.poisons, 0, 1)
 	}
-	d.poisons = append(d.poisons, &poison{features: features, until: until})
+	p := &poison{features: features}
+	d.poisons = append(d.poisons, p)
+	d.renew(now, p, until)
+	return true
+}
+
+// renew sets the end of a rejection. Unless it is provisional, it absolves the other runs that
+// were lost together with the cause.
+func (d *Detector) renew(now time.Time, p *poison, until time.Time) {
+	p.until, p.provisional = until, until.Sub(now) <= provisionalTTL
+	if p.provisional {
+		return
+	}
 	for _, c := range d.crashes {
-		c.explain(features)
+		c.explain(p.features)
 	}
-	return true
+	d.poisons = slices.DeleteFunc(d.poisons, func(o *poison) bool {
+		if !d.judges || !o.provisional || d.isSupported(o) {
+			return false
+		}
+		for _, f := range o.features {
+			d.cleared[f] = now.Add(crashWindow + reportTime)
+		}
+		return true
+	})
+}
+
+// isSupported reports whether runs that were lost are still evidence for a rejection.
+func (d *Detector) isSupported(p *poison) bool {
+	return slices.ContainsFunc(d.crashes, func(c *crash) bool {
+		return slices.ContainsFunc(c.runs, func(r run) bool { return p.matches(r.features) })
+	})
 }
 
 // expire removes what no longer counts.
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -14,11 +14,14 @@
 	minLaterRuns = 2
 	// clearCrashes is the number of crashes at which nothing sound is lost each time.
 	clearCrashes = 6
+	// maxRivals is how many single requests that were lost equally often are all rejected, until
+	// one of them is lost again.
+	maxRivals = 4
 	// vouchedFactor multiplies minCrashes and minLaterRuns for a suspect with which runs had
 	// succeeded before.
 	vouchedFactor = 2
-	// minShare is the share of all crashes since the first one that poison must account
-	// for, as its inverse.
+	// minShare is the share of all crashes of its services since the first one that poison must
+	// account for, as its inverse.
 	minShare = 4
 	// maxLossRatio is how many runs may be lost for each one that succeeds.
 	maxLossRatio = 8
@@ -40,6 +43,10 @@
 	laterRuns int
 	lastLater int
 	vouched   bool
+	services  []Service // where it was lost
+	// request is the run that it was lost with, and single is set if it was no other.
+	request uint64
+	single  bool
 }
 
 // Judge decides which features are poison and returns what this node started to reject
@@ -48,12 +55,16 @@
 func (d *Detector) Judge(now time.Time, runs func(upstream uint32) bool) []Finding {
 	d.checkSurvivors(now, runs)
 	for range maxPoisons {
-		features, crashes := d.findPoison(now)
-		if len(features) == 0 {
+		v, found := d.findPoison(now)
+		if !found {
 			break
 		}
-		d.reject(now, features, now.Add(poisonTTL))
-		d.foundLately = append(d.foundLately, Finding{Features: features, Crashes: crashes})
+		ttl := poisonTTL
+		if v.provisional {
+			ttl = provisionalTTL
+		}
+		d.reject(now, v.common, now.Add(ttl))
+		d.foundLately = append(d.foundLately, Finding{Features: v.common, Crashes: v.crashes, Provisional: v.provisional})
 	}
 	found := d.foundLately
 	d.foundLately = nil
@@ -85,11 +96,20 @@
 	return slices.ContainsFunc(d.survivors[upstream], func(t time.Time) bool { return t.Sub(at).Abs() < settleTime })
 }
 
-// findPoison returns the features of the most probable cause of the crashes that isn't
-// rejected yet, none if no suspect qualifies.
-func (d *Detector) findPoison(now time.Time) (features []Feature, crashes int) {
+// verdict is what the crashes say of a suspect.
+type verdict struct {
+	*tally
+	common []Feature
+	// provisional is set if nothing succeeded that could have told the suspect from an outage
+	// of its service.
+	provisional bool
+}
+
+// findPoison returns the most probable cause of the crashes that isn't rejected yet, and
+// whether some suspect qualifies.
+func (d *Detector) findPoison(now time.Time) (v verdict, found bool) {
 	if !d.judges || !d.isUndecided(now) {
-		return nil, 0
+		return verdict{}, false
 	}
 	var settled []*crash
 	for _, c := range d.crashes {
@@ -98,43 +118,55 @@
 		}
 	}
 	if len(settled) < minCrashes {
-		return nil, 0
+		return verdict{}, false
 	}
-	var candidates []*tally
+	var candidates []verdict
 	for _, t := range d.count(settled) {
 		reason := d.objection(now, t, settled)
 		switch {
 		case reason == "":
-			candidates = append(candidates, t)
+			candidates = append(candidates, verdict{tally: t})
+		case reason == NothingSucceeds && d.isSoleCause(t, settled):
+			candidates = append(candidates, verdict{tally: t, provisional: true})
 		case t.crashes >= minCrashes:
 			d.doubt(t, reason)
 		}
 	}
-	slices.SortFunc(candidates, (*tally).compare)
-	for i, t := range candidates {
-		common := d.commonFeatures(settled, t)
-		if d.Rejects(now, common) {
+	slices.SortFunc(candidates, verdict.compare)
+	for i, v := range candidates {
+		v.common = d.commonFeatures(settled, v.tally)
+		if d.Rejects(now, v.common) {
 			continue
 		}
-		if t.isAmbiguous(common, candidates[i+1:]) {
-			d.doubt(t, OtherSuspect)
-			return nil, 0
+		switch {
+		case v.single && !v.vouched && v.crashes < clearCrashes && len(v.rivals(candidates)) > 0:
+			v.provisional = true
+			if len(v.rivals(candidates)) < maxRivals {
+				return v, true
+			}
+		case v.crashes >= clearCrashes, len(v.rivals(candidates[i+1:])) == 0:
+			return v, true
 		}
-		return common, t.crashes
+		d.doubt(v.tally, OtherSuspect)
+		return verdict{}, false
 	}
-	return nil, 0
+	return verdict{}, false
 }
 
 // isUndecided reports whether lost runs were reported lately. Without new ones, the evidence
 // needs no further look.
 func (d *Detector) isUndecided(now time.Time) bool { return now.Sub(d.reportedAt) < decisionTime }
 
-// isAmbiguous reports whether another candidate that came with other requests was lost as
-// often: it may just have run beside the cause, or be the cause. The next crash tells.
-func (t *tally) isAmbiguous(common []Feature, others []*tally) bool {
-	return t.crashes < clearCrashes && slices.ContainsFunc(others, func(o *tally) bool {
-		return o.vouched == t.vouched && o.crashes == t.crashes && !slices.Contains(common, o.feature)
-	})
+// rivals returns the other candidates that came with other requests and were lost as often:
+// they may just have run beside the cause, or be the cause. The next crash tells.
+func (v verdict) rivals(candidates []verdict) []verdict {
+	var out []verdict
+	for _, o := range candidates {
+		if o.vouched == v.vouched && o.crashes == v.crashes && !slices.Contains(v.common, o.feature) {
+			out = append(out, o)
+		}
+	}
+	return out
 }
 
 func (d *Detector) count(crashes []*crash) map[Feature]*tally {
@@ -148,9 +180,13 @@
 				t := tallies[f]
 				if t == nil {
 					_, vouched := d.vouched[f]
-					t = &tally{feature: f, first: i, last: -1, lastLater: -1, vouched: vouched}
+					t = &tally{feature: f, first: i, last: -1, lastLater: -1, vouched: vouched, request: r.id, single: true}
 					tallies[f] = t
 				}
+				t.single = t.single && t.request == r.id
+				if !slices.Contains(t.services, c.service) {
+					t.services = append(t.services, c.service)
+				}
 				if t.last != i {
 					t.last = i
 					t.crashes++
@@ -181,28 +217,42 @@
 		return TooFewCrashes
 	case now.Sub(first.reportedAt) < observationTime:
 		return Observed
-	case t.crashes*minShare < unexplained(crashes[t.first:]):
+	case t.crashes*minShare < t.unexplained(crashes):
 		return OtherCrashes
-	case !d.otherRunsSucceed(first):
+	case !d.otherRunsSucceed(t, crashes):
 		return NothingSucceeds
 	}
 	return ""
 }
 
 // otherRunsSucceed reports whether a fair share of this node's runs at the service has
-// succeeded since a crash. While upstreams lose almost all that they run, the requests aren't
-// the cause.
-func (d *Detector) otherRunsSucceed(since *crash) bool {
-	total := d.totals[since.service]
-	succeeded := total.succeeded - since.before.succeeded
-	lost := total.lost - since.before.lost
+// succeeded since the suspect's first crash, apart from the runs that were lost together with it. While
+// upstreams lose almost all that they run, the requests aren't the cause.
+func (d *Detector) otherRunsSucceed(t *tally, crashes []*crash) bool {
+	first := crashes[t.first]
+	total := d.totals[first.service]
+	succeeded := total.succeeded - first.before.succeeded
+	lost := total.lost - first.before.lost
+	for _, c := range crashes[t.first:] {
+		if c.service == first.service && (c.explained || c.hasFeature(t.feature)) {
+			lost -= min(lost, c.ownRuns)
+		}
+	}
 	return succeeded > 0 && succeeded*maxLossRatio >= lost
 }
 
-func unexplained(crashes []*crash) int {
+// isSoleCause reports whether a single request that came again was lost at each crash of its
+// services since the first one, after they had served others.
+func (d *Detector) isSoleCause(t *tally, crashes []*crash) bool {
+	return t.single && !t.vouched && crashes[t.first].before.succeeded > 0 && t.crashes == t.unexplained(crashes)
+}
+
+// unexplained returns how many crashes of the suspect's services since its first one have no
+// other cause that is known.
+func (t *tally) unexplained(crashes []*crash) int {
 	n := 0
-	for _, c := range crashes {
-		if !c.explained {
+	for _, c := range crashes[t.first:] {
+		if !c.explained && slices.Contains(t.services, c.service) {
 			n++
 		}
 	}
@@ -211,14 +261,20 @@
 
 // compare sorts the more probable cause first. Sound features that requests have beside the
 // cause are lost as often.
-func (t *tally) compare(o *tally) int {
-	if t.vouched != o.vouched {
+func (v verdict) compare(o verdict) int {
+	if v.provisional != o.provisional {
+		if o.provisional {
+			return -1
+		}
+		return 1
+	}
+	if v.vouched != o.vouched {
 		if o.vouched {
 			return -1
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(o.crashes, t.crashes), cmp.Compare(t.feature, o.feature))
+	return cmp.Or(cmp.Compare(o.crashes, v.crashes), cmp.Compare(v.feature, o.feature))
 }
 
 // commonFeatures returns the features that all lost runs with the cause have in common, since
--- a/pkg/detector/plain_test.go
+++ b/pkg/detector/plain_test.go
@@ -18,6 +18,8 @@
 	soundPerSecond float64
 	// poisonEvery is the time between two deadly requests.
 	poisonEvery time.Duration
+	// onePath is set if all requests differ in their query alone.
+	onePath bool
 	// aggregated is set if only the first two nodes receive the evidence of all others.
 	aggregated bool
 	// otherCrashes is how many upstreams of another service crash one after the other beside
@@ -82,7 +84,7 @@
 		upAt: make([]time.Time, l.upstreams), starts: make([]uint32, l.upstreams),
 	}
 	for i := range l.nodes {
-		d := detector.New()
+		d := detector.New(rand.New(rand.NewPCG(l.seed, uint64(i))))
 		d.SetJudge(!l.aggregated || i < 2)
 		s.nodes = append(s.nodes, d)
 	}
@@ -90,10 +92,10 @@
 		s.now = s.now.Add(plainStep)
 		if s.rnd.Float64() < l.soundPerSecond*plainStep.Seconds() {
 			s.lastID++
-			s.place(&plainRequest{node: s.rnd.IntN(l.nodes), maxSends: 1 + s.rnd.IntN(2), features: []detector.Feature{s.lastID}})
+			s.place(&plainRequest{node: s.rnd.IntN(l.nodes), maxSends: 1 + s.rnd.IntN(2), features: s.features(s.lastID)})
 		}
 		if l.poisonEvery > 0 && s.now.Sub(start) > deadlySince && s.rnd.Float64() < plainStep.Seconds()/l.poisonEvery.Seconds() {
-			s.place(&plainRequest{node: s.rnd.IntN(l.nodes), deadly: true, maxSends: 2, features: []detector.Feature{deadlyRequest}})
+			s.place(&plainRequest{node: s.rnd.IntN(l.nodes), deadly: true, maxSends: 2, features: s.features(deadlyRequest)})
 		}
 		s.crashOthers()
 		s.endRuns()
@@ -105,6 +107,13 @@
 	return s.out
 }
 
+func (s *plainService) features(request detector.Feature) []detector.Feature {
+	if s.load.onePath {
+		return []detector.Feature{request, root}
+	}
+	return []detector.Feature{request}
+}
+
 // runs reports whether an upstream runs requests.
 func (s *plainService) runs(upstream uint32) bool {
 	for _, r := range s.running {
@@ -144,6 +153,7 @@
 	}
 	r.upstream, r.sentAt, r.endsAt = up[s.rnd.IntN(len(up))], s.now, s.now.Add(plainRunTime)
 	r.sends++
+	s.nodes[r.node].RecordSend(s.now, r.features)
 	s.running = append(s.running, r)
 }
 
@@ -240,6 +250,8 @@
 		"large fleet":                         {nodes: 60, upstreams: 4, soundPerSecond: 40, poisonEvery: time.Second, aggregated: true},
 		"large fleet, few sound requests":     {nodes: 60, upstreams: 4, soundPerSecond: 4, poisonEvery: time.Second, aggregated: true},
 		"more deadly requests than sound":     {nodes: 9, upstreams: 12, soundPerSecond: 10, poisonEvery: 20 * time.Millisecond},
+		"one path":                            {nodes: 9, upstreams: 4, soundPerSecond: 26, poisonEvery: time.Second, onePath: true},
+		"one path, few sound requests":        {nodes: 9, upstreams: 4, soundPerSecond: 2, poisonEvery: time.Second, onePath: true},
 		"beside the outage of other services": {nodes: 9, upstreams: 4, soundPerSecond: 26, poisonEvery: time.Second, otherCrashes: 90},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -261,6 +273,8 @@
 // to the next were lost at several.
 func TestPlainRequestsLostInOutageAreNotRejected(t *testing.T) {
 	for name, l := range map[string]plainLoad{
+		"in turn, one path":   {nodes: 9, upstreams: 4, soundPerSecond: 26, crashEvery: 50 * time.Millisecond, onePath: true},
+		"slowly, one path":    {nodes: 9, upstreams: 4, soundPerSecond: 4, crashEvery: 500 * time.Millisecond, onePath: true},
 		"in turn":             {nodes: 9, upstreams: 4, soundPerSecond: 26, crashEvery: 50 * time.Millisecond},
 		"quickly":             {nodes: 9, upstreams: 4, soundPerSecond: 26, crashEvery: 20 * time.Millisecond},
 		"slowly":              {nodes: 9, upstreams: 4, soundPerSecond: 26, crashEvery: 500 * time.Millisecond},
@@ -279,3 +293,90 @@
 		})
 	}
 }
+
+// lostInTurn records losses of a request at upstreams that crash one after the other, after the
+// service has served others.
+func lostInTurn(d *detector.Detector, now time.Time, requests ...detector.Feature) time.Time {
+	d.SetJudge(true)
+	d.RecordSuccess(now, plain, []detector.Feature{firstRequest})
+	for i := range uint32(4) {
+		for _, f := range requests {
+			d.RecordLoss(now.Add(plainRunTime), plain, uint32(now.Unix())+i, now, []detector.Feature{f})
+		}
+		now = now.Add(2 * plainRunTime)
+	}
+	return now.Add(time.Second)
+}
+
+// A sound request may have been the only one of its service in an outage: it runs again soon, once
+// at a time, and its success ends the rejection.
+func TestRequestThatWasAloneInOutageRunsAgainSoon(t *testing.T) {
+	d := detector.New(newRand())
+	features := []detector.Feature{deadlyRequest}
+	now := lostInTurn(d, start, deadlyRequest)
+	found := d.Judge(now, noRuns)
+	if len(found) != 1 || !found[0].Provisional || !d.Rejects(now, features) {
+		t.Fatalf("found %+v, want a provisional rejection", found)
+	}
+	now = now.Add(30 * time.Second)
+	if d.Rejects(now, features) {
+		t.Fatal("is still rejected")
+	}
+	d.RecordSend(now, features)
+	if !d.Rejects(now, features) {
+		t.Error("a second one runs beside the first")
+	}
+	d.RecordSuccess(now, plain, features)
+	if d.Rejects(now, features) {
+		t.Error("a success didn't end the rejection")
+	}
+}
+
+func TestRequestThatCrashesOnTrialIsRejectedForLong(t *testing.T) {
+	d, peer := detector.New(newRand()), detector.New(newRand())
+	features := []detector.Feature{deadlyRequest}
+	now := lostInTurn(d, start, deadlyRequest)
+	d.Judge(now, noRuns)
+	peer.Merge(now, d.Evidence(now))
+	now = now.Add(30 * time.Second)
+	d.RecordSend(now, features)
+	d.RecordLoss(now.Add(plainRunTime), plain, 99, now, features)
+	peer.Merge(now.Add(plainRunTime), d.Evidence(now.Add(plainRunTime)))
+	for _, at := range []time.Time{now.Add(plainRunTime), now.Add(9 * time.Minute)} {
+		if !d.Rejects(at, features) || !peer.Rejects(at, features) {
+			t.Errorf("after %v: runs again", at.Sub(now))
+		}
+	}
+}
+
+// A sound request was lost at each crash of a deadly one. Neither runs until it is known which
+// one was the cause.
+func TestEquallyProbableRequestsAreBothRejectedForNow(t *testing.T) {
+	const sound = 43
+	d := detector.New(newRand())
+	now := lostInTurn(d, start, deadlyRequest, sound)
+	if found := d.Judge(now, noRuns); len(found) != 2 || !found[0].Provisional || !found[1].Provisional {
+		t.Fatalf("found %+v, want two provisional rejections", found)
+	}
+	now = now.Add(30 * time.Second)
+	d.RecordLoss(now.Add(plainRunTime), plain, 99, now, []detector.Feature{deadlyRequest})
+	d.Judge(now.Add(time.Second), noRuns)
+	if !d.Rejects(now.Add(time.Second), []detector.Feature{deadlyRequest}) || d.Rejects(now.Add(time.Second), []detector.Feature{sound}) {
+		t.Error("must reject the request that was lost again, and no other")
+	}
+}
+
+// Guards against sound requests that are rejected for an outage from the start: all requests
+// are alike, and none has succeeded yet.
+func TestOutageOfServiceThatNeverServedRejectsNothing(t *testing.T) {
+	d := detector.New(newRand())
+	d.SetJudge(true)
+	now := start
+	for i := range uint32(8) {
+		d.RecordLoss(now.Add(plainRunTime), plain, i, now, []detector.Feature{7})
+		now = now.Add(2 * plainRunTime)
+	}
+	if found := d.Judge(now.Add(time.Second), noRuns); len(found) > 0 {
+		t.Errorf("found %+v", found)
+	}
+}
