fix(detector): aggregators know of each service whether it has served others

In a large fleet only two aggregators judge, and a service of a few requests a second may never have succeeded with a run of theirs: they couldn't tell a deadly request from a service that never worked. Nodes now report the services that have served, for 2 s in each minute (message protocol 4, one field at the end of the evidence, golden file). The tests of the earlier protocols encode their own types of the evidence now; their golden bytes are the same.

--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -91,15 +91,33 @@
 // ProtocolOne is embedded by an exported name, which the decoder requires.
 type ProtocolOne = earlierMessage
 
+// evidenceOfTwo has the fields of the evidence of protocols two and three, in their order.
+type evidenceOfTwo struct {
+	LostRuns                   []detector.LostRun
+	Suspects, Cleared, Vouched []detector.Feature
+	Poisons                    []detector.Poison
+}
+
+func earlierEvidence(e detector.Evidence) evidenceOfTwo {
+	return evidenceOfTwo{e.LostRuns, e.Suspects, e.Cleared, e.Vouched, e.Poisons}
+}
+
 // protocolTwo has the fields of protocol two, in their order.
 type protocolTwo struct {
 	ProtocolOne
-	Evidence detector.Evidence
+	Evidence evidenceOfTwo
+}
+
+// protocolThree has the fields of protocol three, in their order.
+type protocolThree struct {
+	ProtocolOne
+	Evidence   evidenceOfTwo
+	StoreAgeMS int64
 }
 
 func TestMessageOfProtocolTwo(t *testing.T) {
 	m := protocolTwoMessage()
-	b, err := packer.Pack(&protocolTwo{earlier(m), m.Evidence})
+	b, err := packer.Pack(&protocolTwo{earlier(m), earlierEvidence(m.Evidence)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,10 +127,15 @@
 	}
 }
 
-func TestMessageOfProtocolThree(t *testing.T) {
+func protocolThreeMessage() broadcaster.Message {
 	m := protocolTwoMessage()
 	m.StoreAgeMS = 39
-	b, err := packer.Pack(&m)
+	return m
+}
+
+func TestMessageOfProtocolThree(t *testing.T) {
+	m := protocolThreeMessage()
+	b, err := packer.Pack(&protocolThree{earlier(m), earlierEvidence(m.Evidence), m.StoreAgeMS})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +144,24 @@
 		t.Errorf("got %+v, error %v", got, err)
 	}
 	var old protocolTwo
-	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old.Evidence, m.Evidence) || !reflect.DeepEqual(old.ProtocolOne, earlier(m)) {
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old.Evidence, earlierEvidence(m.Evidence)) || !reflect.DeepEqual(old.ProtocolOne, earlier(m)) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
+
+func TestMessageOfProtocolFour(t *testing.T) {
+	m := protocolThreeMessage()
+	m.Evidence.Served = []detector.Service{40, 41}
+	b, err := packer.Pack(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got broadcaster.Message
+	if err := packer.New(testlib.Golden(t, "protocol-4-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old protocolThree
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, protocolThree{earlier(m), earlierEvidence(m.Evidence), m.StoreAgeMS}) {
 		t.Errorf("an earlier release reads %+v, error %v", old, err)
 	}
 }
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -21,6 +21,10 @@
 	suspicionTTL = 10 * time.Minute
 	// reportTime is how long evidence is repeated, so that a lost message doesn't matter.
 	reportTime = 2 * time.Second
+	// servedTTL is how long a success shows that a service works, and servedInterval the time
+	// between two reports of it.
+	servedTTL      = 10 * time.Minute
+	servedInterval = time.Minute
 	// crashWindow is the time within which the runs lost at an upstream belong to the
 	// same crash.
 	crashWindow = 2 * time.Second
@@ -32,6 +36,7 @@
 	maxPoisons   = 32   // remembered
 	maxSuspects  = 4096 // remembered
 	maxSucceeded = 4096 // features remembered, in each of two generations
+	maxServices  = 256  // remembered
 )
 
 // report is an item of evidence that is repeated for reportTime.
@@ -54,11 +59,13 @@
 	// succeeded and olderSucceeded are the features of runs that have succeeded here.
 	succeeded, olderSucceeded map[Feature]struct{}
 	totals                    map[Service]runTotals
+	served                    map[Service]time.Time // until when a success at any node counts
 
-	lostRuns    []report[lostRun]
-	clearings   []report[Feature]
-	vouchings   []report[Feature]
-	foundLately []Finding
+	servedLately []report[Service]
+	lostRuns     []report[lostRun]
+	clearings    []report[Feature]
+	vouchings    []report[Feature]
+	foundLately  []Finding
 
 	doubted   map[Feature]Reason // the last doubt of each suspect
 	newDoubts []Doubt
@@ -80,7 +87,7 @@
 		delay:     time.Duration(rnd.Int64N(int64(maxDelay))),
 		survivors: map[uint32][]time.Time{},
 		suspects:  map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
-		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{},
+		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{}, served: map[Service]time.Time{},
 		doubted: map[Feature]Reason{},
 	}
 }
@@ -148,6 +155,12 @@
 // RecordSuccess records that a run with the given features succeeded.
 func (d *Detector) RecordSuccess(now time.Time, service Service, features []Feature) {
 	d.countRuns(service, runTotals{succeeded: 1})
+	if d.served[service].Sub(now) <= servedTTL-servedInterval {
+		d.recordServed(now, service)
+		if len(d.servedLately) < maxReports {
+			d.servedLately = append(d.servedLately, report[Service]{service, now})
+		}
+	}
 	for _, f := range features {
 		d.succeeded[f] = struct{}{}
 		if _, ok := d.suspects[f]; ok || d.isPoison(f) {
@@ -160,6 +173,12 @@
 	}
 }
 
+func (d *Detector) recordServed(now time.Time, service Service) {
+	if _, known := d.served[service]; known || len(d.served) < maxServices {
+		d.served[service] = now.Add(servedTTL)
+	}
+}
+
 func (d *Detector) isPoison(f Feature) bool {
 	return slices.ContainsFunc(d.poisons, func(p *poison) bool { return slices.Contains(p.features, f) })
 }
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -43,18 +43,20 @@
 	// Vouched are suspects with which a run had succeeded before they were suspected.
 	Vouched []Feature
 	Poisons []Poison
+	// Served are services whose requests have succeeded. Nodes report them since protocol 4.
+	Served []Service
 }
 
 // WithoutReports returns the evidence that an aggregator passes on to nodes that don't
 // judge themselves.
 func (e Evidence) WithoutReports() Evidence {
-	e.LostRuns, e.Vouched = nil, nil
+	e.LostRuns, e.Vouched, e.Served = nil, nil, nil
 	return e
 }
 
 // IsEmpty reports whether there is no evidence.
 func (e Evidence) IsEmpty() bool {
-	return len(e.LostRuns)+len(e.Suspects)+len(e.Cleared)+len(e.Vouched)+len(e.Poisons) == 0
+	return len(e.LostRuns)+len(e.Suspects)+len(e.Cleared)+len(e.Vouched)+len(e.Poisons)+len(e.Served) == 0
 }
 
 // run is a lost run as the Detector keeps it.
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -8,7 +8,9 @@
 // Evidence returns what this node tells the others.
 func (d *Detector) Evidence(now time.Time) Evidence {
 	d.expire(now)
-	e := Evidence{Suspects: d.repeatedSuspects(now), Cleared: items(d.clearings), Vouched: items(d.vouchings)}
+	e := Evidence{
+		Suspects: d.repeatedSuspects(now), Cleared: items(d.clearings), Vouched: items(d.vouchings), Served: items(d.servedLately),
+	}
 	for _, r := range d.lostRuns {
 		e.LostRuns = append(e.LostRuns, LostRun{
 			Upstream: r.item.upstream, AgeMS: now.Sub(r.at).Milliseconds(), DurationMS: r.at.Sub(r.item.sentAt).Milliseconds(), Features: r.item.features, Service: r.item.service,
@@ -72,6 +74,9 @@
 		sentAt := lostAt.Add(-time.Duration(l.DurationMS) * time.Millisecond)
 		d.addLostRun(now, lostAt, lostRun{service: l.Service, upstream: l.Upstream, run: newRun(sentAt, l.Features)})
 	}
+	for _, service := range e.Served {
+		d.recordServed(now, service)
+	}
 	for _, f := range e.Suspects {
 		d.suspect(now, f)
 	}
@@ -181,6 +186,7 @@
 // expire removes what no longer counts.
 func (d *Detector) expire(now time.Time) {
 	d.lostRuns, d.clearings, d.vouchings = dropOld(d.lostRuns, now), dropOld(d.clearings, now), dropOld(d.vouchings, now)
+	d.servedLately = dropOld(d.servedLately, now)
 	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) >= suspicionTTL })
 	d.poisons = slices.DeleteFunc(d.poisons, func(p *poison) bool { return now.Sub(p.until) >= paroleTTL })
 	for upstream, times := range d.survivors {
@@ -192,6 +198,7 @@
 	dropExpired(d.suspects, now)
 	dropExpired(d.vouched, now)
 	dropExpired(d.cleared, now)
+	dropExpired(d.served, now)
 	for f := range d.doubted {
 		if _, suspected := d.suspects[f]; !suspected {
 			delete(d.doubted, f)
@@ -203,10 +210,10 @@
 	return slices.DeleteFunc(reports, func(r report[T]) bool { return now.Sub(r.at) >= reportTime })
 }
 
-func dropExpired(ends map[Feature]time.Time, now time.Time) {
-	for f, end := range ends {
+func dropExpired[K comparable](ends map[K]time.Time, now time.Time) {
+	for k, end := range ends {
 		if !now.Before(end) {
-			delete(ends, f)
+			delete(ends, k)
 		}
 	}
 }
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -242,9 +242,10 @@
 }
 
 // isSoleCause reports whether a single request that came again was lost at each crash of its
-// services since the first one, after they had served others.
+// services since the first one, and they have served others.
 func (d *Detector) isSoleCause(t *tally, crashes []*crash) bool {
-	return t.single && !t.vouched && crashes[t.first].before.succeeded > 0 && t.crashes == t.unexplained(crashes)
+	unserved := func(s Service) bool { _, served := d.served[s]; return !served }
+	return t.single && !t.vouched && t.crashes == t.unexplained(crashes) && !slices.ContainsFunc(t.services, unserved)
 }
 
 // unexplained returns how many crashes of the suspect's services since its first one have no
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -89,8 +89,10 @@
 	// ProtocolOutage is the first protocol with the end of the store's last outage. Since
 	// then, each leader also writes to the store that it was the last one.
 	ProtocolOutage = 3
+	// ProtocolServed is the first protocol with the services that have served requests.
+	ProtocolServed = 4
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolOutage
+	CurrentProtocol = ProtocolServed
 )
 
 // Leader is the node that sends orders to engines.
