--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -542,6 +542,40 @@
 	}
 }
 
+// Each entry may start the request before it hears of the first crash.
+func TestPoisonRequestSentToAllEntriesAtOnce(t *testing.T) {
+	const engines, entries = 7, 3
+	d := deploy(t, engines, entries)
+	bad := testlib.NewChat("shared", poisonText, 5)
+	for range 4 {
+		errs := make(chan error, entries)
+		for node := range entries {
+			go func() {
+				r, err := d.caller(node).Chat(d.ctx, bad, nil)
+				if err == nil && r.Status == http.StatusOK {
+					err = errors.New("a poison request succeeded")
+				}
+				errs <- err
+			}()
+		}
+		for range entries {
+			if err := <-errs; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	crashes := 0
+	for _, e := range d.engines {
+		crashes += e.Crashes()
+	}
+	if crashes == 0 || crashes > 2+entries {
+		t.Errorf("%d engines crashed, want at most %d", crashes, 2+entries)
+	}
+	if r, err := d.caller(0).Chat(d.ctx, testlib.NewChat("shared", "innocent", 5), nil); err != nil || r.Status != http.StatusOK {
+		t.Errorf("a sound request afterwards: status %d, error %v", r.Status, err)
+	}
+}
+
 func TestConfiguration(t *testing.T) {
 	d := deploy(t, 1, 3)
 	old := map[string]platform.Entry{"config": d.store.Peek("config")}
