fix(detector): a deadly request that is sent to many nodes at once is held for now

Found by reading the fixes again. (1) A request that nodes send to all upstreams at the same moment has no run that was sent after the first crash, so that the second round crashed them all again. The demand is there for what many requests have in common; no upstreams that end together for another cause run one and the same request that has never succeeded. It is now rejected provisionally. Evidence: TestRequestSentAtOnceIsRejectedForNow and TestKnownPoisonIsNoRivalOfAnother, both red before.

--- a/internal/relayer/smallservice_test.go
+++ b/internal/relayer/smallservice_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"strings"
@@ -109,7 +110,8 @@
 	for name, c := range map[string]struct {
 		nodes      int
 		atOnce     bool // the deadly request is sent to all nodes at the same moment
-		soundEvery int  // ticks
+		path       string
+		soundEvery int // ticks
 	}{
 		"one node":                        {nodes: 1, soundEvery: 1},
 		"one node, few sound requests":    {nodes: 1, soundEvery: 10},
@@ -117,6 +119,7 @@
 		"nine nodes, few sound requests":  {nodes: 9, soundEvery: 10},
 		"nine nodes at the same moment":   {nodes: 9, atOnce: true, soundEvery: 1},
 		"at the same moment, hardly used": {nodes: 9, atOnce: true, soundEvery: 10},
+		"at the same moment, once each":   {nodes: 9, atOnce: true, path: "/unsafe/deadly", soundEvery: 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -127,7 +130,7 @@
 			rejected := 0
 			for i := range 100 { // 10 s
 				if i%5 == 0 {
-					rejected += s.sendDeadly(i/5, c.atOnce)
+					rejected += s.sendDeadly(i/5, cmp.Or(c.path, "/safe/deadly"), c.atOnce)
 				}
 				if i%c.soundEvery == 0 {
 					if r := s.nodes[i%c.nodes].send("key", "/safe/sound", fmt.Sprint(i)); r.kind == failure.Quarantined {
@@ -149,10 +152,10 @@
 
 // sendDeadly sends the deadly request to a node, or to all, and once more to another if it
 // fails. It returns how many were rejected.
-func (s *smallService) sendDeadly(i int, atOnce bool) int {
+func (s *smallService) sendDeadly(i int, path string, atOnce bool) int {
 	var rejected atomic.Int32
 	send := func(node int) failure.Kind {
-		k := s.nodes[node%len(s.nodes)].send("key", "/safe/deadly", "body").kind
+		k := s.nodes[node%len(s.nodes)].send("key", path, "body").kind
 		if k == failure.Quarantined {
 			rejected.Add(1)
 		}
--- a/pkg/detector/doubt.go
+++ b/pkg/detector/doubt.go
@@ -7,9 +7,10 @@
 
 // The reasons why a suspect isn't taken for poison.
 const (
-	// TooFewCrashes: a suspect with which runs had succeeded before needs more, and those of
-	// one moment count once.
+	// TooFewCrashes: a suspect with which runs had succeeded before needs more.
 	TooFewCrashes Reason = "tooFewCrashes"
+	// SentAtOnce: its runs had been sent before the first crash, as those of an outage.
+	SentAtOnce Reason = "sentAtOnce"
 	// Observed: its first crash is too recent for a success to have cleared it.
 	Observed Reason = "observed"
 	// OtherCrashes: most crashes since its first one are without it.
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -100,9 +100,10 @@
 // verdict is what the crashes say of a suspect.
 type verdict struct {
 	*tally
+	// common are the features of all runs that were lost with it.
 	common []Feature
-	// provisional is set if nothing succeeded that could have told the suspect from an outage
-	// of its service.
+	// provisional is set if nothing tells the suspect from an outage of its service, or from
+	// another one.
 	provisional bool
 }
 
@@ -121,21 +122,8 @@
 	if len(settled) < minCrashes {
 		return verdict{}, false
 	}
-	var candidates []verdict
-	for _, t := range d.count(settled) {
-		reason := d.objection(now, t, settled)
-		switch {
-		case reason == "":
-			candidates = append(candidates, verdict{tally: t})
-		case reason == NothingSucceeds && d.isSoleCause(t, settled):
-			candidates = append(candidates, verdict{tally: t, provisional: true})
-		case t.crashes >= minCrashes:
-			d.doubt(t, reason)
-		}
-	}
-	slices.SortFunc(candidates, verdict.compare)
+	candidates := d.candidates(now, settled)
 	for i, v := range candidates {
-		v.common = d.commonFeatures(settled, v.tally)
 		if d.Rejects(now, v.common) {
 			continue
 		}
@@ -154,6 +142,39 @@
 	return verdict{}, false
 }
 
+// candidates returns what may be poison and isn't known as such, the most probable cause first.
+func (d *Detector) candidates(now time.Time, crashes []*crash) []verdict {
+	var out []verdict
+	for _, t := range d.count(crashes) {
+		v := verdict{tally: t}
+		reason := d.objection(now, t, crashes)
+		switch {
+		case reason == "":
+		case (reason == NothingSucceeds || reason == SentAtOnce) && d.isSoleCause(t, crashes):
+			v.provisional = true
+		case t.crashes >= minCrashes:
+			d.doubt(t, reason)
+			continue
+		default:
+			continue
+		}
+		v.common = d.commonFeatures(crashes, t)
+		if !d.isKnown(now, v.common) {
+			out = append(out, v)
+		}
+	}
+	slices.SortFunc(out, verdict.compare)
+	return out
+}
+
+// isKnown reports whether requests with the features are rejected for another reason than
+// provisionally.
+func (d *Detector) isKnown(now time.Time, features []Feature) bool {
+	return slices.ContainsFunc(d.poisons, func(p *poison) bool {
+		return !p.provisional && !d.mayTry(now, p) && p.matches(features)
+	})
+}
+
 // isUndecided reports whether lost runs were reported lately. Without new ones, the evidence
 // needs no further look.
 func (d *Detector) isUndecided(now time.Time) bool { return now.Sub(d.reportedAt) < decisionTime }
@@ -214,12 +235,14 @@
 	}
 	first := crashes[t.first]
 	switch {
-	case t.crashes < factor*minCrashes, t.laterRuns < factor*minLaterRuns:
+	case t.crashes < factor*minCrashes:
 		return TooFewCrashes
 	case now.Sub(first.reportedAt) < observationTime:
 		return Observed
 	case t.crashes*minShare < t.unexplained(crashes):
 		return OtherCrashes
+	case t.laterRuns < factor*minLaterRuns:
+		return SentAtOnce
 	case !d.otherRunsSucceed(t, crashes):
 		return NothingSucceeds
 	}
@@ -227,8 +250,8 @@
 }
 
 // otherRunsSucceed reports whether a fair share of this node's runs at the service has
-// succeeded since the suspect's first crash, apart from the runs that were lost together with it. While
-// upstreams lose almost all that they run, the requests aren't the cause.
+// succeeded since the suspect's first crash, apart from the runs that were lost together with
+// it. While upstreams lose almost all that they run, the requests aren't the cause.
 func (d *Detector) otherRunsSucceed(t *tally, crashes []*crash) bool {
 	first := crashes[t.first]
 	total := d.totals[first.service]
--- a/pkg/detector/plain_test.go
+++ b/pkg/detector/plain_test.go
@@ -382,6 +382,47 @@
 	}
 }
 
+// Nodes send the same request to several upstreams at the same moment: nothing else has that
+// in common when upstreams crash together.
+func TestRequestSentAtOnceIsRejectedForNow(t *testing.T) {
+	for name, same := range map[string]bool{"one request": true, "one each": false} {
+		d := detector.New(newRand())
+		d.SetJudge(true)
+		d.RecordSuccess(start, plain, []detector.Feature{firstRequest})
+		for i := range uint32(4) {
+			f := deadlyRequest
+			if !same {
+				f += detector.Feature(i)
+			}
+			d.RecordLoss(start.Add(plainRunTime), plain, i, start, []detector.Feature{f})
+		}
+		now := start.Add(time.Second)
+		if found := d.Judge(now, noRuns); (len(found) == 1 && found[0].Provisional) != same || d.Rejects(now, []detector.Feature{deadlyRequest}) != same {
+			t.Errorf("%s: found %+v", name, found)
+		}
+	}
+}
+
+// A deadly request is known; another one was lost as often, at other upstreams.
+func TestKnownPoisonIsNoRivalOfAnother(t *testing.T) {
+	const other = 43
+	d := detector.New(newRand())
+	d.SetJudge(true)
+	now := start
+	for _, f := range []detector.Feature{deadlyRequest, other} {
+		for i := range uint32(4) {
+			d.RecordSuccess(now, plain, []detector.Feature{firstRequest})
+			d.RecordLoss(now.Add(plainRunTime), plain, uint32(f)*100+i, now, []detector.Feature{f})
+			now = now.Add(2 * plainRunTime)
+		}
+		now = now.Add(time.Second)
+		found := d.Judge(now, noRuns)
+		if len(found) != 1 || found[0].Provisional || !slices.Equal(found[0].Features, []detector.Feature{f}) {
+			t.Errorf("found %+v, want %d for good", found, f)
+		}
+	}
+}
+
 // The deadly request has another query each time, so that its runs have only their content in
 // common.
 func TestContentIsTheSuspectIfQueriesDiffer(t *testing.T) {
