fix(detector): a deadly part that takes down a small service is found, and not the part beside it

What several requests have in common is now rejected for now after five crashes, the number of the rule, under the same conditions as a single request. Of features that were lost equally often, the one that rejects the fewest requests is taken: before, a sound part that always came with the deadly one could be taken alone.

--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -116,6 +116,9 @@
 			}
 			return
 		}
+		if !slices.ContainsFunc(upAt, func(at time.Time) bool { return !now.Before(at) }) {
+			return
+		}
 		if r.poison && out.crashes >= 5 && now.Sub(out.fifthCrash) > contactTime {
 			out.late++
 		}
@@ -234,6 +237,9 @@
 		"large fleet":                               {nodes: 60, engines: 90, soundPerSecond: 300, poisonPerSecond: 13, aggregated: true},
 		"beside reset connections":                  {nodes: 9, engines: 18, soundPerSecond: 70, poisonPerSecond: 2, resetShare: 0.1},
 		"beside reset connections of a large fleet": {nodes: 60, engines: 90, soundPerSecond: 300, poisonPerSecond: 6, resetShare: 0.3, aggregated: true},
+		"few engines":                               {nodes: 9, engines: 4, soundPerSecond: 20, poisonPerSecond: 2},
+		"few engines and sound prompts":             {nodes: 9, engines: 4, soundPerSecond: 4, poisonPerSecond: 4},
+		"few engines, hardly any sound prompts":     {nodes: 9, engines: 4, soundPerSecond: 1, poisonPerSecond: 6},
 		"beside crashes of other causes":            {nodes: 9, engines: 30, soundPerSecond: 100, poisonPerSecond: 3, massCrash: 6, massCrashEvery: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -17,6 +17,9 @@
 	// maxRivals is how many single requests that were lost equally often are all rejected, until
 	// one of them is lost again.
 	maxRivals = 4
+	// minSharedCrashes is the number of crashes after which what several requests have in common
+	// may be poison, though nothing else succeeds.
+	minSharedCrashes = 5
 	// vouchedFactor multiplies minCrashes and minLaterRuns for a suspect with which runs had
 	// succeeded before.
 	vouchedFactor = 2
@@ -265,11 +268,13 @@
 	return succeeded > 0 && succeeded*maxLossRatio >= lost
 }
 
-// isSoleCause reports whether a single request that came again was lost at each crash of its
-// services since the first one, and they have served others.
+// isSoleCause reports whether a suspect that never succeeded was lost at each crash of its
+// services since the first one, and they have served others. Requests that came only once have
+// less in common by chance the more they are.
 func (d *Detector) isSoleCause(t *tally, crashes []*crash) bool {
 	unserved := func(s Service) bool { _, served := d.served[s]; return !served }
-	return t.single && !t.vouched && t.crashes == t.unexplained(crashes) && !slices.ContainsFunc(t.services, unserved)
+	several := t.crashes >= minSharedCrashes && t.laterRuns >= minLaterRuns
+	return (t.single || several) && !t.vouched && t.crashes == t.unexplained(crashes) && !slices.ContainsFunc(t.services, unserved)
 }
 
 // unexplained returns how many crashes of the suspect's services since its first one have no
@@ -285,7 +290,7 @@
 }
 
 // compare sorts the more probable cause first. Sound features that requests have beside the
-// cause are lost as often.
+// cause are lost as often: of these, the one that rejects the fewest requests comes first.
 func (v verdict) compare(o verdict) int {
 	if v.provisional != o.provisional {
 		if o.provisional {
@@ -299,7 +304,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(o.crashes, v.crashes), cmp.Compare(v.feature, o.feature))
+	return cmp.Or(cmp.Compare(o.crashes, v.crashes), cmp.Compare(len(o.common), len(v.common)), cmp.Compare(v.feature, o.feature))
 }
 
 // commonFeatures returns the features that all lost runs with the cause have in common, since
