--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -68,6 +68,7 @@
 	}
 	v.checkConfigOrder()
 	v.checkOrders()
+	v.checkWalls()
 	for _, p := range h.Poisons {
 		v.checkPoison(p)
 	}
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -62,6 +62,7 @@
 	Target                string
 	BodyHash              uint64
 	Key                   string // forwarded caller key; must be empty
+	CacheSalt             string // separates cached parts; empty for plain services
 	ResumedAfter          int    // last event that the caller already had
 	Status                int
 	Complete              bool
@@ -85,6 +86,8 @@
 type Poison struct {
 	Name, Route string
 	Part        bool
+	// Alone is set if it comes in place of the sound requests to its service.
+	Alone bool
 }
 
 // Crash is the crash of an upstream by a poison request.
@@ -117,6 +120,8 @@
 	// MovingPrefix is the path prefix of the moving route, whose service changes
 	// during the soak.
 	MovingPrefix string
+	// Walls lists when workspaces became isolated or ceased to be, oldest first.
+	Walls        []Wall
 	Poisons      []*Poison
 	Crashes      []Crash
 	Disturbances []Disturbance
@@ -132,6 +137,13 @@
 	Service string
 }
 
+// Wall is a configuration that isolates a workspace, or doesn't any more.
+type Wall struct {
+	At        time.Time
+	Workspace string
+	Isolated  bool
+}
+
 // Shutdown is a graceful shutdown of a node's process, from SIGTERM to its exit.
 type Shutdown struct {
 	Node, Incarnation int
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -158,6 +158,14 @@
 		Route int
 		For   time.Duration
 	}
+	// LonePoison sends one request that crashes the upstreams of a plain service again and
+	// again, in place of the sound requests to such services.
+	LonePoison struct {
+		Route int
+		For   time.Duration
+	}
+	// WallChanged isolates a workspace, or ends its isolation.
+	WallChanged struct{ Workspace int }
 	// KeyTaken revokes a key.
 	KeyTaken struct{ Key int }
 	// RouteMoved directs the moving route to the other service.
@@ -188,6 +196,8 @@
 func (ResumptionsFail) fault()        {}
 func (OddRegistration) fault()        {}
 func (Poison) fault()                 {}
+func (LonePoison) fault()             {}
+func (WallChanged) fault()            {}
 func (KeyTaken) fault()               {}
 func (RouteMoved) fault()             {}
 func (WeightsNamed) fault()           {}
@@ -221,6 +231,8 @@
 	// they go on after the length of the soak, when few other faults excuse them.
 	poisonStartSpan = 2 * time.Second
 	poisonOverrun   = 6 * time.Second
+	// minWalls is the smallest number of changes of walls in a plan with any.
+	minWalls = 3
 	// maxLate limits the random part of the time to a late write.
 	maxLate = 5 * time.Second
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
@@ -241,7 +253,9 @@
 	// late draws late writes. It is nil for most seeds: those that failed before draw no
 	// other faults than then.
 	late *rand.Rand
-	opts Options
+	// walls draws changed walls, and lone a LonePoison. Each is nil for nine seeds of ten.
+	walls, lone *rand.Rand
+	opts        Options
 }
 
 // New returns a Planner for a seed.
@@ -254,6 +268,12 @@
 	if seed%6 < 2 {
 		p.late = source(0x50a7)
 	}
+	switch seed % 10 {
+	case 6:
+		p.walls = source(0x50a8)
+	case 7:
+		p.lone = source(0x50a9)
+	}
 	return p
 }
 
@@ -285,6 +305,16 @@
 	if p.late != nil {
 		out = append(out, p.drawLateWrites(out)...)
 	}
+	if p.walls != nil {
+		for range minWalls + p.walls.IntN(minWalls) {
+			at := startupTime + time.Duration(p.walls.Int64N(int64(span)))
+			out = append(out, Step{At: at, Fault: WallChanged{Workspace: p.walls.IntN(p.opts.Keys)}})
+		}
+	}
+	if p.lone != nil {
+		at := startupTime + time.Duration(p.lone.Int64N(int64(poisonStartSpan)))
+		out = append(out, Step{At: at, Fault: LonePoison{Route: p.lone.IntN(p.opts.PlainRoutes), For: p.opts.Length - at}})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -124,6 +124,9 @@
 		defer context.AfterFunc(ctx, c.conn.Close)() // don't wait for the last long streams at the end
 	}
 	k, poison := c.rnd.IntN(KeyCount), c.drawPoison(r.Prefix)
+	if p := c.s.poison.Load(); p != nil && p.Alone && r.Kind != traffic.Streaming && poison == nil {
+		return
+	}
 	if poison != nil && !poison.Part {
 		k = 0 // the same caller each time
 	}
@@ -174,12 +177,17 @@
 	c.s.mu.Unlock()
 }
 
-// poisonShare is the share of poison requests on their route.
-const poisonShare = 0.1
+// poisonShare is the share of poison requests on their route, lonePoisonShare that of those
+// that come in place of sound ones.
+const poisonShare, lonePoisonShare = 0.1, 0.5
 
 // drawPoison returns the poison of the next request on a route, nil for a sound one.
 func (c *caller) drawPoison(route string) *checker.Poison {
-	if p := c.s.poison.Load(); p != nil && p.Route == route && c.rnd.Float64() < poisonShare {
+	p, share := c.s.poison.Load(), poisonShare
+	if p != nil && p.Alone {
+		share = lonePoisonShare
+	}
+	if p != nil && p.Route == route && c.rnd.Float64() < share {
 		return p
 	}
 	return nil
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -98,7 +98,14 @@
 	case planner.OddRegistration:
 		s.ops.RegisterOdd(fmt.Sprint("odd-", f.Shape), engines, f.Shape)
 	case planner.Poison:
-		s.runAsync(func() { s.injectPoison(ctx, f) })
+		s.runAsync(func() { s.injectPoison(ctx, checker.Poison{Part: f.Part}, f.Route, f.For) })
+	case planner.LonePoison:
+		s.runAsync(func() { s.injectPoison(ctx, checker.Poison{Alone: true}, f.Route, f.For) })
+	case planner.WallChanged:
+		s.mu.Lock()
+		s.wallChanged[f.Workspace] = !s.wallChanged[f.Workspace]
+		s.mu.Unlock()
+		s.reconfigure()
 	case planner.KeyTaken:
 		s.revokeKey(key(f.Key))
 	case planner.RouteMoved:
@@ -389,13 +396,13 @@
 
 // injectPoison lets the callers send poison requests for a duration, and waits until
 // the upstreams have restarted.
-func (s *Soaker) injectPoison(ctx context.Context, f planner.Poison) {
+func (s *Soaker) injectPoison(ctx context.Context, p checker.Poison, route int, d time.Duration) {
 	s.mu.Lock()
-	p := &checker.Poison{Name: fmt.Sprint(upstream.Poison, len(s.history.Poisons)), Part: f.Part, Route: routes(false)[f.Route].Prefix}
-	s.history.Poisons = append(s.history.Poisons, p)
+	p.Name, p.Route = fmt.Sprint(upstream.Poison, len(s.history.Poisons)), routes(false)[route].Prefix
+	s.history.Poisons = append(s.history.Poisons, &p)
 	s.mu.Unlock()
-	s.poison.Store(p)
-	clock.Sleep(ctx, s.clk, f.For)
+	s.poison.Store(&p)
+	clock.Sleep(ctx, s.clk, d)
 	s.poison.Store(nil)
 	clock.Sleep(ctx, s.clk, poisonRestartTime)
 }
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -91,7 +91,8 @@
 	version          uint64         // of the configuration
 	weightsVersion   int
 	routeMoved       bool
-	upstreamsStarted int // number of upstream IDs assigned so far
+	wallChanged      [KeyCount]bool // by workspace
+	upstreamsStarted int            // number of upstream IDs assigned so far
 	// lateUntil is when the last late write has been executed; zero if there was none.
 	lateUntil time.Time
 }
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -108,7 +108,7 @@
 		c.Routes = append(c.Routes, r.Route)
 	}
 	for i := range KeyCount {
-		w := traffic.Workspace{Name: workspace(i), Keys: []string{key(i)}, Isolated: i%2 == 0}
+		w := traffic.Workspace{Name: workspace(i), Keys: []string{key(i)}, Isolated: (i%2 == 0) != s.wallChanged[i]}
 		if _, revoked := s.history.RevokedAt[key(i)]; revoked {
 			w.Keys = []string{}
 		}
@@ -120,7 +120,26 @@
 	}
 	s.history.RouteChanges = append(s.history.RouteChanges, checker.RouteChange{At: s.clk.Now(), Service: service})
 	s.mu.Unlock()
-	return errors.Trace(s.ops.Configure(c))
+	if err := s.ops.Configure(c); err != nil {
+		return errors.Trace(err)
+	}
+	s.recordWalls(c.Workspaces)
+	return nil
+}
+
+// recordWalls records which workspaces a configuration has isolated, or no longer does.
+func (s *Soaker) recordWalls(workspaces []traffic.Workspace) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := map[string]bool{}
+	for _, w := range s.history.Walls {
+		last[w.Workspace] = w.Isolated
+	}
+	for _, w := range workspaces {
+		if last[w.Name] != w.Isolated {
+			s.history.Walls = append(s.history.Walls, checker.Wall{At: s.clk.Now(), Workspace: w.Name, Isolated: w.Isolated})
+		}
+	}
 }
 
 // incarnation is the state of an upstream from one start to the next.
@@ -262,7 +281,7 @@
 	r.s.runs[runKey{run.ID, run.Upstream}] = len(r.s.history.Runs)
 	r.s.history.Runs = append(r.s.history.Runs, checker.Run{
 		ID: run.ID, Upstream: run.Upstream, Service: r.service, StartedAt: run.At, Workspace: run.Workspace, Method: run.Method, Target: run.Target,
-		BodyHash: run.BodyHash, Key: run.APIKey, ResumedAfter: run.LastEventID,
+		BodyHash: run.BodyHash, Key: run.APIKey, CacheSalt: run.CacheSalt, ResumedAfter: run.LastEventID,
 		Faulty: run.Faulty, Aborted: r.inc.stopped,
 	})
 }
