fix(quarantiner): a poison request that is sent to all entries at once isn't run again

docs/PROOFS.md promised at most two engines plus the entries that had begun, untested; three entries took six. Cause: a report of a peer's crash didn't add to the node's own, so that each entry ran the request again. Only `serve` uses the package.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -1,7 +1,8 @@
 // Package quarantiner detects poison requests: requests that crash upstreams.
 // When an upstream crashes, all requests in flight there become suspects. A
 // suspect is retried only on an upstream without other suspects. After two
-// crashes it is quarantined and not run any more.
+// crashes, or those of three upstreams at several nodes, it is quarantined and not run any
+// more.
 package quarantiner
 
 import (
@@ -15,6 +16,9 @@
 
 const (
 	crashesToQuarantine = 2
+	// upstreamsToQuarantine is the number of upstreams that crashed under a request at any
+	// nodes: a harmless one that is sent to two nodes may run beside poison at both.
+	upstreamsToQuarantine = 3
 	// suspectTTL is how long a suspect is kept after its last crash.
 	suspectTTL = 10 * time.Minute
 )
@@ -56,7 +60,11 @@
 	crashes          int
 	expiresAt        time.Time
 	running          int
-	crashedUpstreams []string // upstreams whose crashes are included in crashes
+	crashedUpstreams []string // of this node's runs, and of those that peers reported
+}
+
+func (s *suspect) quarantined() bool {
+	return s.crashes >= crashesToQuarantine || len(s.crashedUpstreams) >= upstreamsToQuarantine
 }
 
 // Quarantiner holds the suspects known to a node. It is not safe for
@@ -77,7 +85,7 @@
 	switch {
 	case !ok || !now.Before(s.expiresAt):
 		return Clear
-	case s.crashes >= crashesToQuarantine:
+	case s.quarantined():
 		return Quarantined
 	case s.running > 0:
 		return Wait
@@ -101,7 +109,7 @@
 		return false
 	}
 	s.running = max(0, s.running-1)
-	if s.crashes >= crashesToQuarantine {
+	if s.quarantined() {
 		return false
 	}
 	delete(q.suspects, f)
@@ -152,7 +160,7 @@
 func (q *Quarantiner) Rank(now time.Time, f Fingerprint) int {
 	n := 0
 	for other, s := range q.suspects {
-		if other < f && s.crashes < crashesToQuarantine && now.Before(s.expiresAt) {
+		if other < f && !s.quarantined() && now.Before(s.expiresAt) {
 			n++
 		}
 	}
@@ -163,7 +171,7 @@
 // suspect unless it is quarantined.
 func (q *Quarantiner) MergeReport(r Report) {
 	if s, ok := q.suspects[r.Fingerprint]; ok && r.Crashes == 0 {
-		if s.crashes < crashesToQuarantine {
+		if !s.quarantined() {
 			delete(q.suspects, r.Fingerprint)
 		}
 		return
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -125,6 +125,21 @@
 	}
 }
 
+// Guards against a request that is sent to several nodes at once and crashes an upstream of
+// each, twice: no node counted the crashes at the others.
+func TestRequestSentToSeveralNodesAtOnceIsQuarantined(t *testing.T) {
+	for nodes, want := range map[int]quarantiner.Verdict{2: quarantiner.Isolated, 3: quarantiner.Quarantined} {
+		q := quarantiner.New(10)
+		q.RecordCrash(now, "e0", []quarantiner.Run{{Fingerprint: poisonFingerprint}})
+		for i := 1; i < nodes; i++ {
+			q.MergeReport(quarantiner.Report{Fingerprint: poisonFingerprint, Crashes: 1, Until: now.Add(10 * time.Minute), Upstream: fmt.Sprint("e", i)})
+		}
+		if got := q.Check(now, poisonFingerprint); got != want {
+			t.Errorf("%d nodes: verdict %d, want %d", nodes, got, want)
+		}
+	}
+}
+
 // TestCrashSeenByTwoNodesCountsOnce guards against quarantining a harmless
 // request after one crash. Two nodes run the request on the same upstream, and
 // one of them gets the other's report of the crash before it sees the crash
