--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -69,6 +69,7 @@
 	v.checkConfigOrder()
 	v.checkOrders()
 	v.checkWalls()
+	v.checkNotices()
 	for _, p := range h.Poisons {
 		v.checkPoison(p)
 	}
@@ -272,7 +273,6 @@
 // checkConfigOrder checks that no process returns to an older configuration after
 // it has used a newer one.
 func (v *validation) checkConfigOrder() {
-	type process struct{ node, incarnation int }
 	byProcess := map[process][]*Request{}
 	for i := range v.history.Requests {
 		if r := &v.history.Requests[i]; strings.HasPrefix(r.Target, v.history.MovingPrefix) {
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -70,10 +70,19 @@
 	EndedAt               time.Time
 	// Aborted is set if the upstream ended the run early, not the node.
 	Aborted bool
+	// Leaving is set if the response says that the upstream is leaving.
+	Leaving bool
 	// Faulty is set if the upstream had faults.
 	Faulty bool
 }
 
+// TurnAway is a request that an upstream rejected, asking its node for no more for a time.
+type TurnAway struct {
+	At           time.Time
+	ID, Upstream string
+	For          time.Duration
+}
+
 // Order is an order that an engine received from a leader.
 type Order struct {
 	At               time.Time
@@ -112,6 +121,8 @@
 	Requests []Request
 	Runs     []Run
 	Orders   []Order
+	// TurnAways lists the requests that upstreams rejected, asking for no more.
+	TurnAways []TurnAway
 	// RevokedAt holds the time at which each key was revoked, DrainedAt the time at
 	// which each upstream was registered as draining, by its ID.
 	RevokedAt, DrainedAt map[string]time.Time
--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -106,6 +106,17 @@
 	}
 	// UpstreamLeaves drains an upstream, which another one replaces at its address.
 	UpstreamLeaves struct{ Upstream int }
+	// UpstreamSaysLeaving makes the responses of an upstream say that it is leaving, and drains
+	// it later.
+	UpstreamSaysLeaving struct {
+		Upstream int
+		Notice   time.Duration
+	}
+	// UpstreamTurnsAway makes an upstream reject all requests and ask for none for a time.
+	UpstreamTurnsAway struct {
+		Upstream   int
+		Pause, For time.Duration
+	}
 	// UpstreamPauses holds all bytes to and from an upstream back.
 	UpstreamPauses struct {
 		Upstream int
@@ -169,6 +180,8 @@
 func (UpstreamRepeats) fault()        {}
 func (UpstreamStalls) fault()         {}
 func (UpstreamLeaves) fault()         {}
+func (UpstreamSaysLeaving) fault()    {}
+func (UpstreamTurnsAway) fault()      {}
 func (UpstreamPauses) fault()         {}
 func (UpstreamUnframed) fault()       {}
 func (UpstreamCopiesRefusals) fault() {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -52,6 +52,8 @@
 	// they go on after the length of the soak, when few other faults excuse them.
 	poisonStartSpan = 2 * time.Second
 	poisonOverrun   = 6 * time.Second
+	// minNotices is the smallest number of upstreams in a plan that speak of themselves, if any.
+	minNotices = 3
 	// minWalls is the smallest number of changes of walls in a plan with any.
 	minWalls = 3
 	// maxLate limits the random part of the time to a late write.
@@ -74,9 +76,10 @@
 	// late draws late writes. It is nil for most seeds: those that failed before draw no
 	// other faults than then.
 	late *rand.Rand
-	// walls draws changed walls, and lone a LonePoison. Each is nil for nine seeds of ten.
-	walls, lone *rand.Rand
-	opts        Options
+	// walls draws changed walls, lone a LonePoison, and notices what upstreams say of
+	// themselves. Each is nil for nine seeds of ten.
+	walls, lone, notices *rand.Rand
+	opts                 Options
 }
 
 // New returns a Planner for a seed.
@@ -94,6 +97,8 @@
 		p.walls = source(0x50a8)
 	case 7:
 		p.lone = source(0x50a9)
+	case 4:
+		p.notices = source(0x50aa)
 	}
 	return p
 }
@@ -136,6 +141,12 @@
 		at := startupTime + time.Duration(p.lone.Int64N(int64(poisonStartSpan)))
 		out = append(out, Step{At: at, Fault: LonePoison{Route: p.lone.IntN(p.opts.PlainRoutes), For: p.opts.Length - at}})
 	}
+	if p.notices != nil {
+		for range minNotices + p.notices.IntN(minNotices) {
+			at := startupTime + time.Duration(p.notices.Int64N(int64(span)))
+			out = append(out, Step{At: at, Fault: p.drawNotice()})
+		}
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -255,6 +266,14 @@
 	return OddRegistration{Shape: up}
 }
 
+func (p *Planner) drawNotice() Fault {
+	up, d := p.notices.IntN(p.opts.Upstreams), time.Second+time.Duration(p.notices.Int64N(int64(maxDuration)))
+	if p.notices.IntN(2) == 0 {
+		return UpstreamSaysLeaving{Upstream: up, Notice: 3*time.Second + d/2}
+	}
+	return UpstreamTurnsAway{Upstream: up, Pause: time.Duration(2+p.notices.IntN(3)) * time.Second, For: d}
+}
+
 // drawPoison draws the start of poison requests and their kind.
 func (p *Planner) drawPoison() Step {
 	at := startupTime + time.Duration(p.newest.Int64N(int64(poisonStartSpan)))
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -80,6 +80,16 @@
 		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{StallStream: 0.3}, f.For)
 	case planner.UpstreamLeaves:
 		s.runAsync(func() { s.drainUpstream(ctx, s.endpoints[f.Upstream]) })
+	case planner.UpstreamTurnsAway:
+		s.injectUpstreamFault(ctx, f.Upstream, upstream.Faults{TurnAway: f.Pause}, f.For)
+	case planner.UpstreamSaysLeaving:
+		s.runAsync(func() {
+			ep := s.endpoints[f.Upstream]
+			ep.current.Load().server.Leave()
+			if clock.Sleep(ctx, s.clk, f.Notice) {
+				s.drainUpstream(ctx, ep)
+			}
+		})
 	case planner.UpstreamPauses:
 		proxy := s.endpoints[f.Upstream].proxy
 		proxy.SetPaused(true)
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -282,7 +282,7 @@
 	r.s.history.Runs = append(r.s.history.Runs, checker.Run{
 		ID: run.ID, Upstream: run.Upstream, Service: r.service, StartedAt: run.At, Workspace: run.Workspace, Method: run.Method, Target: run.Target,
 		BodyHash: run.BodyHash, Key: run.APIKey, CacheSalt: run.CacheSalt, ResumedAfter: run.LastEventID,
-		Faulty: run.Faulty, Aborted: r.inc.stopped,
+		Leaving: run.Leaving, Faulty: run.Faulty, Aborted: r.inc.stopped,
 	})
 }
 
@@ -296,6 +296,12 @@
 	}
 }
 
+func (r recorder) RecordTurnAway(t upstream.TurnAway) {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.s.history.TurnAways = append(r.s.history.TurnAways, checker.TurnAway{At: t.At, ID: t.ID, Upstream: t.Upstream, For: t.For})
+}
+
 func (r recorder) RecordOrder(o upstream.Order) {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
