--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -173,7 +173,8 @@
 // maxLoggedFeatures bounds the features in a log line.
 const maxLoggedFeatures = 4
 
-// lastFeatures returns the most specific of a request's features, for the log.
+// lastFeatures returns the features of the whole request, and of the last parts of its prompt
+// if these are fewer, for the log.
 func lastFeatures(features []detector.Feature) []detector.Feature {
 	return features[max(0, len(features)-maxLoggedFeatures):]
 }
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -132,7 +132,7 @@
 }
 
 // reject rejects requests with all of the features until the given time, and reports
-// whether they weren't rejected before. A provisional rejection absolves no other run that was lost.
+// whether they weren't rejected before.
 func (d *Detector) reject(now time.Time, features []Feature, until time.Time) bool {
 	features = slices.Clone(features)
 	slices.Sort(features)
@@ -156,7 +156,7 @@
 }
 
 // renew sets the end of a rejection. Unless it is provisional, it absolves the other runs that
-// were lost together with the cause.
+// were lost together with the cause, and ends the provisional rejections that rest on them.
 func (d *Detector) renew(now time.Time, p *poison, until time.Time) {
 	p.until, p.provisional = until, until.Sub(now) <= provisionalTTL
 	if p.provisional {
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -110,8 +110,8 @@
 	provisional bool
 }
 
-// findPoison returns the most probable cause of the crashes that isn't rejected yet, and
-// whether some suspect qualifies.
+// findPoison returns the most probable cause of the crashes that isn't rejected yet. found is
+// false if no suspect qualifies.
 func (d *Detector) findPoison(now time.Time) (v verdict, found bool) {
 	if !d.judges || !d.isUndecided(now) {
 		return verdict{}, false
@@ -269,8 +269,8 @@
 }
 
 // isSoleCause reports whether a suspect that never succeeded was lost at each crash of its
-// services since the first one, and they have served others. Requests that came only once have
-// less in common by chance the more they are.
+// services since the first one, and they have served others. What several requests have in
+// common must have been lost more often than one request that came again.
 func (d *Detector) isSoleCause(t *tally, crashes []*crash) bool {
 	unserved := func(s Service) bool { _, served := d.served[s]; return !served }
 	several := t.crashes >= minSharedCrashes && t.laterRuns >= minLaterRuns
