--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -37,6 +37,7 @@
 
 func (*runRecorder) RecordEnd(string, string, int, upstream.Outcome) {}
 func (*runRecorder) RecordOrder(upstream.Order)                      {}
+func (*runRecorder) RecordTurnAway(upstream.TurnAway)                {}
 
 func (r *runRecorder) poisonRuns() int {
 	r.mu.Lock()
