--- a/internal/relayer/smallservice_test.go
+++ b/internal/relayer/smallservice_test.go
@@ -49,19 +49,20 @@
 func (s *smallService) start(i int) {
 	s.starts++
 	crashed := &atomic.Bool{}
-	var u *testlib.Upstream
-	u = testlib.NewUpstream(s.t, func(conn net.Conn, r testlib.Received) bool {
+	var self atomic.Pointer[testlib.Upstream]
+	u := testlib.NewUpstream(s.t, func(conn net.Conn, r testlib.Received) bool {
 		switch {
 		case crashed.Load():
 		case !strings.Contains(r.URL.Path, "deadly"):
 			return ok(conn, r)
 		case crashed.CompareAndSwap(false, true):
 			s.crashes.Add(1)
-			u.Stop()
+			self.Load().Stop()
 		}
 		testlib.Reset(conn)
 		return false
 	})
+	self.Store(u)
 	s.crashed[i], s.downAt[i] = crashed, time.Time{}
 	s.ups[i] = traffic.Upstream{ID: fmt.Sprint("u", s.starts), StartedMS: s.starts, Service: "s", Address: u.Addr, DataCentre: "a", Slots: 8}
 }
