test(soak): a request that is sent whole and gets no answer is a violation

checkDelivery skips a request without a run, so that a connection that was closed unanswered was judged beside a graceful shutdown only. checkAnswered judges each request that was sent to its last byte: without a status line it is a violation, unless its node's process was stopped, killed, frozen or short of processor time. Faults of the store and of links to upstreams excuse nothing there.

A refusal of the node's own with any 4xx but 408, 421 and 429 now counts as denied, not 401 and 404 alone: the soak's callers stay within all limits.

TestFindsEachViolation has four more histories, TestDisturbancesExcuseViolations two.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -109,8 +109,9 @@
 	v.checkResponse(r, runs)
 	v.checkShutdown(r, runs)
 	v.checkDelivery(r, runs)
-	if (r.Status == 401 || r.Status == 404) && v.undisturbed(r.Node, r.SentAt, r.EndedAt) && v.keyInForce(r) {
-		v.add("denied", r.ID, "got status %d, although the route of %s and the key are in force", r.Status, r.Target)
+	v.checkAnswered(r)
+	if r.Status/100 == 4 && !r.Stamped && !r.guaranteesNotRun() && v.undisturbed(r.Node, r.SentAt, r.EndedAt) && v.keyInForce(r) {
+		v.add("denied", r.ID, "got status %d, although the route of %s and the key are in force and the request is within the limits", r.Status, r.Target)
 	}
 }
 
@@ -236,6 +237,21 @@
 	v.add("lost", r.ID, "status %d after %v, connection lost: %t; %s ran only at sound upstreams, %s", r.Status, elapsed, r.ConnectionLost, r.Target, upstreamNames(runs))
 }
 
+// checkAnswered checks that each request that was sent whole gets a response or a refusal,
+// whatever happens to upstreams and the store. Whether it ran doesn't matter.
+func (v *validation) checkAnswered(r *Request) {
+	if r.Status != 0 || !r.SentWhole || !r.ConnectionLost && !r.TimedOut {
+		return
+	}
+	from := r.SentAt.Add(-v.bounds.Settle)
+	for _, d := range v.history.Disturbances {
+		if (d.Node == r.Node || d.Node < 0) && !d.StoreOnly && !d.UpstreamOnly && d.From.Before(r.EndedAt) && d.To.After(from) {
+			return // of the process; checkShutdown checks its graceful shutdown
+		}
+	}
+	v.add("unanswered", r.ID, "neither a response nor a refusal of %s after %v, connection lost: %t", r.Target, r.EndedAt.Sub(r.SentAt), r.ConnectionLost)
+}
+
 // checkRun checks the request that an upstream received, and whether the upstream
 // was permitted to receive it at that time.
 func (v *validation) checkRun(r *Request, run *Run) {
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -96,6 +96,9 @@
 		{"denied", "status 404 for an existing route", func(h *checker.History) {
 			h.Requests[unsafe].Status, h.Requests[unsafe].Stamped, h.Runs = 404, false, h.Runs[1:]
 		}},
+		{"denied", "status 413 for a request within the limits", func(h *checker.History) {
+			h.Requests[unsafe].Status, h.Requests[unsafe].Stamped, h.Runs = 413, false, h.Runs[1:]
+		}},
 		{"one", "two leaders with one fencing token", func(h *checker.History) {
 			h.Orders = []checker.Order{{At: at(1), Upstream: "e1", Leader: "x", FencingToken: 4}, {At: at(9), Upstream: "e2", Leader: "y", FencingToken: 4}}
 		}},
@@ -117,6 +120,21 @@
 			r := &h.Requests[stream]
 			r.Complete, r.ConnectionLost, r.Body = false, true, events[:len(events)/2]
 		}},
+		{"unanswered", "connection closed without a run, far from a shutdown", func(h *checker.History) {
+			h.Requests[unsafe] = unanswered(h.Requests[unsafe])
+			h.Runs = h.Runs[1:]
+		}},
+		{"unanswered", "connection closed without a run while the store is down and an upstream can't be reached", func(h *checker.History) {
+			h.Requests[unsafe] = unanswered(h.Requests[unsafe])
+			h.Runs = h.Runs[1:]
+			h.Disturbances = []checker.Disturbance{{Node: -1, From: at(29), To: at(31), StoreOnly: true}, {Node: -1, From: at(29), To: at(31), UpstreamOnly: true}}
+		}},
+		{"unanswered", "no response in time", func(h *checker.History) {
+			r := &h.Requests[unsafe]
+			*r = unanswered(*r)
+			r.ConnectionLost, r.TimedOut, r.EndedAt = false, true, r.SentAt.Add(r.Timeout+time.Second)
+			h.Runs = h.Runs[1:]
+		}},
 		{"mixed", "a stream that ends inside an event looks complete", func(h *checker.History) {
 			h.Requests[stream].Body = events[:len(events)-1]
 			h.Runs[stream].Faulty = true
@@ -143,6 +161,13 @@
 	}
 }
 
+// unanswered returns r as a request that was sent whole and whose connection was closed
+// without a response.
+func unanswered(r checker.Request) checker.Request {
+	r.Status, r.Complete, r.Stamped, r.Body, r.ResponseID, r.ConnectionLost, r.SentWhole = 0, false, false, "", "", true, true
+	return r
+}
+
 // Guards against a node that returns to the old service after it has used the new
 // one, within the time in which either service is permitted.
 func TestFindsConfigRegression(t *testing.T) {
@@ -196,6 +221,16 @@
 			h.Runs = h.Runs[1:]
 			h.Shutdowns = []checker.Shutdown{{Incarnation: 1, From: at(29), To: at(31)}}
 		},
+		"connection of a killed node": func(h *checker.History) {
+			h.Requests[0] = unanswered(h.Requests[0])
+			h.Runs = h.Runs[1:]
+			h.Disturbances = []checker.Disturbance{{Node: 0, From: at(30.05), To: at(31)}}
+		},
+		"connection closed before the request was sent whole": func(h *checker.History) {
+			h.Requests[0] = unanswered(h.Requests[0])
+			h.Requests[0].SentWhole = false
+			h.Runs = h.Runs[1:]
+		},
 		"orders shortly after a freeze": func(h *checker.History) {
 			h.Orders = []checker.Order{{At: at(1), Upstream: "e", Leader: "x", FencingToken: 5}, {At: at(5.2), Upstream: "e", Leader: "y", FencingToken: 4}}
 			h.Disturbances = []checker.Disturbance{{Node: 0, From: at(2), To: at(5)}}
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -29,6 +29,9 @@
 	Timeout time.Duration
 	// Status is 0 if no response was received.
 	Status int
+	// SentWhole is set if the request was sent to its last byte, TimedOut if its caller
+	// waited in vain until some time after Timeout.
+	SentWhole, TimedOut bool
 	// Complete is set if the whole response was received, ConnectionLost if the
 	// connection ended before that.
 	Complete, ConnectionLost bool
@@ -112,8 +115,9 @@
 	From, To time.Time
 	// GracefulShutdown is set if the node's graceful shutdown is the only cause.
 	GracefulShutdown bool
-	// StoreOnly is set if a fault of the store is the only cause.
-	StoreOnly bool
+	// StoreOnly is set if a fault of the store is the only cause, UpstreamOnly if it is one
+	// of the links to upstreams.
+	StoreOnly, UpstreamOnly bool
 }
 
 // History is the record of a soak test as callers, upstreams and operators saw it.
