test(soak): series of changes and reloads, large bodies and idle connections

Seeds that end in 1 and 5 draw a change every 50 to 450 ms until the end: limits for callers, time limits of all routes, priorities and keys of workspaces, unused routes, the moving route's service, and SIGHUP. Up to half of the bodies are large, up to 160 KB in pieces, and some connections stay idle for four fifths of the least idle limit.

A caller reads the response also if it couldn't send the request whole, and a request's time limit counts from its header and is the least that may be in force.

--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -156,6 +156,27 @@
 	}
 	// WallChanged isolates a workspace, or ends its isolation.
 	WallChanged struct{ Workspace int }
+	// Reload sends SIGHUP to a node.
+	Reload struct{ Node int }
+	// LimitsChanged replaces what callers may send, and how long they may stay idle.
+	LimitsChanged struct {
+		BodyBytes   int64
+		IdleTimeout time.Duration
+	}
+	// TimeLimitsChanged multiplies the time limits of all routes.
+	TimeLimitsChanged struct{ Factor float64 }
+	// WorkspaceChanged gives a workspace another priority, and a second key or none.
+	WorkspaceChanged struct {
+		Workspace, Priority int
+		SecondKey           bool
+	}
+	// RoutesAdded sets the number of routes that no caller uses.
+	RoutesAdded struct{ Routes int }
+	// LargeBodies makes a share of the requests with a body send a large one in pieces.
+	LargeBodies struct {
+		Share float64
+		For   time.Duration
+	}
 	// KeyTaken revokes a key.
 	KeyTaken struct{ Key int }
 	// RouteMoved directs the moving route to the other service.
@@ -190,6 +211,12 @@
 func (Poison) fault()                 {}
 func (LonePoison) fault()             {}
 func (WallChanged) fault()            {}
+func (Reload) fault()                 {}
+func (LimitsChanged) fault()          {}
+func (TimeLimitsChanged) fault()      {}
+func (WorkspaceChanged) fault()       {}
+func (RoutesAdded) fault()            {}
+func (LargeBodies) fault()            {}
 func (KeyTaken) fault()               {}
 func (RouteMoved) fault()             {}
 func (WeightsNamed) fault()           {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -25,6 +25,13 @@
 	Fault Fault
 }
 
+// What callers may always send and how long they may always stay idle, whatever limits a
+// plan draws.
+const (
+	MaxBodyBytes   = 160 << 10
+	MinIdleTimeout = 2 * time.Second
+)
+
 const (
 	// startupTime is the time without faults in which the fleet settles.
 	startupTime = 2 * time.Second
@@ -51,6 +58,14 @@
 	minNotices = 3
 	// minWalls is the smallest number of changes of walls in a plan with any.
 	minWalls = 3
+	// minChangeGap and changeGapSpread bound the time between two changes in a series.
+	minChangeGap, changeGapSpread = 50 * time.Millisecond, 400 * time.Millisecond
+	// maxIdleSpread and maxBodySpread limit the random parts of limits for callers.
+	maxIdleSpread, maxBodySpread = 20 * time.Second, 1 << 20
+	// maxAddedRoutes limits the routes that no caller uses.
+	maxAddedRoutes = 200
+	// maxPriority is the priority of the least urgent workspaces.
+	maxPriority = 3
 	// maxLate limits the random part of the time to a late write.
 	maxLate = 5 * time.Second
 	// maxDuration limits the random part of a fault's duration. It exceeds the time
@@ -74,7 +89,9 @@
 	// walls draws changed walls, lone a LonePoison, and notices what upstreams say of
 	// themselves. Each is nil for nine seeds of ten.
 	walls, lone, notices *rand.Rand
-	opts                 Options
+	// changes draws a series of changes and large bodies. It is nil for eight seeds of ten.
+	changes *rand.Rand
+	opts    Options
 }
 
 // New returns a Planner for a seed.
@@ -94,6 +111,8 @@
 		p.lone = source(0x50a9)
 	case 4:
 		p.notices = source(0x50aa)
+	case 1, 5:
+		p.changes = source(0x50ab)
 	}
 	return p
 }
@@ -142,6 +161,9 @@
 			out = append(out, Step{At: at, Fault: p.drawNotice()})
 		}
 	}
+	if p.changes != nil {
+		out = append(out, p.drawSeries()...)
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -269,6 +291,34 @@
 	return UpstreamTurnsAway{Upstream: up, Pause: time.Duration(2+p.notices.IntN(3)) * time.Second, For: d}
 }
 
+// drawSeries draws changes of the configuration and reloads that follow one another until
+// the end of the soak, and large bodies all the while.
+func (p *Planner) drawSeries() []Step {
+	out := []Step{{At: startupTime, Fault: LargeBodies{Share: 0.2 + 0.3*p.changes.Float64(), For: p.opts.Length - startupTime}}}
+	for at := startupTime; at < p.opts.Length; at += minChangeGap + time.Duration(p.changes.Int64N(int64(changeGapSpread))) {
+		out = append(out, Step{At: at, Fault: p.drawChange()})
+	}
+	return out
+}
+
+func (p *Planner) drawChange() Fault {
+	switch p.changes.IntN(7) {
+	case 0, 1:
+		return Reload{Node: p.changes.IntN(p.opts.Nodes)}
+	case 2:
+		return LimitsChanged{
+			BodyBytes: MaxBodyBytes + p.changes.Int64N(maxBodySpread), IdleTimeout: MinIdleTimeout + time.Duration(p.changes.Int64N(int64(maxIdleSpread))),
+		}
+	case 3:
+		return TimeLimitsChanged{Factor: 0.5 + p.changes.Float64()}
+	case 4:
+		return WorkspaceChanged{Workspace: p.changes.IntN(p.opts.Keys), Priority: p.changes.IntN(maxPriority + 1), SecondKey: p.changes.IntN(2) == 0}
+	case 5:
+		return RoutesAdded{Routes: p.changes.IntN(maxAddedRoutes)}
+	}
+	return RouteMoved{}
+}
+
 // drawPoison draws the start of poison requests and their kind.
 func (p *Planner) drawPoison() Step {
 	at := startupTime + time.Duration(p.newest.Int64N(int64(poisonStartSpan)))
--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/soak/checker"
+	"github.com/auburnnotch/auburnnotch/internal/soak/planner"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 	"github.com/auburnnotch/auburnnotch/platform/standin/client"
@@ -38,6 +39,14 @@
 	failedAddressBackoff = time.Second
 	// sessions is the number of prompt parts that are shared between requests.
 	sessions = 20
+	// maxPieces is the largest number of pieces that a large body is sent in, maxPieceGap
+	// the longest pause before one.
+	maxPieces   = 4
+	maxPieceGap = 120 * time.Millisecond
+	// While bodies are large, every idleEvery-th pause of a caller is as long as a
+	// connection may always stay idle, of which callers use idleShare.
+	idleEvery = 50
+	idleShare = 0.8
 )
 
 // caller is a simulated caller. It keeps its connection until the node closes it
@@ -59,7 +68,7 @@
 // runCaller sends requests one after the other until ctx ends.
 func (s *Soaker) runCaller(ctx context.Context, i int, rnd *rand.Rand) {
 	c := &caller{s: s, index: i, rnd: rnd, failedAt: map[string]time.Time{}}
-	for clock.Sleep(ctx, s.clk, time.Duration(rnd.Int64N(int64(maxThinkTime)))) {
+	for clock.Sleep(ctx, s.clk, c.drawPause()) {
 		if c.conn == nil && !c.connect() {
 			continue
 		}
@@ -68,6 +77,14 @@
 	c.closeConn()
 }
 
+// drawPause draws the time to the next request.
+func (c *caller) drawPause() time.Duration {
+	if c.s.largeBodies.Load() != nil && c.rnd.IntN(idleEvery) == 0 {
+		return time.Duration(idleShare * float64(planner.MinIdleTimeout))
+	}
+	return time.Duration(c.rnd.Int64N(int64(maxThinkTime)))
+}
+
 func (c *caller) closeConn() {
 	if c.conn != nil {
 		c.conn.Close()
@@ -145,6 +162,8 @@
 	}
 	if poison != nil {
 		c.applyPoison(poison, req)
+	} else {
+		c.drawLargeBody(ctx, req)
 	}
 	wantBody := upstream.Body(id, req.Target)
 	if r.Kind == traffic.Streaming {
@@ -153,30 +172,42 @@
 	record := checker.Request{
 		ID: id, Kind: r.Kind, Resumable: r.Resumable, MaxAttempts: r.MaxAttempts, Node: c.node.index, Incarnation: c.incarnation,
 		Method: req.Method, Target: req.Target, Route: r.Prefix, BodyHash: xxhash.Sum64(req.Body), Workspace: workspace(k), Key: req.APIKey,
-		Timeout: min(wait, r.Timeout), WantBody: wantBody, Poison: poison,
-	}
-	err := c.conn.Send(req)
-	record.SentAt = c.s.clk.Now()
-	var resp client.Response
-	if err == nil {
-		resp, err = c.conn.Receive(record.SentAt.Add(wait + time.Second))
+		WantBody: wantBody, Poison: poison,
 	}
+	begunAt := c.s.clk.Now()
+	sendErr := c.conn.Send(req)
+	record.SentAt, record.SentWhole = c.s.clk.Now(), sendErr == nil
+	resp, err := c.conn.Receive(record.SentAt.Add(wait + time.Second)) // a refusal may come before the request is sent whole
 	record.EndedAt = c.s.clk.Now()
 	record.Status, record.Complete, record.Stamped, record.ResponseID = resp.Status, resp.Complete, resp.Stamped, resp.RequestID
 	record.Body = strings.ReplaceAll(string(resp.Body), upstream.Comment, "") // callers ignore comments
 	var timeout net.Error
-	record.ConnectionLost = err != nil && !(longStream && ctx.Err() != nil) && !(errors.As(err, &timeout) && timeout.Timeout())
-	if err != nil {
+	timedOut, abandoned := errors.As(err, &timeout) && timeout.Timeout(), longStream && ctx.Err() != nil
+	record.ConnectionLost, record.TimedOut = err != nil && !abandoned && !timedOut, timedOut && !abandoned
+	if err != nil || sendErr != nil {
 		c.failedAt[c.node.callerAddr()] = record.EndedAt
 	}
-	if err != nil || !resp.Reusable {
+	if err != nil || sendErr != nil || !resp.Reusable {
 		c.closeConn()
 	}
 	c.s.mu.Lock()
+	limit := c.s.declared.leastFactor(begunAt.Add(-Bounds().Config), record.EndedAt) * float64(r.Timeout)
+	record.Timeout = min(wait, time.Duration(limit)) - record.SentAt.Sub(begunAt) // nodes count from the header
 	c.s.history.Requests = append(c.s.history.Requests, record)
 	c.s.mu.Unlock()
 }
 
+// drawLargeBody gives a request that has a body a large one, sent in pieces, or leaves it as it is.
+func (c *caller) drawLargeBody(ctx context.Context, req *client.Request) {
+	f := c.s.largeBodies.Load()
+	if f == nil || req.Body == nil || c.rnd.Float64() >= f.Share {
+		return
+	}
+	req.Body = []byte(strings.Repeat(req.ID+" ", 1+c.rnd.IntN(planner.MaxBodyBytes/(len(req.ID)+1))))
+	req.Pieces = 1 + c.rnd.IntN(maxPieces)
+	req.BetweenPieces = func() { clock.Sleep(ctx, c.s.clk, time.Duration(c.rnd.Int64N(int64(maxPieceGap)))) }
+}
+
 // poisonShare is the share of poison requests on their route, lonePoisonShare that of those
 // that come in place of sound ones.
 const poisonShare, lonePoisonShare = 0.1, 0.5
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/soak/checker"
@@ -17,9 +16,6 @@
 )
 
 const (
-	// graceMargin is the time after the grace period by which the process must have
-	// exited.
-	graceMargin = time.Second
 	// directoryTries is how often a directory that lacks a node is asked again.
 	directoryTries = 5
 	// drainTime is how long a draining upstream keeps running.
@@ -116,6 +112,19 @@
 		s.wallChanged[f.Workspace] = !s.wallChanged[f.Workspace]
 		s.mu.Unlock()
 		s.reconfigure()
+	case planner.Reload:
+		s.reload(s.nodes[f.Node])
+	case planner.LimitsChanged, planner.TimeLimitsChanged, planner.WorkspaceChanged, planner.RoutesAdded:
+		s.mu.Lock()
+		s.declared.apply(f, s.clk.Now())
+		s.mu.Unlock()
+		s.reconfigure()
+	case planner.LargeBodies:
+		s.largeBodies.Store(&f)
+		s.runAsync(func() {
+			clock.Sleep(ctx, s.clk, f.For)
+			s.largeBodies.Store(nil)
+		})
 	case planner.KeyTaken:
 		s.revokeKey(key(f.Key))
 	case planner.RouteMoved:
@@ -174,120 +183,6 @@
 	s.mu.Unlock()
 }
 
-// restart starts a node again after a delay.
-func (s *Soaker) restart(ctx context.Context, n *node, delay time.Duration) {
-	clock.Sleep(ctx, s.clk, delay)
-	if ctx.Err() != nil {
-		return
-	}
-	if err := n.start(); err != nil {
-		s.addProblem("failed to restart %s: %v", n.name, err)
-	}
-}
-
-// stopNode shuts a node down by SIGTERM, as operators do, and restarts it after a
-// delay. A node that exceeds its grace period is killed. If another fault is
-// restarting the node already, stopNode does nothing.
-func (s *Soaker) stopNode(ctx context.Context, n *node, delay time.Duration) {
-	if !n.restarting.CompareAndSwap(false, true) {
-		return
-	}
-	defer n.restarting.Store(false)
-	s.checkRunning(n)
-	from := s.clk.Now()
-	incarnation := int(n.incarnation.Load())
-	s.signal(n, syscall.SIGTERM)
-	disturbance := s.beginDisturbance(checker.Disturbance{Node: n.index, GracefulShutdown: true})
-	select {
-	case <-ctx.Done():
-		return
-	case <-n.process.Done():
-	case <-s.clk.After(gracePeriod + graceMargin):
-		if s.undisturbedSince(n.index, from) {
-			s.addProblem("grace: %s is still running %v after SIGTERM", n.name, gracePeriod+graceMargin)
-		}
-		s.signal(n, syscall.SIGKILL)
-		<-n.process.Done()
-	}
-	s.mu.Lock()
-	s.history.Shutdowns = append(s.history.Shutdowns, checker.Shutdown{Node: n.index, Incarnation: incarnation, From: from, To: s.clk.Now()})
-	s.mu.Unlock()
-	s.restart(ctx, n, delay)
-	s.endDisturbance(disturbance)
-}
-
-// beginDisturbance records a disturbance whose end isn't known yet, and returns its
-// index for endDisturbance.
-func (s *Soaker) beginDisturbance(d checker.Disturbance) int {
-	d.From = s.clk.Now()
-	d.To = d.From.Add(time.Hour)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history.Disturbances = append(s.history.Disturbances, d)
-	return len(s.history.Disturbances) - 1
-}
-
-// endDisturbance sets the end of a disturbance to the current time.
-func (s *Soaker) endDisturbance(i int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history.Disturbances[i].To = s.clk.Now()
-}
-
-// undisturbedSince reports whether a node had no disturbance other than a graceful
-// shutdown since a time, less the settle time.
-func (s *Soaker) undisturbedSince(node int, from time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, d := range s.history.Disturbances {
-		if (d.Node == node || d.Node < 0) && !d.GracefulShutdown && d.To.After(from.Add(-Bounds().Settle)) {
-			return false
-		}
-	}
-	return true
-}
-
-// checkRunning records a node that no fault has stopped and that doesn't run as a problem.
-func (s *Soaker) checkRunning(n *node) {
-	if !n.process.Running() {
-		s.addProblem("exit: %s ended by itself", n.name)
-	}
-}
-
-func (s *Soaker) signal(n *node, sig syscall.Signal) {
-	if err := n.process.Signal(sig); err != nil {
-		s.addProblem("failed to signal %s: %v", n.name, err)
-	}
-}
-
-// killNode kills a node by SIGKILL and restarts it.
-func (s *Soaker) killNode(ctx context.Context, n *node, delay time.Duration) {
-	if !n.restarting.CompareAndSwap(false, true) {
-		// Another fault is stopping or restarting the node. Killing the process ends
-		// its shutdown.
-		from := s.clk.Now() // connections end before the signal call returns
-		s.signal(n, syscall.SIGKILL)
-		s.addDisturbance(checker.Disturbance{Node: n.index, From: from, To: s.clk.Now()})
-		return
-	}
-	defer n.restarting.Store(false)
-	s.checkRunning(n)
-	disturbance := s.beginDisturbance(checker.Disturbance{Node: n.index})
-	s.signal(n, syscall.SIGKILL)
-	<-n.process.Done()
-	s.restart(ctx, n, delay)
-	s.endDisturbance(disturbance)
-}
-
-// freezeNode suspends a node's process for a duration.
-func (s *Soaker) freezeNode(ctx context.Context, n *node, d time.Duration) {
-	disturbance := s.beginDisturbance(checker.Disturbance{Node: n.index})
-	s.signal(n, syscall.SIGSTOP)
-	clock.Sleep(ctx, s.clk, d)
-	s.signal(n, syscall.SIGCONT)
-	s.endDisturbance(disturbance)
-}
-
 // injectStoreFault makes the store fail for one node or all nodes, and ends the fault
 // in the background.
 func (s *Soaker) injectStoreFault(ctx context.Context, scope planner.Scope, f metastore.Faults, d time.Duration) {
@@ -362,7 +257,7 @@
 	if f.Store {
 		proxy, node = s.nodes[f.Index].storeProxy, f.Index
 	}
-	disturbance := s.beginDisturbance(checker.Disturbance{Node: node, StoreOnly: f.Store})
+	disturbance := s.beginDisturbance(checker.Disturbance{Node: node, StoreOnly: f.Store, UpstreamOnly: !f.Store})
 	proxy.SetFault(f.Trouble)
 	clock.Sleep(ctx, s.clk, f.For)
 	proxy.SetFault("")
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -83,12 +83,15 @@
 	endpoints  []*endpoint
 	faultGroup *errgroup.Group // asynchronous parts of faults
 	poison     atomic.Pointer[checker.Poison]
+	// largeBodies is nil while all bodies are small.
+	largeBodies atomic.Pointer[planner.LargeBodies]
 
 	mu               sync.Mutex
 	history          checker.History
 	runs             map[runKey]int // index in history.Runs
 	problems         []string       // violations that concern no single request
 	version          uint64         // of the configuration
+	declared         declared
 	weightsVersion   int
 	routeMoved       bool
 	wallChanged      [KeyCount]bool // by workspace
@@ -103,7 +106,7 @@
 func New(s Settings, clk clock.Clock, log logrus.FieldLogger) *Soaker {
 	store := metastore.New(clk)
 	return &Soaker{
-		settings: s, clk: clk, log: log, store: store, ops: operator.New(store), runs: map[runKey]int{}, weightsVersion: 1,
+		settings: s, clk: clk, log: log, store: store, ops: operator.New(store), runs: map[runKey]int{}, weightsVersion: 1, declared: newDeclared(),
 		history: checker.History{RevokedAt: map[string]time.Time{}, DrainedAt: map[string]time.Time{}, MovingPrefix: prefixMoving},
 	}
 }
@@ -257,6 +260,37 @@
 	s.history.Disturbances = append(s.history.Disturbances, d)
 }
 
+// beginDisturbance records a disturbance whose end isn't known yet, and returns its
+// index for endDisturbance.
+func (s *Soaker) beginDisturbance(d checker.Disturbance) int {
+	d.From = s.clk.Now()
+	d.To = d.From.Add(time.Hour)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Disturbances = append(s.history.Disturbances, d)
+	return len(s.history.Disturbances) - 1
+}
+
+// endDisturbance sets the end of a disturbance to the current time.
+func (s *Soaker) endDisturbance(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Disturbances[i].To = s.clk.Now()
+}
+
+// undisturbedSince reports whether a node had no disturbance other than a graceful
+// shutdown since a time, less the settle time.
+func (s *Soaker) undisturbedSince(node int, from time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.history.Disturbances {
+		if (d.Node == node || d.Node < 0) && !d.GracefulShutdown && d.To.After(from.Add(-Bounds().Settle)) {
+			return false
+		}
+	}
+	return true
+}
+
 // addProblem records a violation that concerns no single request.
 func (s *Soaker) addProblem(format string, args ...any) {
 	s.mu.Lock()
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -102,13 +102,16 @@
 			{Name: otherService, HealthPath: "/health", MaxConnections: 400},
 			{Name: engines, HealthPath: "/health", MaxConnections: 400, Engine: &traffic.EngineSpec{Slots: engineSlots, MemoryTokens: 90_000, TokenBytes: 18_432}},
 		},
-		Limits: traffic.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second},
+		Limits: s.declared.limits,
 	}
 	for _, r := range routes(s.routeMoved) {
+		r.Timeout = time.Duration(float64(r.Timeout) * s.declared.factor())
 		c.Routes = append(c.Routes, r.Route)
 	}
+	c.Routes = append(c.Routes, s.declared.routes()...)
 	for i := range KeyCount {
-		w := traffic.Workspace{Name: workspace(i), Keys: []string{key(i)}, Isolated: (i%2 == 0) != s.wallChanged[i]}
+		w := s.declared.workspace(i)
+		w.Isolated = (i%2 == 0) != s.wallChanged[i]
 		if _, revoked := s.history.RevokedAt[key(i)]; revoked {
 			w.Keys = []string{}
 		}
