fix(cmd): a SIGHUP before the services run doesn't end a daemon

What callers could see: a node that has just been started again and gets SIGHUP ends, and the connections in its listen queues are reset without an answer.

Cause: internal/reloader handles the signal, and it runs while the other services do. From the start of the process until then, reading of settings and opening of listeners included, and after the services have ended, SIGHUP had its default action.

--- a/cmd/serveplatform.go
+++ b/cmd/serveplatform.go
@@ -15,6 +15,7 @@
 }
 
 func (c *servePlatformCommand) run(ctx context.Context, streams ioStreams) error {
+	ignoreHangup()
 	path := c.Settings
 	if path == "" {
 		path = platform.SettingsPath()
