fix(cmd): a log without a reader doesn't end a daemon

What callers could see: when what reads a node's log ends (a collector is replaced, a terminal is closed), the node ends at its next line, and every connection is closed, some in the middle of an answer.

Cause: a write to standard output or standard error without a reader raises SIGPIPE, which ends a Go program for these two descriptors. The writer of the log ignores the error, but never came to see it. The same class as the SIGHUP before the services run: a signal whose default action ends the process.

Both daemons now keep both signals from ending the process. What is logged meanwhile is lost.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -47,12 +45,8 @@
 	return s.WithDefaults(), nil
 }
 
-// ignoreHangup keeps SIGHUP from ending the process from now on. The reloader, which handles
-// it, runs only while the services of a daemon do.
-func ignoreHangup() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
-
 func (c *serveCommand) run(ctx context.Context, streams ioStreams) error {
-	ignoreHangup()
+	ignoreSignals()
 	s, err := loadSettings[config.Settings](c.Settings)
 	if err != nil {
 		return err
--- a/cmd/serveplatform.go
+++ b/cmd/serveplatform.go
@@ -15,7 +15,7 @@
 }
 
 func (c *servePlatformCommand) run(ctx context.Context, streams ioStreams) error {
-	ignoreHangup()
+	ignoreSignals()
 	path := c.Settings
 	if path == "" {
 		path = platform.SettingsPath()
