fix(scheduler): the runs of a suspect at a node are counted once each

What callers saw: nothing by itself. A request that crashes engines could run twice at one node at the same moment, where the second run has to wait for the first.

Cause: runs were only counted if their request was a suspect when they began, so that a request whose copy was in flight ran again as soon as a peer's report made it a suspect.

Found while the sixth engine of TestPoisonRequestSentToAllEntriesAtOnce was traced; it isn't its cause: there each entry has one run at a time.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -211,14 +211,17 @@
 	c := e.run.Choice
 	s.router.RecordEnd(now, c, e.run.hasFirstToken)
 	s.router.RecordIncarnation(now, c.ID, e.result.Incarnation)
+	inFlight := false // not after a crash, which has ended all runs there
 	if f, ok := s.inFlight[c.ID]; ok {
+		_, inFlight = f.runs[e.run.id]
 		delete(f.runs, e.run.id)
 	}
+	if inFlight && (e.result.Refused || e.result.Failed) {
+		s.quarantiner.RecordStop(e.run.fingerprint)
+	}
 	switch {
 	case e.result.Refused:
-		s.quarantiner.RecordStop(e.run.fingerprint)
 	case e.result.Failed:
-		s.quarantiner.RecordStop(e.run.fingerprint)
 		s.router.RecordFailure(now, c.ID)
 	default:
 		s.quarantiner.RecordSuccess(e.run.fingerprint)
@@ -240,6 +243,9 @@
 	}
 	wasSuspect := map[quarantiner.Fingerprint]bool{}
 	for _, r := range f.runs {
+		if _, ok := wasSuspect[r.Fingerprint]; ok {
+			s.quarantiner.RecordStop(r.Fingerprint) // RecordCrash ends one run of each request
+		}
 		wasSuspect[r.Fingerprint] = wasSuspect[r.Fingerprint] || r.Suspect
 	}
 	inFlight := make([]quarantiner.Run, 0, len(wasSuspect))
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -130,3 +130,33 @@
 		t.Errorf("pick after the wait: %+v, want an engine", p)
 	}
 }
+
+// Guards against a request that runs twice at a node since its first run began before a
+// peer's report made it a suspect, and wasn't counted.
+func TestSuspectWaitsForRunThatBeganBeforeReport(t *testing.T) {
+	n := newTestScheduler(t, 4)
+	run := n.runAt(1, "e1")
+	n.receiveReport(1, "e4")
+	if p := n.pick(1, false); !p.Wait {
+		t.Errorf("pick during the run: %+v, want Wait", p)
+	}
+	n.RecordEnd(run, scheduler.Result{Failed: true})
+	if p := n.pick(1, false); !p.Found() {
+		t.Errorf("pick after the run: %+v, want an engine", p)
+	}
+}
+
+// Guards against a run that is counted as ended twice, by the crash and by its own end, so
+// that its request runs twice at a node.
+func TestRunThatCrashedEndsOnce(t *testing.T) {
+	n := newTestScheduler(t, 4)
+	crashed := n.runAt(1, "e1")
+	n.RecordCrash(crashed)
+	if p := n.pick(1, false, "e1"); !p.Found() {
+		t.Fatalf("pick after the crash: %+v, want an engine", p)
+	}
+	n.RecordEnd(crashed, scheduler.Result{Failed: true})
+	if p := n.pick(1, false, "e1"); !p.Wait {
+		t.Errorf("pick during the second run: %+v, want Wait", p)
+	}
+}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -59,7 +59,6 @@
 type suspect struct {
 	crashes          int
 	expiresAt        time.Time
-	running          int
 	crashedUpstreams []string // of this node's runs, and of those that peers reported
 }
 
@@ -71,12 +70,15 @@
 // concurrent use.
 type Quarantiner struct {
 	suspects map[Fingerprint]*suspect
-	limit    int
+	// running is the number of runs of each request, also of those that aren't suspects:
+	// a run that began before its request became one may still crash its upstream.
+	running map[Fingerprint]int
+	limit   int
 }
 
 // New returns a Quarantiner that keeps up to limit suspects.
 func New(limit int) *Quarantiner {
-	return &Quarantiner{suspects: map[Fingerprint]*suspect{}, limit: limit}
+	return &Quarantiner{suspects: map[Fingerprint]*suspect{}, running: map[Fingerprint]int{}, limit: limit}
 }
 
 // Check returns how f may run at now.
@@ -87,29 +89,22 @@
 		return Clear
 	case s.quarantined():
 		return Quarantined
-	case s.running > 0:
+	case q.running[f] > 0:
 		return Wait
 	default:
 		return Isolated
 	}
 }
 
-// RecordStart records that a run of f started. It only matters for a suspect.
-func (q *Quarantiner) RecordStart(f Fingerprint) {
-	if s, ok := q.suspects[f]; ok {
-		s.running++
-	}
-}
+// RecordStart records that a run of f started.
+func (q *Quarantiner) RecordStart(f Fingerprint) { q.running[f]++ }
 
 // RecordSuccess records that a run of f succeeded. It clears a suspect that
 // isn't quarantined and reports whether it did.
 func (q *Quarantiner) RecordSuccess(f Fingerprint) bool {
+	q.RecordStop(f)
 	s, ok := q.suspects[f]
-	if !ok {
-		return false
-	}
-	s.running = max(0, s.running-1)
-	if s.quarantined() {
+	if !ok || s.quarantined() {
 		return false
 	}
 	delete(q.suspects, f)
@@ -119,8 +114,8 @@
 // RecordStop records that a run of f ended in a way that neither clears nor
 // incriminates it.
 func (q *Quarantiner) RecordStop(f Fingerprint) {
-	if s, ok := q.suspects[f]; ok {
-		s.running = max(0, s.running-1)
+	if q.running[f]--; q.running[f] <= 0 {
+		delete(q.running, f)
 	}
 }
 
@@ -141,7 +136,7 @@
 		}
 		s.addUpstream(upstream)
 		s.expiresAt = now.Add(suspectTTL)
-		s.running = max(0, s.running-1)
+		q.RecordStop(r.Fingerprint)
 		reports = append(reports, Report{Fingerprint: r.Fingerprint, Crashes: s.crashes, Until: s.expiresAt, Upstream: upstream})
 	}
 	q.evict(now)
