fix(isolator): one node at a time runs a request that may crash upstreams

What callers saw: nothing of their own, but engines that crashed. A request that crashes engines, sent to three entries at once, took 6 engines in some runs; docs/PROOFS.md promises 2 more than the entries that had begun, 5.

Cause, traced by a log of starts, crashes and reports at each entry (on a scratch copy; 30 runs of TestPoisonRequestSentToAllEntriesAtOnce under the race detector, load 20 to 24, 10 red, all of one kind). Two of the three first runs (once all three) go to the same engine, which is back at once and crashes for each.

So three crashes count as two, no entry quarantines, all three wait the same 250 ms and run it again within 4 ms (at the same engine, by rank). Nothing keeps entries that know of a suspect from running it at the same moment: that is the fault, at any number of entries. It needs no race detector; that only brings the first runs together at an engine.

Ruled out: that the reports of the first crashes arrive late (in all 10 both were there 248 to 253 ms before the second runs), and that a crash is taken for an unreachable VM (all 60 broken attempts were found crashed).

Now a suspect runs with the permission of its arbiter, the node with the highest hash of its name and the request. Before another node is permitted, the arbiter asks the last one for its state; that answer can't overtake the crash, as a report can. A success is told in the same way, and from then on all nodes run the request as any other.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/drainer"
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
+	"github.com/auburnnotch/auburnnotch/internal/isolator"
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
 	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
@@ -39,6 +40,7 @@
 	Config    *configkeeper.Keeper
 	Members   *gossiper.Gossiper
 	Scheduler *scheduler.Scheduler
+	Isolator  *isolator.Isolator
 	Ledger    *ledger.Ledger
 	Upstreams *upstreamer.Upstreamer
 	Hinter    *hinter.Hinter
@@ -55,6 +57,7 @@
 	config    *configkeeper.Keeper
 	members   *gossiper.Gossiper
 	sched     *scheduler.Scheduler
+	isolator  *isolator.Isolator
 	ledger    *ledger.Ledger
 	upstreams *upstreamer.Upstreamer
 	hinter    *hinter.Hinter
@@ -76,7 +79,7 @@
 		return nil, errors.Annotatef(err, "listen on the configured address; choose a free one in the settings")
 	}
 	return &Front{
-		clk: deps.Clock, log: deps.Log, meter: deps.Meter, memory: deps.Memory, config: deps.Config, members: deps.Members, sched: deps.Scheduler,
+		clk: deps.Clock, log: deps.Log, meter: deps.Meter, memory: deps.Memory, config: deps.Config, members: deps.Members, sched: deps.Scheduler, isolator: deps.Isolator,
 		ledger: deps.Ledger, upstreams: deps.Upstreams, hinter: deps.Hinter, selector: deps.Selector, drainer: deps.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
 		listener: netutil.LimitListener(ln, s.Limits.Connections),
 	}, nil
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -18,6 +18,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/dispatcher"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
 	"github.com/auburnnotch/auburnnotch/pkg/router"
 )
 
@@ -51,6 +52,8 @@
 	lastTokenAt    time.Time
 	run            *scheduler.Run // nil while no attempt has an upstream
 	send           dispatcher.Send
+	reserved       bool // the scheduler has reserved the request, which is a suspect
+	suspectWaited  bool // it has waited for the permission to run
 	attemptStarted bool // the last Routed event caused a Send
 	sentText       strings.Builder
 	attempts       int                // number of attempts so far
@@ -102,6 +105,9 @@
 	if r.firstPick != nil && r.firstPick.Found() {
 		r.f.sched.RecordEnd(r.firstPick.Run, scheduler.Result{Refused: true})
 	}
+	if r.reserved || r.firstPick != nil && r.firstPick.Reserved {
+		r.f.sched.CancelReservation(r.job.fingerprint)
+	}
 	if r.admitted {
 		r.f.sched.ReleaseSlot(r.job.pool)
 	}
@@ -251,13 +257,39 @@
 }
 
 // pick returns the upstream picked on admission, or else one that the scheduler
-// picks now.
+// picks now. A suspect runs only with the permission of its arbiter.
 func (r *runner) pick(q router.Query, retry bool) scheduler.PickResult {
+	var p scheduler.PickResult
 	if first := r.firstPick; first != nil {
-		r.firstPick = nil
-		return *first
+		r.firstPick, p = nil, *first
+	} else {
+		p = r.f.sched.Pick(q, r.job.chain, r.job.fingerprint, retry)
+	}
+	if !p.Reserved {
+		return p
+	}
+	return r.pickSuspect(q, retry)
+}
+
+// pickSuspect picks an upstream for a request that the scheduler has reserved.
+func (r *runner) pickSuspect(q router.Query, retry bool) scheduler.PickResult {
+	r.reserved = true
+	verdict := r.f.isolator.Ask(r.ctx, r.job.fingerprint)
+	r.reserved = false
+	if verdict == quarantiner.Wait {
+		r.f.sched.CancelReservation(r.job.fingerprint)
+		if !r.suspectWaited {
+			r.suspectWaited = true
+			r.log.WithField("event", "suspectWaits").Info("request may crash upstreams; waiting while another node runs it")
+		}
+		return scheduler.PickResult{Wait: true}
+	}
+	p := r.f.sched.PickReserved(q, r.job.chain, r.job.fingerprint, retry)
+	if p.Found() && verdict == quarantiner.Isolated {
+		r.log.WithFields(logrus.Fields{"event": "suspectRuns", "upstream": p.Run.Choice.ID}).
+			Info("running a request that may crash its upstream; no other node runs it")
 	}
-	return r.f.sched.Pick(q, r.job.chain, r.job.fingerprint, retry)
+	return p
 }
 
 // fallback changes q to the fallback pool and reports whether there is one.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/front"
 	"github.com/auburnnotch/auburnnotch/internal/gossiper"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
+	"github.com/auburnnotch/auburnnotch/internal/isolator"
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
 	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
@@ -66,20 +67,21 @@
 	keeper.SetPeers(link, gossip)
 	claims := ledger.New(clk, log, store, link, gossip, rand.New(rand.NewPCG(rnd.Uint64(), 2)))
 	sched := scheduler.New(clk, s.Limits.QueueLength, rand.New(rand.NewPCG(rnd.Uint64(), 3)))
+	suspects := isolator.New(clk, link, gossip, sched)
 	upstreams := upstreamer.New(clk)
 	polls := poller.New(clk, log, upstreams, sched, store, keeper.Current)
 	keeper.OnChange(polls.Update)
 	orders := drainer.New(clk, log, store, upstreams, keeper.Current, func() bool {
 		return rank(gossip.Live(), gossip.Self(), "orders/", false) < leaderCandidates
 	})
-	link.SetHandler(messageHandler(gossip, keeper, claims, sched))
+	link.SetHandler(messageHandler(gossip, keeper, claims, suspects, sched))
 	nodes := selector.New(s.DataCentre, keeper.Region)
 	hints := hinter.New(clk, link, func(workspace string, weight int) []member.Info {
 		return nodes.Select(gossip.Live(), workspace, weight)
 	}, s.Name)
 	f, err := front.New(s, front.Dependencies{
 		Clock: clk, Log: log, Meter: metrics, Memory: memory, Config: keeper, Members: gossip,
-		Scheduler: sched, Ledger: claims, Upstreams: upstreams, Hinter: hints, Selector: nodes, Drainer: orders,
+		Scheduler: sched, Isolator: suspects, Ledger: claims, Upstreams: upstreams, Hinter: hints, Selector: nodes, Drainer: orders,
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -93,7 +95,7 @@
 
 // messageHandler returns a handler for the messages of peers. It offers a message
 // to each service in turn until one returns a reply; the result is nil if none does.
-func messageHandler(g *gossiper.Gossiper, k *configkeeper.Keeper, l *ledger.Ledger, s *scheduler.Scheduler) peerlink.Handler {
+func messageHandler(g *gossiper.Gossiper, k *configkeeper.Keeper, l *ledger.Ledger, i *isolator.Isolator, s *scheduler.Scheduler) peerlink.Handler {
 	return func(ctx context.Context, m *peerlink.Message) *peerlink.Message {
 		if out := g.HandleMessage(ctx, m); out != nil {
 			return out
@@ -104,6 +106,9 @@
 		if out := l.HandleMessage(ctx, m); out != nil {
 			return out
 		}
+		if out := i.HandleMessage(ctx, m); out != nil {
+			return out
+		}
 		if m.Suspects != nil {
 			s.MergeReports(m.Suspects)
 			return &peerlink.Message{OK: true}
--- a/internal/peerlink/message.go
+++ b/internal/peerlink/message.go
@@ -4,6 +4,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
 	"github.com/auburnnotch/auburnnotch/pkg/follower"
 	"github.com/auburnnotch/auburnnotch/pkg/member"
+	"github.com/auburnnotch/auburnnotch/pkg/permitter"
 	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
 )
 
@@ -38,4 +39,11 @@
 	Hints []Hint `msgpack:"h,omitempty"`
 	// OK acknowledges a message that has no other reply.
 	OK bool `msgpack:"o,omitempty"`
+	// Permit asks the arbiter of a suspect for the permission to run it. Permitted is the
+	// reply.
+	Permit    *permitter.Request `msgpack:"t,omitempty"`
+	Permitted *permitter.Reply   `msgpack:"v,omitempty"`
+	// Query asks a node for its state of a suspect. State is the reply.
+	Query *permitter.Query   `msgpack:"k,omitempty"`
+	State *quarantiner.State `msgpack:"s,omitempty"`
 }
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -37,6 +37,7 @@
 	query       router.Query
 	fingerprint quarantiner.Fingerprint
 	retry       bool
+	reserved    bool // the request is reserved, and may run though it is a suspect
 	chain       hasher.Chain
 	reply       chan PickResult // nil if the result is part of an Admission
 }
@@ -62,22 +63,31 @@
 
 type suspectReports struct{ reports []quarantiner.Report }
 
+type suspectQuery struct {
+	fingerprint quarantiner.Fingerprint
+	reply       chan quarantiner.State
+}
+
+type cancelReservation struct{ fingerprint quarantiner.Fingerprint }
+
 type hintBatch struct{ hints []peerlink.Hint }
 
 type snapshotRequest struct{ reply chan Snapshot }
 
-func (admit) command()           {}
-func (abandon) command()         {}
-func (releaseSlot) command()     {}
-func (pick) command()            {}
-func (firstToken) command()      {}
-func (runEnded) command()        {}
-func (upstreamCrashed) command() {}
-func (loadReport) command()      {}
-func (engineList) command()      {}
-func (suspectReports) command()  {}
-func (hintBatch) command()       {}
-func (snapshotRequest) command() {}
+func (admit) command()             {}
+func (abandon) command()           {}
+func (releaseSlot) command()       {}
+func (pick) command()              {}
+func (firstToken) command()        {}
+func (runEnded) command()          {}
+func (upstreamCrashed) command()   {}
+func (loadReport) command()        {}
+func (engineList) command()        {}
+func (suspectReports) command()    {}
+func (suspectQuery) command()      {}
+func (cancelReservation) command() {}
+func (hintBatch) command()         {}
+func (snapshotRequest) command()   {}
 
 // Run is an attempt that has been assigned an upstream.
 type Run struct {
@@ -100,10 +110,15 @@
 	Kind       failure.Kind
 	Wait       bool // pick again after a pause
 	Quarantine bool // the request must not run
+	// Reserved means that the request is a suspect, and that no other run of it starts at
+	// this node until PickReserved or CancelReservation.
+	Reserved bool
 }
 
 // Found reports whether an upstream was chosen.
-func (p PickResult) Found() bool { return !p.Wait && !p.Quarantine && p.Kind == failure.None }
+func (p PickResult) Found() bool {
+	return !p.Wait && !p.Quarantine && !p.Reserved && p.Kind == failure.None
+}
 
 // Result describes how a run ended.
 type Result struct {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -90,7 +90,12 @@
 	case releaseSlot:
 		s.perform(s.admitter.Handle(now, admitter.Ended{Pool: c.pool}))
 	case pick:
+		if c.reserved {
+			s.quarantiner.RecordStop(c.fingerprint)
+		}
 		c.reply <- s.pick(now, c)
+	case cancelReservation:
+		s.quarantiner.RecordStop(c.fingerprint)
 	case firstToken:
 		s.router.RecordFirstToken(now, c.run.Choice)
 	case runEnded:
@@ -105,6 +110,8 @@
 		for _, r := range c.reports {
 			s.quarantiner.MergeReport(r)
 		}
+	case suspectQuery:
+		c.reply <- s.quarantiner.State(now, c.fingerprint)
 	case hintBatch:
 		for _, h := range c.hints {
 			s.router.AddHint(h.Upstream, h.Pieces)
@@ -169,6 +176,10 @@
 	case quarantiner.Wait:
 		return PickResult{Wait: true}
 	case quarantiner.Isolated:
+		if !p.reserved {
+			s.quarantiner.RecordStart(p.fingerprint)
+			return PickResult{Run: Run{fingerprint: p.fingerprint}, Reserved: true}
+		}
 		p.query.SuspectRank = s.quarantiner.Rank(now, p.fingerprint)
 		p.query.SuspectEngines = s.suspectUpstreams(now, p.fingerprint)
 	}
@@ -305,8 +316,12 @@
 		return
 	}
 	s.ReleaseSlot(pool)
-	if a.First != nil && a.First.Found() {
+	switch {
+	case a.First == nil:
+	case a.First.Found():
 		s.RecordEnd(a.First.Run, Result{Refused: true})
+	case a.First.Reserved:
+		s.CancelReservation(a.First.Run.fingerprint)
 	}
 }
 
@@ -316,11 +331,34 @@
 func (s *Scheduler) push(c command) { _ = s.commands.Push(context.Background(), c) }
 
 // Pick chooses an upstream for an attempt. A retry takes a token from the retry
-// budget, but only once an upstream was found.
+// budget, but only once an upstream was found. For a suspect the result is Reserved.
 func (s *Scheduler) Pick(q router.Query, chain hasher.Chain, f quarantiner.Fingerprint, retry bool) PickResult {
-	reply := make(chan PickResult, 1)
 	q.Chain = chain
-	s.push(pick{query: q, chain: chain, fingerprint: f, retry: retry, reply: reply})
+	return s.sendPick(pick{query: q, chain: chain, fingerprint: f, retry: retry})
+}
+
+// PickReserved is like Pick for a request that is Reserved and may run though it is a
+// suspect. It ends the reservation.
+func (s *Scheduler) PickReserved(q router.Query, chain hasher.Chain, f quarantiner.Fingerprint, retry bool) PickResult {
+	q.Chain = chain
+	return s.sendPick(pick{query: q, chain: chain, fingerprint: f, retry: retry, reserved: true})
+}
+
+func (s *Scheduler) sendPick(p pick) PickResult {
+	p.reply = make(chan PickResult, 1)
+	s.push(p)
+	return <-p.reply
+}
+
+// CancelReservation ends the reservation of a suspect that doesn't run.
+func (s *Scheduler) CancelReservation(f quarantiner.Fingerprint) {
+	s.push(cancelReservation{fingerprint: f})
+}
+
+// SuspectState returns what this node knows of f.
+func (s *Scheduler) SuspectState(f quarantiner.Fingerprint) quarantiner.State {
+	reply := make(chan quarantiner.State, 1)
+	s.push(suspectQuery{fingerprint: f, reply: reply})
 	return <-reply
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -45,7 +45,12 @@
 }
 
 func (n *testScheduler) pick(f quarantiner.Fingerprint, retry bool, exclude ...string) scheduler.PickResult {
-	return n.Pick(router.Query{Pool: "p", RecomputeWeight: 1, Exclude: exclude}, nil, f, retry)
+	q := router.Query{Pool: "p", RecomputeWeight: 1, Exclude: exclude}
+	p := n.Pick(q, nil, f, retry)
+	if p.Reserved {
+		p = n.PickReserved(q, nil, f, retry)
+	}
+	return p
 }
 
 // runAt starts a run of f at engine and fails the test if it is sent elsewhere.
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -56,8 +56,20 @@
 	Quarantined
 )
 
+// State is what a node knows of a suspect.
+type State struct {
+	// Running is set while the node runs a suspect that isn't cleared, or is about to.
+	Running bool `msgpack:"u,omitempty"`
+	// Verdict is Clear, Isolated or Quarantined.
+	Verdict Verdict `msgpack:"v"`
+	// Reports has one report for each upstream that crashed, or a report without crashes
+	// if the suspect was cleared.
+	Reports []Report `msgpack:"r,omitempty"`
+}
+
 type suspect struct {
 	crashes          int
+	cleared          bool // has succeeded since
 	expiresAt        time.Time
 	crashedUpstreams []string // of this node's runs, and of those that peers reported
 }
@@ -85,7 +97,7 @@
 func (q *Quarantiner) Check(now time.Time, f Fingerprint) Verdict {
 	s, ok := q.suspects[f]
 	switch {
-	case !ok || !now.Before(s.expiresAt):
+	case !ok || s.cleared || !now.Before(s.expiresAt):
 		return Clear
 	case s.quarantined():
 		return Quarantined
@@ -104,13 +116,40 @@
 func (q *Quarantiner) RecordSuccess(f Fingerprint) bool {
 	q.RecordStop(f)
 	s, ok := q.suspects[f]
-	if !ok || s.quarantined() {
+	if !ok || s.quarantined() || s.cleared {
 		return false
 	}
-	delete(q.suspects, f)
+	s.clear()
 	return true
 }
 
+// clear is remembered until the suspect expires, so that other nodes can learn of it.
+func (s *suspect) clear() { s.crashes, s.crashedUpstreams, s.cleared = 0, nil, true }
+
+// State returns what this node knows of f.
+func (q *Quarantiner) State(now time.Time, f Fingerprint) State {
+	s, ok := q.suspects[f]
+	if !ok || !now.Before(s.expiresAt) {
+		return State{Running: q.running[f] > 0, Verdict: Clear}
+	}
+	st := State{Running: q.running[f] > 0, Verdict: Isolated}
+	switch {
+	case s.cleared:
+		st.Verdict, st.Running = Clear, false
+	case s.quarantined():
+		st.Verdict = Quarantined
+	}
+	r := Report{Fingerprint: f, Crashes: s.crashes, Until: s.expiresAt}
+	if len(s.crashedUpstreams) == 0 {
+		st.Reports = []Report{r}
+	}
+	for _, u := range s.crashedUpstreams {
+		r.Upstream = u
+		st.Reports = append(st.Reports, r)
+	}
+	return st
+}
+
 // RecordStop records that a run of f ended in a way that neither clears nor
 // incriminates it.
 func (q *Quarantiner) RecordStop(f Fingerprint) {
@@ -127,7 +166,7 @@
 	reports := make([]Report, 0, len(inFlight))
 	for _, r := range inFlight {
 		s, ok := q.suspects[r.Fingerprint]
-		if !ok || !now.Before(s.expiresAt) {
+		if !ok || s.cleared || !now.Before(s.expiresAt) {
 			s = &suspect{}
 			q.suspects[r.Fingerprint] = s
 		}
@@ -155,7 +194,7 @@
 func (q *Quarantiner) Rank(now time.Time, f Fingerprint) int {
 	n := 0
 	for other, s := range q.suspects {
-		if other < f && !s.quarantined() && now.Before(s.expiresAt) {
+		if other < f && !s.quarantined() && !s.cleared && now.Before(s.expiresAt) {
 			n++
 		}
 	}
@@ -167,7 +206,7 @@
 func (q *Quarantiner) MergeReport(r Report) {
 	if s, ok := q.suspects[r.Fingerprint]; ok && r.Crashes == 0 {
 		if !s.quarantined() {
-			delete(q.suspects, r.Fingerprint)
+			s.clear()
 		}
 		return
 	}
@@ -175,7 +214,7 @@
 		return
 	}
 	s, ok := q.suspects[r.Fingerprint]
-	if !ok || !r.Until.Add(-suspectTTL).Before(s.expiresAt) { // the known state had expired before that crash
+	if !ok || s.cleared || !r.Until.Add(-suspectTTL).Before(s.expiresAt) { // the known state had expired before that crash
 		s = &suspect{}
 		q.suspects[r.Fingerprint] = s
 	}
