--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -90,7 +90,12 @@
 	case releaseSlot:
 		s.perform(s.admitter.Handle(now, admitter.Ended{Pool: c.pool}))
 	case pick:
+		if c.reserved {
+			s.quarantiner.RecordStop(c.fingerprint)
+		}
 		c.reply <- s.pick(now, c)
+	case cancelReservation:
+		s.quarantiner.RecordStop(c.fingerprint)
 	case firstToken:
 		s.router.RecordFirstToken(now, c.run.Choice)
 	case runEnded:
@@ -105,6 +110,8 @@
 		for _, r := range c.reports {
 			s.quarantiner.MergeReport(r)
 		}
+	case suspectQuery:
+		c.reply <- s.quarantiner.State(now, c.fingerprint)
 	case hintBatch:
 		for _, h := range c.hints {
 			s.router.AddHint(h.Upstream, h.Pieces)
@@ -169,6 +176,10 @@
 	case quarantiner.Wait:
 		return PickResult{Wait: true}
 	case quarantiner.Isolated:
+		if !p.reserved {
+			s.quarantiner.RecordStart(p.fingerprint)
+			return PickResult{Run: Run{fingerprint: p.fingerprint}, Reserved: true}
+		}
 		p.query.SuspectRank = s.quarantiner.Rank(now, p.fingerprint)
 		p.query.SuspectEngines = s.suspectUpstreams(now, p.fingerprint)
 	}
@@ -211,14 +222,17 @@
 	c := e.run.Choice
 	s.router.RecordEnd(now, c, e.run.hasFirstToken)
 	s.router.RecordIncarnation(now, c.ID, e.result.Incarnation)
+	inFlight := false // not after a crash, which has ended all runs there
 	if f, ok := s.inFlight[c.ID]; ok {
+		_, inFlight = f.runs[e.run.id]
 		delete(f.runs, e.run.id)
 	}
+	if inFlight && (e.result.Refused || e.result.Failed) {
+		s.quarantiner.RecordStop(e.run.fingerprint)
+	}
 	switch {
 	case e.result.Refused:
-		s.quarantiner.RecordStop(e.run.fingerprint)
 	case e.result.Failed:
-		s.quarantiner.RecordStop(e.run.fingerprint)
 		s.router.RecordFailure(now, c.ID)
 	default:
 		s.quarantiner.RecordSuccess(e.run.fingerprint)
@@ -240,6 +254,9 @@
 	}
 	wasSuspect := map[quarantiner.Fingerprint]bool{}
 	for _, r := range f.runs {
+		if _, ok := wasSuspect[r.Fingerprint]; ok {
+			s.quarantiner.RecordStop(r.Fingerprint) // RecordCrash ends one run of each request
+		}
 		wasSuspect[r.Fingerprint] = wasSuspect[r.Fingerprint] || r.Suspect
 	}
 	inFlight := make([]quarantiner.Run, 0, len(wasSuspect))
@@ -299,8 +316,12 @@
 		return
 	}
 	s.ReleaseSlot(pool)
-	if a.First != nil && a.First.Found() {
+	switch {
+	case a.First == nil:
+	case a.First.Found():
 		s.RecordEnd(a.First.Run, Result{Refused: true})
+	case a.First.Reserved:
+		s.CancelReservation(a.First.Run.fingerprint)
 	}
 }
 
@@ -310,11 +331,34 @@
 func (s *Scheduler) push(c command) { _ = s.commands.Push(context.Background(), c) }
 
 // Pick chooses an upstream for an attempt. A retry takes a token from the retry
-// budget, but only once an upstream was found.
+// budget, but only once an upstream was found. For a suspect the result is Reserved.
 func (s *Scheduler) Pick(q router.Query, chain hasher.Chain, f quarantiner.Fingerprint, retry bool) PickResult {
-	reply := make(chan PickResult, 1)
 	q.Chain = chain
-	s.push(pick{query: q, chain: chain, fingerprint: f, retry: retry, reply: reply})
+	return s.sendPick(pick{query: q, chain: chain, fingerprint: f, retry: retry})
+}
+
+// PickReserved is like Pick for a request that is Reserved and may run though it is a
+// suspect. It ends the reservation.
+func (s *Scheduler) PickReserved(q router.Query, chain hasher.Chain, f quarantiner.Fingerprint, retry bool) PickResult {
+	q.Chain = chain
+	return s.sendPick(pick{query: q, chain: chain, fingerprint: f, retry: retry, reserved: true})
+}
+
+func (s *Scheduler) sendPick(p pick) PickResult {
+	p.reply = make(chan PickResult, 1)
+	s.push(p)
+	return <-p.reply
+}
+
+// CancelReservation ends the reservation of a suspect that doesn't run.
+func (s *Scheduler) CancelReservation(f quarantiner.Fingerprint) {
+	s.push(cancelReservation{fingerprint: f})
+}
+
+// SuspectState returns what this node knows of f.
+func (s *Scheduler) SuspectState(f quarantiner.Fingerprint) quarantiner.State {
+	reply := make(chan quarantiner.State, 1)
+	s.push(suspectQuery{fingerprint: f, reply: reply})
 	return <-reply
 }
 
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -56,10 +56,21 @@
 	Quarantined
 )
 
+// State is what a node knows of a suspect.
+type State struct {
+	// Running is set while the node runs a suspect that isn't cleared, or is about to.
+	Running bool `msgpack:"u,omitempty"`
+	// Verdict is Clear, Isolated or Quarantined.
+	Verdict Verdict `msgpack:"v"`
+	// Reports has one report for each upstream that crashed, or a report without crashes
+	// if the suspect was cleared.
+	Reports []Report `msgpack:"r,omitempty"`
+}
+
 type suspect struct {
 	crashes          int
+	cleared          bool // has succeeded since
 	expiresAt        time.Time
-	running          int
 	crashedUpstreams []string // of this node's runs, and of those that peers reported
 }
 
@@ -71,56 +82,79 @@
 // concurrent use.
 type Quarantiner struct {
 	suspects map[Fingerprint]*suspect
-	limit    int
+	// running is the number of runs of each request, also of those that aren't suspects:
+	// a run that began before its request became one may still crash its upstream.
+	running map[Fingerprint]int
+	limit   int
 }
 
 // New returns a Quarantiner that keeps up to limit suspects.
 func New(limit int) *Quarantiner {
-	return &Quarantiner{suspects: map[Fingerprint]*suspect{}, limit: limit}
+	return &Quarantiner{suspects: map[Fingerprint]*suspect{}, running: map[Fingerprint]int{}, limit: limit}
 }
 
 // Check returns how f may run at now.
 func (q *Quarantiner) Check(now time.Time, f Fingerprint) Verdict {
 	s, ok := q.suspects[f]
 	switch {
-	case !ok || !now.Before(s.expiresAt):
+	case !ok || s.cleared || !now.Before(s.expiresAt):
 		return Clear
 	case s.quarantined():
 		return Quarantined
-	case s.running > 0:
+	case q.running[f] > 0:
 		return Wait
 	default:
 		return Isolated
 	}
 }
 
-// RecordStart records that a run of f started. It only matters for a suspect.
-func (q *Quarantiner) RecordStart(f Fingerprint) {
-	if s, ok := q.suspects[f]; ok {
-		s.running++
-	}
-}
+// RecordStart records that a run of f started.
+func (q *Quarantiner) RecordStart(f Fingerprint) { q.running[f]++ }
 
 // RecordSuccess records that a run of f succeeded. It clears a suspect that
 // isn't quarantined and reports whether it did.
 func (q *Quarantiner) RecordSuccess(f Fingerprint) bool {
+	q.RecordStop(f)
 	s, ok := q.suspects[f]
-	if !ok {
+	if !ok || s.quarantined() || s.cleared {
 		return false
 	}
-	s.running = max(0, s.running-1)
-	if s.quarantined() {
-		return false
-	}
-	delete(q.suspects, f)
+	s.clear()
 	return true
 }
 
+// clear is remembered until the suspect expires, so that other nodes can learn of it.
+func (s *suspect) clear() { s.crashes, s.crashedUpstreams, s.cleared = 0, nil, true }
+
+// State returns what this node knows of f.
+func (q *Quarantiner) State(now time.Time, f Fingerprint) State {
+	s, ok := q.suspects[f]
+	if !ok || !now.Before(s.expiresAt) {
+		return State{Running: q.running[f] > 0, Verdict: Clear}
+	}
+	st := State{Running: q.running[f] > 0, Verdict: Isolated}
+	switch {
+	case s.cleared:
+		st.Verdict, st.Running = Clear, false
+	case s.quarantined():
+		st.Verdict = Quarantined
+	}
+	r := Report{Fingerprint: f, Crashes: s.crashes, Until: s.expiresAt}
+	if len(s.crashedUpstreams) == 0 {
+		st.Reports = []Report{r}
+	}
+	for _, u := range s.crashedUpstreams {
+		r.Upstream = u
+		st.Reports = append(st.Reports, r)
+	}
+	return st
+}
+
 // RecordStop records that a run of f ended in a way that neither clears nor
 // incriminates it.
 func (q *Quarantiner) RecordStop(f Fingerprint) {
-	if s, ok := q.suspects[f]; ok {
-		s.running = max(0, s.running-1)
+	if q.running[f]--; q.running[f] <= 0 {
+		delete(q.running, f)
 	}
 }
 
@@ -132,7 +166,7 @@
 	reports := make([]Report, 0, len(inFlight))
 	for _, r := range inFlight {
 		s, ok := q.suspects[r.Fingerprint]
-		if !ok || !now.Before(s.expiresAt) {
+		if !ok || s.cleared || !now.Before(s.expiresAt) {
 			s = &suspect{}
 			q.suspects[r.Fingerprint] = s
 		}
@@ -141,7 +175,7 @@
 		}
 		s.addUpstream(upstream)
 		s.expiresAt = now.Add(suspectTTL)
-		s.running = max(0, s.running-1)
+		q.RecordStop(r.Fingerprint)
 		reports = append(reports, Report{Fingerprint: r.Fingerprint, Crashes: s.crashes, Until: s.expiresAt, Upstream: upstream})
 	}
 	q.evict(now)
@@ -160,7 +194,7 @@
 func (q *Quarantiner) Rank(now time.Time, f Fingerprint) int {
 	n := 0
 	for other, s := range q.suspects {
-		if other < f && !s.quarantined() && now.Before(s.expiresAt) {
+		if other < f && !s.quarantined() && !s.cleared && now.Before(s.expiresAt) {
 			n++
 		}
 	}
@@ -172,7 +206,7 @@
 func (q *Quarantiner) MergeReport(r Report) {
 	if s, ok := q.suspects[r.Fingerprint]; ok && r.Crashes == 0 {
 		if !s.quarantined() {
-			delete(q.suspects, r.Fingerprint)
+			s.clear()
 		}
 		return
 	}
@@ -180,7 +214,7 @@
 		return
 	}
 	s, ok := q.suspects[r.Fingerprint]
-	if !ok || !r.Until.Add(-suspectTTL).Before(s.expiresAt) { // the known state had expired before that crash
+	if !ok || s.cleared || !r.Until.Add(-suspectTTL).Before(s.expiresAt) { // the known state had expired before that crash
 		s = &suspect{}
 		q.suspects[r.Fingerprint] = s
 	}
