fix(closer): a connection that waits for its first request isn't closed as a late header

What callers saw: a connection that was opened in advance, or whose first request came late, was closed 5 s after it had been accepted (headerSeconds on `serve`). A whole request that was sent at that moment, or within a header that had begun just before, got neither an answer nor a refusal, and no log had a line of it. A connection that had served one request was kept for minutes.

Cause: net/http counts ReadHeaderTimeout of a connection's first request from the connection's beginning, that of later ones from their first byte, and closes a connection without a word when it passes. A deadline that passes while the process is suspended also wins against bytes that have arrived.

The tracked connection now has these limits itself, on both paths: the idle limit until the first byte of a request, the header's limit from there on. A late header is answered 408, and each header that isn't read to its end has a line (headerUnread). The limits are functions, asked again when one has passed.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -6,15 +6,12 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 )
 
@@ -25,6 +22,7 @@
 // Closer tracks the connections of one server. It is safe for concurrent use.
 type Closer struct {
 	clk     clock.Clock
+	limits  Limits
 	closing atomic.Bool
 
 	mu        sync.Mutex
@@ -78,11 +76,13 @@
 	if k == nil || s != http.StateIdle && s != http.StateActive {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	// The bytes of a pipelined request may have been read with the request before, so
 	// that no Read tells of it.
-	k.busy = s == http.StateActive
+	if s == http.StateActive {
+		k.enter(handling)
+	} else {
+		k.enter(idle)
+	}
 }
 
 // CloseIdle closes the connections on which no byte of a pending request has been
@@ -138,72 +138,9 @@
 		}
 		return nil, err // unwrapped, since net/http distinguishes kinds of errors
 	}
-	k := &conn{Conn: nc, closer: l.closer}
+	k := &conn{Conn: nc, closer: l.closer, since: l.closer.clk.Now()}
 	l.closer.mu.Lock()
 	l.closer.conns[k] = struct{}{}
 	l.closer.mu.Unlock()
 	return k, nil
 }
-
-// conn is a tracked connection. It is busy from the first byte of a request to the
-// end of its response.
-type conn struct {
-	net.Conn
-	closer *Closer
-
-	mu     sync.Mutex
-	busy   bool
-	closed bool // by closeIdle; later bytes are discarded
-}
-
-// remoteAddr is the remote address of a tracked connection. Two connections may have the
-// same one: a caller may use its port again before the server has closed the first.
-type remoteAddr struct {
-	net.Addr
-	conn *conn
-}
-
-// RemoteAddr implements net.Conn.
-func (k *conn) RemoteAddr() net.Addr { return remoteAddr{k.Conn.RemoteAddr(), k} }
-
-// tracked returns the tracked connection behind nc, which may be wrapped; nil if there is
-// none.
-func tracked(nc net.Conn) *conn {
-	a, _ := nc.RemoteAddr().(remoteAddr)
-	return a.conn
-}
-
-// Read implements net.Conn.
-func (k *conn) Read(p []byte) (int, error) {
-	n, err := k.Conn.Read(p)
-	if n > 0 {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		if k.closed {
-			return 0, io.EOF
-		}
-		k.busy = true
-	}
-	return n, err
-}
-
-func (k *conn) closeIdle() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.busy {
-		return false
-	}
-	if !k.closed {
-		k.closed = true
-		_ = k.Conn.Close() // no caller waits for a response on it
-	}
-	return true
-}
-
-// Close implements net.Conn.
-func (k *conn) Close() error {
-	k.closer.mu.Lock()
-	delete(k.closer.conns, k)
-	k.closer.mu.Unlock()
-	return errors.Trace(k.Conn.Close())
-}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -93,7 +93,7 @@
 // accepting connections, and returns when every accepted request has its
 // response.
 func (f *Front) Run(ctx context.Context) error {
-	conns := closer.New(f.clk)
+	conns := closer.New(f.clk).WithLimits(closer.Limits{Bounds: f.bounds, Unread: f.headerUnread})
 	routes := f.recoverer(f.routes())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conns.Closing() {
@@ -101,10 +101,7 @@
 		}
 		routes.ServeHTTP(w, r)
 	})
-	srv := &http.Server{
-		ConnState: conns.ConnState, Handler: handler, ReadHeaderTimeout: config.Seconds(f.limits.HeaderSeconds),
-		MaxHeaderBytes: f.limits.HeaderBytes, IdleTimeout: time.Minute,
-	}
+	srv := &http.Server{ConnState: conns.ConnState, Handler: handler, MaxHeaderBytes: f.limits.HeaderBytes}
 	g, serveCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	g.Go(func() error {
 		if err := srv.Serve(conns.Wrap(f.listener)); !conns.Closing() {
--- /dev/null
+++ b/internal/front/limits_test.go
@@ -0,0 +1,41 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/closer"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/config"
+)
+
+// Guards against requests without an answer: a connection that a caller had opened in advance
+// was closed, beside the first request on it, after the time limit of a header, of which no
+// byte had been sent.
+func TestUnusedConnectionIsKept(t *testing.T) {
+	f := newFixture(t, config.Limits{HeaderSeconds: 0.2}, answer)
+	resp, body := testlib.SendParts(t, f.addr, 500*time.Millisecond, "", post("/v1/services/orders/stock", "Content-Length: 1")+"x")
+	if resp == nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("response %v, %q", resp, body)
+	}
+}
+
+// Guards against requests without an answer: one whose header arrived late or in part was
+// closed without a response and without a trace in the log.
+func TestLateHeaderIsAnswered(t *testing.T) {
+	f := newFixture(t, config.Limits{HeaderSeconds: 0.2}, answer)
+	const begun = "POST /v1/services/orders/stock HTTP/1.1\r\nHost: h\r\n"
+	resp, body := testlib.SendParts(t, f.addr, 500*time.Millisecond, begun, "Content-Length: 0\r\n\r\n")
+	if resp == nil || resp.StatusCode != http.StatusRequestTimeout || !resp.Close || !strings.Contains(body, `"kind":"requestTimeout"`) {
+		t.Errorf("response %v, %q", resp, body)
+	}
+	for _, e := range f.lines.AllEntries() {
+		if e.Data["event"] == "headerUnread" && e.Data["bytes"] == len(begun) && fmt.Sprint(e.Data["error"]) == closer.ErrHeaderLate.Error() {
+			return
+		}
+	}
+	t.Error("no log line of the late header")
+}
