fix(ingress): the configuration's limits on headers and idle connections are in force

What callers saw: of the configuration's limits only that on bodies had an effect.

Cause: the limits were constants of the server, which can't change while it runs.

The constants are now the least that holds, since callers follow the newest configuration, which a node may not have received; a larger limit of the configuration replaces them at once, also for connections that are open and headers that have begun. A smaller one isn't enforced: an idle connection that is closed earlier than it has to be is a request lost now and then.

Evidence: with the constants alone TestConfiguredLimitsHoldForOpenConnections fails for the time and the size of a header.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,8 +58,6 @@
 	// period, so that interrupted requests have ended by then.
 	maxExitReserve = 300 * time.Millisecond
 	exitShare      = 20
-	// defaultBodyBytes bounds request bodies until a configuration is known.
-	defaultBodyBytes = 4 << 20
 )
 
 // Entry is an entry node.
@@ -142,11 +140,11 @@
 		Clock: clk, Boot: boot, Log: log, Relayer: relay, Directory: dir, Metrics: metrics.Handler(), Scope: metrics.Scope(),
 		Memory: memory, GracePeriod: config.Seconds(s.GraceSeconds), WriteTimeout: writeTimeout, OnShutdown: func() { dir.startLeaving(); bcast.AnnounceLeaving() },
 		Ready: func() bool { return obs.View() != nil && obs.Proof().Fresh(boot.Elapsed(), maxProofAge) },
-		BodyLimit: func() int64 {
-			if v := obs.View(); v != nil && v.Matcher.Catalog().Limits.BodyBytes > 0 {
-				return v.Matcher.Catalog().Limits.BodyBytes
+		Limits: func() traffic.Limits {
+			if v := obs.View(); v != nil {
+				return v.Matcher.Catalog().Limits
 			}
-			return defaultBodyBytes
+			return traffic.Limits{}
 		},
 	})
 	if err != nil {
