fix(ingress,front): the refusal of a long body reaches a caller that sends it to its end first

What callers saw: a request with a long body that is refused while it is still being sent lost its connection to a reset, and with it, for a caller that reads only once it has sent everything, the refusal. Beside a change of the configuration such bodies are refused for a route, key or limit that has changed.

Cause: a body over the limit, and on the users' platform one behind an unreadable header, wasn't read on at all: net/http reads 256 KB, waits 500 ms and closes. Other refused bodies were read for 5 s in all, however steadily they came. `serve` didn't read those of unknown paths.

The rest of a refused body is now read and discarded as long as pauses in it are no longer than 5 s, for a minute at most, which is how long the body of a request that is served may take. Its size doesn't matter: a caller may follow a limit that the node hasn't received.

On Linux a caller that reads after the reset may still find the refusal.

--- a/internal/discarder/discarder.go
+++ b/internal/discarder/discarder.go
@@ -16,8 +16,10 @@
 	// connection can be kept.
 	shortBytes   = 64 << 10
 	shortTimeout = 500 * time.Millisecond
-	// longTimeout bounds what is read after the refusal.
-	longTimeout = 5 * time.Second
+	// longTimeout bounds what is read after the refusal, and pauseTimeout a pause in it.
+	longTimeout  = time.Minute
+	pauseTimeout = 5 * time.Second
+	bufferBytes  = 16 << 10
 )
 
 // Discarder reads the rest of request bodies. It is safe for concurrent use.
@@ -45,15 +47,29 @@
 }
 
 // ReadLong sends a refusal that was written and announced the end of the connection. Then it
-// reads the rest of the body, at most limit bytes.
-func (d Discarder) ReadLong(w http.ResponseWriter, r *http.Request, limit int64) {
+// reads the rest of the body, whatever its size: callers that send a body to its end before
+// they read would lose the refusal.
+func (d Discarder) ReadLong(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
-	if rc.Flush() != nil || rc.SetReadDeadline(d.clk.Now().Add(longTimeout)) != nil {
+	if rc.Flush() != nil {
 		return
 	}
 	stop := stopReading(rc, r)
 	defer stop()
-	_, _ = io.CopyN(io.Discard, r.Body, limit) // the connection is closed in any case
+	end := d.clk.Now().Add(longTimeout)
+	b := make([]byte, bufferBytes)
+	for {
+		due := d.clk.Now().Add(pauseTimeout)
+		if due.After(end) {
+			due = end
+		}
+		if rc.SetReadDeadline(due) != nil || r.Context().Err() != nil {
+			return
+		}
+		if _, err := r.Body.Read(b); err != nil {
+			return // the connection is closed in any case
+		}
+	}
 }
 
 // stopReading ends the reading of a body once the context of its request is done.
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -63,5 +63,5 @@
 	}
 	w.Header().Set("Connection", "close")
 	f.refuse(w, uuid.NewString(), k, msg)
-	d.ReadLong(w, r, f.limits.BodyBytes)
+	d.ReadLong(w, r)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
@@ -155,7 +154,7 @@
 	mux.HandleFunc("PUT /v1/declaration", f.requireOperator(f.submit))
 	mux.Handle("GET /metrics", f.requireOperator(f.meter.Handler().ServeHTTP))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		f.refuse(w, uuid.NewString(), failure.UnknownRoute, "no such path: "+r.URL.Path)
+		f.refuseUnread(w, r, failure.UnknownRoute, "no such path: "+r.URL.Path)
 	})
 	return mux
 }
--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -39,3 +39,26 @@
 	}
 	t.Error("no log line of the late header")
 }
+
+// Guards against requests without an answer: the refusal of a long body was lost since the
+// connection was reset while its caller sent on.
+func TestRefusalArrivesAfterLongBody(t *testing.T) {
+	const pieces, pieceBytes = 64, 128 << 10
+	length := fmt.Sprintf("Content-Length: %d", pieces*pieceBytes)
+	for _, c := range []struct {
+		name, head string
+		limit      int64
+		status     int
+	}{
+		{"length", post("/v1/services/orders/stock", length), 1 << 20, 413},
+		{"chunks", post("/v1/services/orders/stock", "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n", pieces*pieceBytes), 1 << 20, 413},
+		{"unknown path", post("/v2/x", length), pieces * pieceBytes, 404},
+		{"key that is gone", strings.Replace(post("/v1/services/orders/stock", length), testlib.Key, "gone", 1), pieces * pieceBytes, 401},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, config.Limits{BodyBytes: c.limit}, answer)
+			testlib.SendBody(t, f.addr, c.head, pieces, pieceBytes, 100*time.Millisecond, c.status)
+		})
+	}
+}
--- a/internal/testlib/parts.go
+++ b/internal/testlib/parts.go
@@ -51,3 +51,30 @@
 		return resp, string(body)
 	}
 }
+
+// SendBody sends the head of a request, and then its body of zeros in pieces with a pause after
+// each. Then it reads the response, whose status is given. A caller that is reset while it
+// sends never gets to that.
+func SendBody(t testing.TB, addr, head string, pieces, pieceBytes int, pause time.Duration, status int) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(time.Duration(pieces)*pause + 10*time.Second))
+	_, _ = io.WriteString(conn, head)
+	for range pieces {
+		if _, err := conn.Write(make([]byte, pieceBytes)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(pause)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != status || !resp.Close {
+		t.Errorf("status %d, closes the connection: %t; %v", resp.StatusCode, resp.Close, err)
+	}
+}
