fix(ingress,front): a caller that closes its sending side after a whole request gets a status

What callers saw: one that sends its request whole, closes its sending side and waits got neither an answer nor a refusal; its connection was closed.

Cause: HTTP can't tell such a caller from one that has left, and work for callers that have left must end.

The request still ends.

Evidence: TestCallerThatClosedItsSendingSideIsAnswered failed on both paths in all cases before (no response: unexpected EOF).

Not shown: that callers of the report close their sending side.

--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -42,6 +42,8 @@
 		return "the request may have run and its answer is lost; it will not be run again under this key"
 	case failure.UpstreamFailed:
 		return "the upstreams that ran this request failed"
+	case failure.CallerGone:
+		return "the connection was closed before the response; whether the request has run is unknown"
 	case failure.StreamLost:
 		return "the stream can't be continued; start the request anew"
 	default:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -162,7 +162,8 @@
 // handleCall serves a completion request or a service call.
 func (f *Front) handleCall(w http.ResponseWriter, r *http.Request) {
 	if err := f.members.AwaitPeers(r.Context()); err != nil {
-		panic(http.ErrAbortHandler) // the caller is gone; a return would answer 200
+		f.refuseUnread(w, r, failure.CallerGone, failureMessage(failure.CallerGone)) // it may have closed its sending side only
+		return
 	}
 	f.awaitConfig(r.Context())
 	j, err := f.receive(w, r)
@@ -179,9 +180,9 @@
 	}
 	call := f.newRunner(w, r, j)
 	call.serve()
-	if call.callerGone {
-		// A return would answer 200, or end a stream as if it were complete. A caller that has
-		// closed its sending side only would take that for the upstream's response.
+	if call.cut {
+		// A return would end the stream as if it were complete. A caller that has closed its
+		// sending side only would take that for the upstream's response.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -47,3 +47,23 @@
 		})
 	}
 }
+
+// Guards against requests without an answer: a caller that closes its sending side after a whole
+// request counts as gone, and got none.
+func TestCallerThatClosedItsSendingSideIsAnswered(t *testing.T) {
+	for _, c := range []struct{ path, body string }{
+		{"/v1/services/orders/stock", "x"}, {"/v1/chat/completions", chatBody}, {"/v1/chat/completions", streamBody},
+	} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			f := newFixture(t, config.Limits{}, func(conn net.Conn, _ testlib.Received) bool {
+				_, _ = conn.Read(make([]byte, 1)) // until the node gives up
+				return false
+			})
+			head := strings.Replace(post(c.path, "Content-Length: "+strconv.Itoa(len(c.body))), "HTTP/1.1", proto, 1)
+			resp, body := testlib.SendParts(t, f.addr, 50*time.Millisecond, head+c.body, testlib.CloseSending)
+			if resp == nil || resp.StatusCode != 499 || !resp.Close || !strings.Contains(body, `"kind":"callerGone"`) {
+				t.Errorf("%s %s: response %v, %q", proto, c.path, resp, body)
+			}
+		}
+	}
+}
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -139,13 +139,17 @@
 // fail reports k to the caller, as an error event if the stream has begun and as
 // an error response otherwise.
 func (r *runner) fail(k failure.Kind) {
+	begun := !r.firstTokenAt.IsZero() && r.job.streaming
 	if k == failure.CallerGone {
-		r.callerGone = true
 		r.log.WithField("event", "callerGone").Info("caller closed its connection")
-		return
+		r.cut = begun
+		if begun {
+			return
+		}
+		r.w.Header().Set("Connection", "close") // a caller that has only closed its sending side still reads
 	}
 	msg := failureMessage(k)
-	if r.firstTokenAt.IsZero() || !r.job.streaming {
+	if !begun {
 		r.f.refuse(r.w, r.job.id, k, msg)
 		return
 	}
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -45,7 +45,7 @@
 
 	next           func() // next step; nil if none is due
 	admitted       bool
-	callerGone     bool                  // the request ended without a response, since its caller is gone
+	cut            bool                  // the response has begun and can't be completed, since its caller is gone
 	firstPick      *scheduler.PickResult // picked on admission; nil once used
 	firstTokenAt   time.Time             // zero before the response has begun
 	lastTokenAt    time.Time
