fix(ingress,front): a caller that reads slowly but steadily gets a long event

What callers saw: one on a slow link was cut off within an event of up to 1 MB, though it read all the time, if the event took longer than the write timeout (10 s; writeSeconds on `serve`, where it counted for all events that had come together).

Cause: the write timeout, which is to find callers that don't read, counted for the whole event. Whole answers were already written in parts with a timeout each.

--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/tidwall/gjson"
 
@@ -15,9 +16,9 @@
 	"github.com/auburnnotch/auburnnotch/pkg/wire"
 )
 
-// answerPartBytes is the size of the parts in which an answer is written. Each part has
-// the write timeout, so that a slow caller still gets a large answer.
-const answerPartBytes = 64 << 10
+// writeBytes is the size of the parts in which a response is written. Each part has the write
+// timeout, so that a slow caller still gets a large answer or event.
+const writeBytes = 64 << 10
 
 // recordToken records the time to the first token, or the time between tokens for
 // later chunks of a stream.
@@ -81,13 +82,23 @@
 	if len(r.buf) == 0 {
 		return
 	}
-	r.extendWriteDeadline()
-	if _, err := r.w.Write(r.buf); err == nil {
+	if r.write(r.buf) == nil {
 		_ = r.controller.Flush()
 	}
 	r.buf = r.buf[:0]
 }
 
+// write writes p to the caller, each part within the write timeout.
+func (r *runner) write(p []byte) error {
+	for part := range slices.Chunk(p, writeBytes) {
+		r.extendWriteDeadline()
+		if _, err := r.w.Write(part); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
 // extendWriteDeadline starts the time limit for writes to the caller anew.
 func (r *runner) extendWriteDeadline() {
 	_ = r.controller.SetWriteDeadline(r.f.clk.Now().Add(config.Seconds(r.f.limits.WriteSeconds)))
@@ -99,8 +110,7 @@
 		r.startStream()
 	}
 	r.buf = append(r.buf, "data: [DONE]\n\n"...)
-	r.extendWriteDeadline() // the upstream may have paused since the last chunk
-	_, _ = r.w.Write(r.buf) // net/http flushes when the handler returns
+	_ = r.write(r.buf) // net/http flushes when the handler returns
 	r.log.WithFields(logrus.Fields{
 		"event": "requestDone", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream, "chunks": r.machine.NextOffset(),
 		"elapsed": r.f.clk.Now().Sub(r.job.acceptedAt),
@@ -124,12 +134,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
 	r.w.WriteHeader(a.Status)
-	for part := range slices.Chunk(a.Body, answerPartBytes) {
-		r.extendWriteDeadline()
-		if _, err := r.w.Write(part); err != nil {
-			break
-		}
-	}
+	_ = r.write(a.Body)
 	r.log.WithFields(logrus.Fields{
 		"event": "requestDone", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream, "status": a.Status,
 		"elapsed": r.f.clk.Now().Sub(r.job.acceptedAt),
--- a/internal/testlib/parts.go
+++ b/internal/testlib/parts.go
@@ -78,3 +78,27 @@
 		t.Errorf("status %d, closes the connection: %t; %v", resp.StatusCode, resp.Close, err)
 	}
 }
+
+// ReadSlowly sends a request and reads the bytes of its response steadily, size of them in the
+// given time and the rest at the same pace. It returns how many arrived.
+func ReadSlowly(t testing.TB, addr, request string, size int, d time.Duration) int {
+	t.Helper()
+	const pieces = 64
+	conn, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(32 << 10) // fails only on a closed connection
+	_ = conn.SetDeadline(time.Now().Add(d + 20*time.Second))
+	_, _ = io.WriteString(conn, request)
+	b := make([]byte, size/pieces)
+	for total := 0; ; {
+		n, err := io.ReadFull(conn, b)
+		total += n
+		if err != nil {
+			return total
+		}
+		time.Sleep(d / pieces)
+	}
+}
