--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -2,6 +2,9 @@
 // request. The Shutdown method of net/http treats a connection as idle until a
 // request header has been parsed: a request whose bytes have been read by then is
 // still served, but its connection is closed before the response is written.
+//
+// It also limits how long a connection may wait for a request and a header may take, and
+// answers a header that comes late, which net/http doesn't.
 package closer
 
 import (
