--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
@@ -96,7 +95,7 @@
 // accepting connections, and returns when every accepted request has its
 // response.
 func (f *Front) Run(ctx context.Context) error {
-	conns := closer.New(f.clk)
+	conns := closer.New(f.clk).WithLimits(closer.Limits{Bounds: f.bounds, Unread: f.headerUnread})
 	routes := f.recoverer(f.routes())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conns.Closing() {
@@ -104,10 +103,7 @@
 		}
 		routes.ServeHTTP(w, r)
 	})
-	srv := &http.Server{
-		ConnState: conns.ConnState, Handler: handler, ReadHeaderTimeout: config.Seconds(f.limits.HeaderSeconds),
-		MaxHeaderBytes: f.limits.HeaderBytes, IdleTimeout: time.Minute,
-	}
+	srv := &http.Server{ConnState: conns.ConnState, Handler: handler, MaxHeaderBytes: f.limits.HeaderBytes}
 	g, serveCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	g.Go(func() error {
 		if err := srv.Serve(conns.Wrap(f.listener)); !conns.Closing() {
@@ -161,7 +157,7 @@
 	mux.HandleFunc("PUT /v1/declaration", f.requireOperator(f.submit))
 	mux.Handle("GET /metrics", f.requireOperator(f.meter.Handler().ServeHTTP))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		f.refuse(w, uuid.NewString(), failure.UnknownRoute, "no such path: "+r.URL.Path)
+		f.refuseUnread(w, r, failure.UnknownRoute, "no such path: "+r.URL.Path)
 	})
 	return mux
 }
@@ -169,7 +165,8 @@
 // handleCall serves a completion request or a service call.
 func (f *Front) handleCall(w http.ResponseWriter, r *http.Request) {
 	if err := f.members.AwaitPeers(r.Context()); err != nil {
-		panic(http.ErrAbortHandler) // the caller is gone; a return would answer 200
+		f.refuseUnread(w, r, failure.CallerGone, failureMessage(failure.CallerGone)) // it may have closed its sending side only
+		return
 	}
 	f.awaitConfig(r.Context())
 	j, err := f.receive(w, r)
@@ -186,9 +183,9 @@
 	}
 	call := f.newRunner(w, r, j)
 	call.serve()
-	if call.callerGone {
-		// A return would answer 200, or end a stream as if it were complete. A caller that has
-		// closed its sending side only would take that for the upstream's response.
+	if call.cut {
+		// A return would end the stream as if it were complete. A caller that has closed its
+		// sending side only would take that for the upstream's response.
 		panic(http.ErrAbortHandler)
 	}
 }
