--- a/internal/front/recoverer.go
+++ b/internal/front/recoverer.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburnnotch/auburnnotch/internal/discarder"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 )
 
@@ -50,7 +51,14 @@
 			if w.started {
 				panic(http.ErrAbortHandler)
 			}
-			f.refuse(w, id, failure.Internal, "internal error; whether the request has run is unknown")
+			const msg = "internal error; whether the request has run is unknown"
+			if r.ContentLength == 0 {
+				f.refuse(w, id, failure.Internal, msg)
+				return
+			}
+			w.Header().Set("Connection", "close")
+			f.refuse(w, id, failure.Internal, msg)
+			discarder.New(f.clk).ReadLong(w, r) // the body may not have been read to its end
 		}()
 		next.ServeHTTP(w, r)
 		if !w.started { // the server would answer 200
--- a/internal/front/recoverer_test.go
+++ b/internal/front/recoverer_test.go
@@ -1,15 +1,19 @@
 package front
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/auburnnotch/auburnnotch/internal/meter"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
 )
 
 // Guards against LOST: a panic while a request was handled closed the caller's
@@ -70,3 +74,17 @@
 		t.Errorf("log lines: %v", e)
 	}
 }
+
+// Guards against requests without an answer: that to a request whose handler panicked was lost
+// since the connection was reset while its caller sent the body.
+func TestPanicBesideLongBodyIsAnswered(t *testing.T) {
+	const pieces, pieceBytes = 64, 128 << 10
+	log, _ := logtest.NewNullLogger()
+	metrics := meter.New()
+	defer metrics.Close()
+	f := &Front{clk: systemclock.New(), log: log, meter: metrics}
+	server := httptest.NewServer(f.recoverer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("broken handler") })))
+	defer server.Close()
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", pieces*pieceBytes)
+	testlib.SendBody(t, server.Listener.Addr().String(), head, pieces, pieceBytes, 20*time.Millisecond, http.StatusInternalServerError)
+}
