fix(closer): line ends without a request are bounded like a header

What callers saw: nothing yet; a node could be made to end for lack of memory, and with it every request in flight.

Cause: the size of a header is limited by the tracked connection alone since the configuration's limits are in force. It counted only from the first byte that is no line end, while net/http keeps a line until its end: one connection could send 2 GB of carriage returns within the idle limit (MaxHeaderBytes is 2 GB).

More than the four line ends that net/http skips now begin a header, with its limits.

TestEndlessLineEndsAreRefused failed before, on a new connection and after a request (1 MB accepted, no refusal, one run).

--- a/internal/closer/conn.go
+++ b/internal/closer/conn.go
@@ -28,7 +28,7 @@
 	mu     sync.Mutex
 	phase  phase
 	since  time.Time // when the phase began
-	read   int       // bytes read in the phase header
+	read   int       // bytes read in the phases idle and header
 	closed bool      // by closeIdle; later bytes are discarded
 }
 
@@ -68,11 +68,11 @@
 		if k.closed {
 			return 0, io.EOF
 		}
+		k.read += n
 		// Some callers send an empty line after a body.
-		if k.phase == idle && len(bytes.Trim(p[:n], "\r\n")) > 0 {
-			k.phase, k.since, k.read = header, k.closer.clk.Now(), 0
+		if k.phase == idle && (len(bytes.Trim(p[:n], "\r\n")) > 0 || k.read > emptyLineBytes) {
+			k.phase, k.since, k.read = header, k.closer.clk.Now(), n
 		}
-		k.read += n
 	}
 	return n, err
 }
--- a/internal/closer/limits.go
+++ b/internal/closer/limits.go
@@ -12,6 +12,8 @@
 const (
 	// headerSlack is what may be read beyond a header in one piece.
 	headerSlack = 4 << 10
+	// emptyLineBytes is how many line ends the server skips before a request.
+	emptyLineBytes = 4
 	// arrivedTimeout bounds the reading of bytes that have arrived.
 	arrivedTimeout = time.Millisecond
 	// lingerTimeout bounds the sending of a refusal and what is read after it.
--- a/internal/closer/limits_test.go
+++ b/internal/closer/limits_test.go
@@ -209,3 +209,39 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+// Guards against memory that one caller fills without a limit: what consists of line ends
+// began no header, and the server keeps a line until its end.
+func TestEndlessLineEndsAreRefused(t *testing.T) {
+	const long = 10 * time.Second
+	for _, begin := range []string{"", "POST / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		s := newLimited(t, closer.Bounds{Idle: long, Header: long, HeaderBytes: 1000}, unwrapped)
+		conn, err := net.Dial("tcp4", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		if begin != "" {
+			_, _ = io.WriteString(conn, begin)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+		}
+		for range 64 {
+			if _, err := io.WriteString(conn, strings.Repeat("\r", 16<<10)); err != nil {
+				break // refused
+			}
+		}
+		select {
+		case err := <-s.unread:
+			if err != closer.ErrHeaderTooLong {
+				t.Errorf("error %v", err)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("1 MB of line ends after %q was accepted", begin)
+		}
+	}
+}
