fix(discarder): the refusal of a body that comes slowly reaches its caller

What callers saw: a request that is refused for its header (a route or key that a change of the configuration has taken away) and whose body is sent slowly lost its connection 0.7 to 1.3 s after its beginning, with at most 64 KB of body or any body in chunks. A caller that sends its body to the end before it reads lost the refusal with it.

Cause: reads such a body on for a minute, but a read of a body that passes its deadline, as the one of 500 ms before the refusal does, makes net/http end the request's context, and the reading after the refusal ended with that. Reading a body until the time limit of its request did the same. A reader of chunks also keeps the error.

Where the body can't be read any more, the bytes of the connection are.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -105,11 +106,21 @@
 
 type connKey struct{}
 
-// ConnContext must be set as the server's ConnContext hook if ResetOnClose is used.
+// ConnContext must be set as the server's ConnContext hook if ResetOnClose or Connection is used.
 func (c *Closer) ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, tracked(nc))
 }
 
+// Connection returns the tracked connection of a request, whose context is given, nil if there
+// is none. Once the body of the request can't be read any more, its handler may read the
+// bytes that follow from there.
+func Connection(ctx context.Context) io.Reader {
+	if k, _ := ctx.Value(connKey{}).(*conn); k != nil {
+		return k
+	}
+	return nil
+}
+
 // ResetOnClose makes the end of the connection of a request, whose context is given, a
 // reset, so that it isn't taken for the end of a response. Bytes that the caller hasn't
 // received by then may be lost.
--- a/internal/discarder/discarder.go
+++ b/internal/discarder/discarder.go
@@ -6,8 +6,12 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/internal/closer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 )
 
@@ -22,7 +26,9 @@
 	bufferBytes  = 16 << 10
 )
 
-// Discarder reads the rest of request bodies. It is safe for concurrent use.
+// Discarder reads the rest of request bodies until a context ends, which must not be that of the
+// request: net/http ends it as soon as a read of the body passes its deadline. It is safe for
+// concurrent use.
 type Discarder struct{ clk clock.Clock }
 
 // New returns a Discarder.
@@ -30,7 +36,7 @@
 
 // ReadShort is called before a refusal. It reads the rest of a short body and reports whether
 // the body has ended; otherwise the connection must be closed after the refusal.
-func (d Discarder) ReadShort(w http.ResponseWriter, r *http.Request) bool {
+func (d Discarder) ReadShort(ctx context.Context, w http.ResponseWriter, r *http.Request) bool {
 	if r.ContentLength > shortBytes {
 		return false
 	}
@@ -38,7 +44,7 @@
 	if rc.SetReadDeadline(d.clk.Now().Add(shortTimeout)) != nil {
 		return false
 	}
-	stop := stopReading(rc, r)
+	stop := stopReading(ctx, rc)
 	defer stop()
 	if _, err := io.CopyN(io.Discard, r.Body, shortBytes+1); err != io.EOF {
 		return false
@@ -49,30 +55,37 @@
 // ReadLong sends a refusal that was written and announced the end of the connection. Then it
 // reads the rest of the body, whatever its size: callers that send a body to its end before
 // they read would lose the refusal.
-func (d Discarder) ReadLong(w http.ResponseWriter, r *http.Request) {
+func (d Discarder) ReadLong(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
 	if rc.Flush() != nil {
 		return
 	}
-	stop := stopReading(rc, r)
+	stop := stopReading(ctx, rc)
 	defer stop()
 	end := d.clk.Now().Add(longTimeout)
 	b := make([]byte, bufferBytes)
+	var rest io.Reader = r.Body
 	for {
 		due := d.clk.Now().Add(pauseTimeout)
 		if due.After(end) {
 			due = end
 		}
-		if rc.SetReadDeadline(due) != nil || r.Context().Err() != nil {
+		if rc.SetReadDeadline(due) != nil || ctx.Err() != nil {
 			return
 		}
-		if _, err := r.Body.Read(b); err != nil {
+		_, err := rest.Read(b)
+		if err == nil {
+			continue
+		}
+		conn := closer.Connection(r.Context())
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !d.clk.Now().Before(due) || rest == conn || conn == nil || ctx.Err() != nil {
 			return // the connection is closed in any case
 		}
+		rest = conn // a reader of chunks keeps the error of the reading before the refusal
 	}
 }
 
-// stopReading ends the reading of a body once the context of its request is done.
-func stopReading(rc *http.ResponseController, r *http.Request) (stop func() bool) {
-	return context.AfterFunc(r.Context(), func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) }) // fails only if the connection is closed
+// stopReading ends the reading of a body once ctx is done.
+func stopReading(ctx context.Context, rc *http.ResponseController) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) }) // fails only if the connection is closed
 }
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -55,13 +56,13 @@
 
 // refuseUnread refuses a request whose body may not have been read to its end.
 func (f *Front) refuseUnread(w http.ResponseWriter, r *http.Request, k failure.Kind, msg string) {
-	d := discarder.New(f.clk)
+	d, ctx := discarder.New(f.clk), context.WithoutCancel(r.Context())
 	broken := k == failure.BadRequest || k == failure.RequestTimeout // net/http then reports an end that isn't there
-	if r.ContentLength == 0 || !broken && d.ReadShort(w, r) {
+	if r.ContentLength == 0 || !broken && d.ReadShort(ctx, w, r) {
 		f.refuse(w, uuid.NewString(), k, msg)
 		return
 	}
 	w.Header().Set("Connection", "close")
 	f.refuse(w, uuid.NewString(), k, msg)
-	d.ReadLong(w, r)
+	d.ReadLong(ctx, w, r)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -100,7 +100,7 @@
 		}
 		routes.ServeHTTP(w, r)
 	})
-	srv := &http.Server{ConnState: conns.ConnState, Handler: handler, MaxHeaderBytes: f.limits.HeaderBytes}
+	srv := &http.Server{ConnState: conns.ConnState, ConnContext: conns.ConnContext, Handler: handler, MaxHeaderBytes: f.limits.HeaderBytes}
 	g, serveCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	g.Go(func() error {
 		if err := srv.Serve(conns.Wrap(f.listener)); !conns.Closing() {
--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -62,3 +62,19 @@
 		})
 	}
 }
+
+// Guards against requests without an answer: a body that was sent too slowly to be read before
+// its refusal wasn't read after it either.
+func TestRefusalArrivesAfterSlowBody(t *testing.T) {
+	const pieces, pieceBytes = 30, 1 << 10
+	for name, head := range map[string]string{
+		"length": post("/v2/x", fmt.Sprintf("Content-Length: %d", pieces*pieceBytes)),
+		"chunks": post("/v2/x", "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n", pieces*pieceBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, config.Limits{BodyBytes: 1 << 20}, answer)
+			testlib.SendBody(t, f.addr, head, pieces, pieceBytes, 100*time.Millisecond, http.StatusNotFound)
+		})
+	}
+}
