fix(closer): bytes that arrived during a suspension are read on a busy machine too

What callers saw: after a suspension of the process a whole request could still be closed without a response, or answered 408, though it had been sent in time.

Cause: what arrived meanwhile was read with a deadline 1 ms ahead. When all connections of a node wake at once, more than that passes between the setting of the deadline and the read, which then fails without looking for bytes.

The deadline is 100 ms ahead. It only delays the end of a connection that is closed or refused in any case.

TestCallersWithinLimitsAreAnswered now delays the read after the suspension by 20 ms, beside what it did: both suspensions failed before (connection reset; 408; one run). After: ok, with all of internal/closer. Not shown: that it happened outside a test.

--- a/internal/closer/limits.go
+++ b/internal/closer/limits.go
@@ -14,8 +14,8 @@
 	headerSlack = 4 << 10
 	// emptyLineBytes is how many line ends the server skips before a request.
 	emptyLineBytes = 4
-	// arrivedTimeout bounds the reading of bytes that have arrived.
-	arrivedTimeout = time.Millisecond
+	// arrivedTimeout bounds the reading of bytes that have arrived, on a busy machine.
+	arrivedTimeout = 100 * time.Millisecond
 	// lingerTimeout bounds the sending of a refusal and what is read after it.
 	lingerTimeout = 500 * time.Millisecond
 )
--- a/internal/closer/limits_test.go
+++ b/internal/closer/limits_test.go
@@ -55,7 +55,8 @@
 
 func unwrapped(l net.Listener) net.Listener { return l }
 
-// stallingListener delays the nth read of each connection, as a suspension of the process does.
+// stallingListener delays the nth read of each connection, as a suspension of the process does,
+// and the next one for a while, as a busy machine does.
 type stallingListener struct {
 	net.Listener
 	nth int32
@@ -73,8 +74,11 @@
 }
 
 func (c *stallingConn) Read(p []byte) (int, error) {
-	if c.reads.Add(1) == c.nth {
+	switch c.reads.Add(1) {
+	case c.nth:
 		time.Sleep(300 * time.Millisecond)
+	case c.nth + 1:
+		time.Sleep(20 * time.Millisecond)
 	}
 	return c.Conn.Read(p)
 }
