fix(front): a refusal is complete before the rest of its body has been read

What callers saw: a caller on `serve` that reads the refusal of a long body while the body isn't sent to its end got the end of the refusal only when its node had given up the body: after a pause of 5 s, and since after up to a minute of a body that trickles.

Cause: the refusal has no length, so that its last chunk, or the end of the connection for HTTP/1.0, is sent when the handler returns, and the handler reads on.

--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -71,8 +71,10 @@
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
 	}
+	body := encodeError(id, k, msg)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body))) // it is complete before the handler returns, which may read on
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(encodeError(id, k, msg))
+	_, _ = w.Write(body)
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -78,3 +78,20 @@
 		})
 	}
 }
+
+// Guards against a refusal whose end comes only once the rest of the body has been read, for up
+// to a minute.
+func TestRefusalIsCompleteBeforeBodyEnds(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		f := newFixture(t, config.Limits{}, answer)
+		head := strings.Replace(post("/v2/x", "Content-Length: 1000000"), "HTTP/1.1", proto, 1)
+		begun := time.Now()
+		resp, body := testlib.SendParts(t, f.addr, 0, head)
+		if resp == nil || resp.StatusCode != http.StatusNotFound || !resp.Close || !strings.Contains(body, `"kind":"unknownRoute"`) {
+			t.Errorf("%s: response %v, %q", proto, resp, body)
+		}
+		if d := time.Since(begun); d > 3*time.Second {
+			t.Errorf("%s: the refusal took %v", proto, d)
+		}
+	}
+}
