--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -62,3 +62,36 @@
 		})
 	}
 }
+
+// Guards against requests without an answer: a body that was sent too slowly to be read before
+// its refusal wasn't read after it either.
+func TestRefusalArrivesAfterSlowBody(t *testing.T) {
+	const pieces, pieceBytes = 30, 1 << 10
+	for name, head := range map[string]string{
+		"length": post("/v2/x", fmt.Sprintf("Content-Length: %d", pieces*pieceBytes)),
+		"chunks": post("/v2/x", "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n", pieces*pieceBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, config.Limits{BodyBytes: 1 << 20}, answer)
+			testlib.SendBody(t, f.addr, head, pieces, pieceBytes, 100*time.Millisecond, http.StatusNotFound)
+		})
+	}
+}
+
+// Guards against a refusal whose end comes only once the rest of the body has been read, for up
+// to a minute.
+func TestRefusalIsCompleteBeforeBodyEnds(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		f := newFixture(t, config.Limits{}, answer)
+		head := strings.Replace(post("/v2/x", "Content-Length: 1000000"), "HTTP/1.1", proto, 1)
+		begun := time.Now()
+		resp, body := testlib.SendParts(t, f.addr, 0, head)
+		if resp == nil || resp.StatusCode != http.StatusNotFound || !resp.Close || !strings.Contains(body, `"kind":"unknownRoute"`) {
+			t.Errorf("%s: response %v, %q", proto, resp, body)
+		}
+		if d := time.Since(begun); d > 3*time.Second {
+			t.Errorf("%s: the refusal took %v", proto, d)
+		}
+	}
+}
--- a/internal/front/recoverer.go
+++ b/internal/front/recoverer.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"runtime/debug"
 
@@ -58,7 +59,7 @@
 			}
 			w.Header().Set("Connection", "close")
 			f.refuse(w, id, failure.Internal, msg)
-			discarder.New(f.clk).ReadLong(w, r) // the body may not have been read to its end
+			discarder.New(f.clk).ReadLong(context.WithoutCancel(r.Context()), w, r) // the body may not have been read to its end
 		}()
 		next.ServeHTTP(w, r)
 		if !w.started { // the server would answer 200
