feat(orderer): a leader that stops tells when the last order was sent

The release now also writes auburnnotch/issuer-last, in one transaction with the leader record: how long ago the last order had arrived, and which machine sent it. The next leader takes both records on condition that neither has changed.

- A late or repeated release: more time has passed than it tells; void for a later office.
- Clocks: only durations are written, measured by boot clocks.
- An order without a response: tells that orders may still arrive; the full gap applies.
- A leader without orders of its own passes on what it knows.
- A leader of the release before writes the key when it takes the leadership and not when it releases it, so that no older handover can be taken for its own.
While a node is registered that doesn't write the key at all, it isn't read.
- Lost lease, killed leader: as before.

The test fleet's nodes now name their machine; no check was changed.

--- /dev/null
+++ b/internal/orderer/handover.go
@@ -0,0 +1,68 @@
+package orderer
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/auburnnotch/auburnnotch/internal/packer"
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/pkg/successor"
+)
+
+// handover is the value of lastHolderKey once a leader has released the leadership. While it
+// leads, and where its release doesn't write this, the value is that of holderValue, so that a
+// leader of an earlier release leaves none. New fields are added at the end.
+type handover struct {
+	Lease uint64
+	// SinceArrivalMS and Machine are what successor.History tells.
+	SinceArrivalMS int64
+	Machine        string
+}
+
+// minSinceArrivalMS and maxSinceArrivalMS bound the times that are taken from a record.
+const (
+	minSinceArrivalMS = -math.MaxInt32
+	maxSinceArrivalMS = math.MaxInt32
+)
+
+// EncodeHandover encodes what the leader under a lease tells of the orders so far at now.
+func EncodeHandover(lease uint64, h successor.History, now time.Duration) ([]byte, error) {
+	since, machine := h.Tell(now)
+	// A millisecond less makes the last order later, wherever the division rounds to.
+	return packer.Pack(handover{Lease: lease, SinceArrivalMS: (since - time.Millisecond).Milliseconds(), Machine: machine})
+}
+
+// DecodeHandover decodes what a leader told by seenAt, a boot time.
+func DecodeHandover(value []byte, seenAt time.Duration) (successor.History, error) {
+	var r handover
+	if err := packer.New(value).Unpack(&r); err != nil {
+		return successor.History{}, errors.Annotate(err, "decode the handover")
+	}
+	if r.Lease == 0 {
+		return successor.History{}, errors.NotValidf("handover without lease")
+	}
+	since := min(max(r.SinceArrivalMS, minSinceArrivalMS), maxSinceArrivalMS)
+	return successor.Told(seenAt, time.Duration(since)*time.Millisecond, r.Machine), nil
+}
+
+// readHandover returns what the leader that has released the leadership told by seenAt, and at
+// which revision. Any later leader writes the same key, unless allWriteHolder is false.
+func (o *Orderer) readHandover(ctx context.Context, seenAt time.Duration) (h successor.History, revision uint64, ok bool) {
+	if !allWriteHolder(o.obs.Snapshot().Roster) {
+		return h, 0, false
+	}
+	p, err := o.store.Range(ctx, platform.LineOrders, lastHolderKey, "", false)
+	if err != nil {
+		return h, 0, false
+	}
+	for _, it := range p.Items {
+		if it.Key == lastHolderKey {
+			h, err = DecodeHandover(it.Value, seenAt)
+			return h, it.Revision, err == nil
+		}
+	}
+	return h, 0, false
+}
--- /dev/null
+++ b/internal/orderer/handover_test.go
@@ -0,0 +1,204 @@
+package orderer_test
+
+import (
+	"context"
+	"math"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/orderer"
+	"github.com/auburnnotch/auburnnotch/internal/packer"
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/successor"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// takeover bounds the time from the release of the leadership to the first order of the next
+// leader, where no order of the last one can be on its way: it learns of the release, campaigns,
+// and drains an engine.
+const takeover = 2 * time.Second
+
+// register adds nodes to the roster, so that they campaign by their rank.
+func (f *fleet) register(names ...string) {
+	for _, name := range names {
+		f.store.Set("node/"+name, strconv.Itoa(traffic.CurrentProtocol))
+	}
+}
+
+// untilLeads waits until a node is the leader.
+func (f *fleet) untilLeads(name string) {
+	f.t.Helper()
+	f.until(name+" to lead", func() bool { it, _ := f.store.Item(orderer.LeaderKey); return string(it.Value) == name })
+}
+
+func (f *fleet) lastOrder() receivedOrder {
+	l := f.ups.list()
+	return l[len(l)-1]
+}
+
+// checkGaps fails the test if two nodes sent orders within the handover gap, or with tokens that
+// don't rise.
+func (f *fleet) checkGaps() {
+	f.t.Helper()
+	l := f.ups.list()
+	for i := 1; i < len(l); i++ {
+		if d := l[i].at.Sub(l[i-1].at); l[i].leader != l[i-1].leader && d < f.gap {
+			f.t.Errorf("%s sent an order %v after %s", l[i].leader, d, l[i-1].leader)
+		}
+		if l[i].token < l[i-1].token {
+			f.t.Errorf("fencing token went from %d to %d", l[i-1].token, l[i].token)
+		}
+	}
+}
+
+// Guards against a roll-out that begins only after the handover gap, although the last leader had
+// sent its last order long before it stopped, or none.
+func TestReleasedOfficeNeedsNoGapAfterOldOrders(t *testing.T) {
+	for name, orders := range map[string]int{"orders long ago": 12, "no orders": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			if orders == 0 {
+				f.store.Set("weights", "1")
+			}
+			f.register("a", "b")
+			_, stop := f.start("a")
+			f.untilLeads("a")
+			f.until("the orders of a", func() bool { return len(f.ups.list()) >= orders })
+			f.start("b")
+			f.pass(2 * gap)
+			f.store.Set("weights", "3")
+			stop()
+			released := f.clk.Now()
+			f.until("an order of b", func() bool { l := f.ups.list(); return len(l) > 0 && l[len(l)-1].leader == "b" })
+			if d := f.clk.Now().Sub(released); d > takeover {
+				t.Errorf("first order %v after the release, want at most %v", d, takeover)
+			}
+			f.checkGaps()
+		})
+	}
+}
+
+// Guards against a handover gap that counts from the taking of the leadership instead of from the
+// last order, and against one that is forgotten by a leader without orders in between.
+func TestHandoverGapCountsFromLastOrder(t *testing.T) {
+	for name, between := range map[string]bool{"next leader": false, "leader without orders in between": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.register("a", "b", "c")
+			_, stopA := f.start("a")
+			f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+			last := f.lastOrder()
+			f.store.Set("weights", "3")
+			stopA()
+			if between {
+				_, stopB := f.start("b")
+				f.untilLeads("b")
+				stopB()
+			}
+			f.start("c")
+			f.until("an order of c", func() bool { return f.lastOrder().leader == "c" })
+			if d := f.clk.Now().Sub(last.at); d > f.gap+time.Second {
+				t.Errorf("first order of c %v after the last one of a, want at most %v", d, f.gap+time.Second)
+			}
+			f.checkGaps()
+		})
+	}
+}
+
+// Guards against an order that has no response and is carried out after those of the next leader.
+func TestOrderWithoutResponseNeedsHandoverGap(t *testing.T) {
+	f := newFleet(t)
+	f.register("a", "b")
+	_, stop := f.start("a")
+	f.ups.setSilent(true)
+	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+	f.ups.setSilent(false)
+	f.pass(8 * time.Second)
+	f.store.Set("weights", "3")
+	stop()
+	released := f.clk.Now()
+	f.start("b")
+	f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
+	if d := f.lastOrder().at.Sub(released); d < f.gap+orderFlight {
+		t.Errorf("first order of b %v after the release, want at least %v", d, f.gap+orderFlight)
+	}
+}
+
+// releaseBefore is the way to the store of a node of the release before, which tells nothing of its
+// orders.
+type releaseBefore struct{ platform.Store }
+
+func (r releaseBefore) Commit(ctx context.Context, l platform.Line, t platform.Txn) (uint64, error) {
+	if len(t.Put) > 0 && t.Put[0].Key == orderer.LeaderKey && len(t.Put[0].Value) == 0 {
+		t.Put = slices.Clone(t.Put[:1])
+	}
+	return r.Store.Commit(ctx, l, t)
+}
+
+// Guards against a next leader that takes what a leader before the last one told of its orders for
+// what the last one told.
+func TestLeaderOfReleaseBeforeNeedsHandoverGap(t *testing.T) {
+	f := newFleet(t)
+	f.register("a", "b", "c")
+	_, stopA := f.start("a")
+	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+	f.pass(8 * time.Second)
+	stopA()
+	_, stopB := f.startWith("b", releaseBefore{f.store})
+	f.next("3")
+	f.until("the orders of b", func() bool { return len(f.ups.list()) >= 24 })
+	f.store.Set("weights", "4")
+	stopB()
+	f.start("c")
+	f.until("an order of c", func() bool { return f.lastOrder().leader == "c" })
+	f.checkGaps()
+}
+
+// Guards against a record that a later release can't read, or takes for a later time of orders.
+func TestHandoverRecord(t *testing.T) {
+	const now = time.Hour
+	for name, c := range map[string]struct {
+		history   successor.History
+		same, gap time.Duration // until the first order of the same machine, and of another one
+	}{
+		"protocol-4-handover":              {successor.New(0).WithOrder("n@10.0.0.1:7340", now-1500*time.Millisecond, true), 0, 1501 * time.Millisecond},
+		"protocol-4-handover-early":        {successor.New(now + 700*time.Millisecond), 3701 * time.Millisecond, 3701 * time.Millisecond},
+		"protocol-4-handover-no-responses": {successor.New(0).WithOrder("n@10.0.0.1:7340", now-time.Second, false), 3801 * time.Millisecond, 3801 * time.Millisecond},
+	} {
+		b, err := orderer.EncodeHandover(1234, c.history, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h, err := orderer.DecodeHandover(testlib.Golden(t, name, b), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := max(0, h.FirstOrder(0, "n@10.0.0.1:7340", gap)); got != c.same {
+			t.Errorf("%s: the same machine waits for %v, want %v", name, got, c.same)
+		}
+		if got := h.FirstOrder(0, "n@10.0.0.2:7340", gap); got != c.gap {
+			t.Errorf("%s: another machine waits for %v, want %v", name, got, c.gap)
+		}
+	}
+}
+
+// Guards against a value that no leader wrote on release, and that ends the handover gap.
+func TestOddHandoverRecords(t *testing.T) {
+	for _, value := range []string{"", "1234", "7", "\xc0", "\x80", "\x90", "\x91\x00", "\x91\xa1x", "\x93\xcd\x04\xd2", "null", "\xdf\xff\xff\xff\xff"} {
+		if h, err := orderer.DecodeHandover([]byte(value), 0); err == nil {
+			t.Errorf("%q: decoded as %+v", value, h)
+		}
+	}
+	b, err := packer.Pack([]any{uint64(1), int64(math.MaxInt64), "n", "a field of a later release"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h, err := orderer.DecodeHandover(b, 0); err != nil || h.FirstOrder(0, "n", gap) > 0 || h.FirstOrder(0, "b", gap) > 0 {
+		t.Errorf("decoded as %+v, %v, want an order long ago", h, err)
+	}
+}
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -13,6 +13,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
+	"github.com/auburnnotch/auburnnotch/pkg/successor"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -20,15 +21,42 @@
 // stays when the record expires. If it hasn't changed since, no other node has been the leader.
 const lastHolderKey = LeaderKey + "-last"
 
-// release clears the leader record, so that the next leader needn't wait for
-// the lease to expire.
+// vacancy is a leader record that was cleared, zero if there is none.
+type vacancy struct {
+	revision uint64
+	seenAt   time.Duration // boot time by which this node had seen it
+}
+
+// next returns the vacancy in a newer snapshot, of which l is the leader record.
+func (v vacancy) next(l *traffic.Leader, now time.Duration) vacancy {
+	switch {
+	case l == nil || l.Node != "":
+		return vacancy{}
+	case l.Revision == v.revision:
+		return v
+	}
+	return vacancy{revision: l.Revision, seenAt: now}
+}
+
+// release clears the leader record, so that the next leader needn't wait for the lease to
+// expire, and tells when the last order was sent. No order may be in progress.
 func (o *Orderer) release(ctx context.Context, token uint64) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	_, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
-		Expect: []platform.Expectation{{Key: LeaderKey, Revision: token}}, Put: []platform.Put{{Key: LeaderKey}},
+	o.mu.Lock()
+	lease, history := o.lease, o.history
+	o.mu.Unlock()
+	now := o.boot.Elapsed()
+	since, machine := history.Tell(now)
+	value, err := EncodeHandover(lease, history, now)
+	if err == nil {
+		_, err = o.store.Commit(ctx, platform.LineOrders, platform.Txn{
+			Expect: []platform.Expectation{{Key: LeaderKey, Revision: token}}, Put: []platform.Put{{Key: LeaderKey}, {Key: lastHolderKey, Value: value}},
+		})
+	}
+	e := o.log.WithFields(logrus.Fields{
+		"event": "officeReleased", "fence": token, "sinceLastOrderMs": since.Milliseconds(), "lastOrderBy": machine,
 	})
-	e := o.log.WithFields(logrus.Fields{"event": "officeReleased", "fence": token})
 	if err != nil {
 		e = e.WithError(err) // the record expires with its lease
 	}
@@ -38,16 +66,18 @@
 // lead renews the lease while this node is the leader, and campaigns otherwise.
 func (o *Orderer) lead(ctx context.Context) error {
 	var vacantSince time.Time // when a snapshot first had no leader, zero if the last one has
+	var released vacancy      // in the last snapshot
 	for ctx.Err() == nil {
 		if o.isLeader() {
 			o.goOn(ctx)
 			continue
 		}
 		snapshot := o.obs.Snapshot()
+		released = released.next(snapshot.Leader, o.boot.Elapsed())
 		switch {
 		case o.campaignStopped.Load():
 		case o.mayRetake(snapshot):
-			o.campaign(ctx, nil)
+			o.campaign(ctx, vacancy{})
 		case !snapshot.Loaded || snapshot.Leader != nil && snapshot.Leader.Node != "":
 			vacantSince = time.Time{}
 		case vacantSince.IsZero():
@@ -57,7 +87,7 @@
 			clock.Sleep(ctx, o.clk, campaignCheckInterval)
 			continue
 		default:
-			if !o.campaign(ctx, snapshot.Leader) {
+			if !o.campaign(ctx, released) {
 				clock.Sleep(ctx, o.clk, lostCampaignDelay)
 			}
 		}
@@ -146,12 +176,13 @@
 
 // campaign writes the leader record under a new lease. If the response is lost,
 // the campaign counts as failed, since the record expires with its lease.
-// released is the record that a former leader has cleared, nil if there is
+// released is the record that a former leader has cleared, zero if there is
 // none. The result is false if another node has won.
 //
 // If this node was the last leader, the write is on condition that it still is. Then there is
-// no handover, and the first order only waits until those of the last office have arrived.
-func (o *Orderer) campaign(ctx context.Context, released *traffic.Leader) bool {
+// no handover, and the first order only waits until those of the last office have arrived. If the
+// last leader told of its orders, the write is on condition that no other leader came after it.
+func (o *Orderer) campaign(ctx context.Context, released vacancy) bool {
 	sent := o.boot.Elapsed() // the lease runs from the arrival of the call, not from the response
 	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTTL)
 	if err != nil {
@@ -165,12 +196,18 @@
 	// The last leader's lease has expired, so its last renewal is at least
 	// leaseTTL ago. Its last order may have been on its way until maxRenewalAge
 	// and orderTimeout after that renewal.
-	delay := o.set.HandoverGap + maxRenewalAge + orderTimeout - leaseTTL
+	inFlight := maxRenewalAge + orderTimeout - leaseTTL
+	var history successor.History
+	told := false
 	if held != 0 {
 		expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: held})
-	} else if released != nil {
-		expect[0].Revision = released.Revision
-		delay = o.set.HandoverGap + orderTimeout
+	} else if released.revision != 0 {
+		expect[0].Revision = released.revision
+		inFlight = orderTimeout
+		var rev uint64
+		if history, rev, told = o.readHandover(ctx, released.seenAt); told {
+			expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: rev})
+		}
 	}
 	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 		// The revision that is returned is that of the last write.
@@ -188,14 +225,22 @@
 	o.mu.Lock()
 	o.lease, o.token, o.renewedAt = lease, rev, sent
 	o.suspended = false
+	now := o.boot.Elapsed()
 	if held != 0 {
 		o.ordersFrom = lastRenewedAt + maxRenewalAge + orderTimeout
 	} else {
-		o.ordersFrom = o.boot.Elapsed() + delay
+		if !told {
+			history = successor.New(now + inFlight)
+		}
+		o.history = history
+		o.ordersFrom = history.FirstOrder(now, o.set.Machine, o.set.HandoverGap)
 		o.roller.Reset()
 	}
+	wait := max(0, o.ordersFrom-now)
 	o.mu.Unlock()
-	o.log.WithFields(logrus.Fields{"event": "officeTaken", "fence": rev, "again": held != 0}).Info("became the leader; this node sends the orders")
+	o.log.WithFields(logrus.Fields{
+		"event": "officeTaken", "fence": rev, "again": held != 0, "told": told, "waitMs": wait.Milliseconds(),
+	}).Info("became the leader; this node sends the orders")
 	return true
 }
 
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roller"
+	"github.com/auburnnotch/auburnnotch/pkg/successor"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -95,6 +96,9 @@
 // Settings configure an Orderer.
 type Settings struct {
 	Node string
+	// Machine tells the machine of the node from others, also under the same name. It is empty
+	// if it isn't known.
+	Machine string
 	// HandoverGap is the time without orders between two leaders.
 	HandoverGap time.Duration
 }
@@ -118,6 +122,7 @@
 	token      uint64        // 0 if this node isn't the leader
 	renewedAt  time.Duration // boot time at which the last confirmed renewal was sent
 	ordersFrom time.Duration // boot time from which on orders may be sent
+	history    successor.History
 	// holderRevision is the revision at which this node wrote lastHolderKey for its present
 	// or its last office, 0 if it isn't known or another node has held the office since.
 	holderRevision uint64
@@ -242,6 +247,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if token != 0 {
+		o.history = o.history.WithOrder(o.set.Machine, o.boot.Elapsed(), res != roller.Unanswered)
+	}
 	o.roller.RecordResult(o.clk.Now(), ord, res)
 }
 
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -37,6 +37,13 @@
 	mu       sync.Mutex
 	received []receivedOrder
 	done     map[string]int
+	silent   bool // no order gets a response
+}
+
+func (e *engines) setSilent(silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = silent
 }
 
 func (e *engines) Order(_ context.Context, order orderer.FencedOrder) (roller.Result, error) {
@@ -44,6 +51,9 @@
 	defer e.mu.Unlock()
 	e.received = append(e.received, receivedOrder{leader: order.Leader, token: order.FencingToken, at: e.clk.Now()})
 	e.done[order.Incarnation] = order.Version
+	if e.silent {
+		return roller.Unanswered, nil
+	}
 	return roller.Accepted, nil
 }
 
@@ -117,10 +127,16 @@
 }
 
 func (f *fleet) startWith(name string, st platform.Store) (*observer.Observer, func()) {
+	obs, _, stop := f.startOn(name+"'s machine", name, st)
+	return obs, stop
+}
+
+// startOn runs a node on a machine.
+func (f *fleet) startOn(machine, name string, st platform.Store) (*observer.Observer, *orderer.Orderer, func()) {
 	log, _ := logtest.NewNullLogger()
 	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
 	obs.SetListener(f.ups)
-	o := orderer.New(orderer.Settings{Node: name, HandoverGap: f.gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
+	o := orderer.New(orderer.Settings{Node: name, Machine: machine, HandoverGap: f.gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = obs.Run(ctx) })
@@ -128,7 +144,7 @@
 	var once sync.Once
 	stop := func() { once.Do(func() { cancel(); wg.Wait() }) }
 	f.t.Cleanup(stop)
-	return obs, stop
+	return obs, o, stop
 }
 
 // until advances the clock in steps of 20 ms until ok returns true, for at most
