feat(orderer): a leader that restarts needs no handover gap

The handover names the machine that sent the last order, by the node's name and peer address: a replacement under the same name is another machine, and a replaced address another one, too. Orders of one machine take no turns with each other. They wait until those with the lower fencing token have arrived; an order without a response keeps the whole gap.

Test: TestRestartedLeaderNeedsNoHandoverGap, red without the machine in the handover (below).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -133,7 +133,7 @@
 	obs.SetChangeSource(feeder.New(log, s.Name, state.roster, bcast, obs).Request)
 	obs.SetAnnouncer(bcast.Announce)
 	ord := orderer.New(orderer.Settings{
-		Node: s.Name, HandoverGap: config.Milliseconds(s.OrderGapMS),
+		Node: s.Name, Machine: s.Name + "@" + s.PeerListen, HandoverGap: config.Milliseconds(s.OrderGapMS),
 	}, clk, boot, log, st, obs, ups, state)
 	dir := newDirectory(self, obs, state, s.EntrySeconds)
 	in, err := ingress.New(ingress.Addresses{
--- a/internal/orderer/handover_test.go
+++ b/internal/orderer/handover_test.go
@@ -110,6 +110,32 @@
 	}
 }
 
+// Guards against a roll-out that stands still for the handover gap, although the leader that
+// restarts is the one that takes the leadership again; its replacement under the same name is another
+// machine.
+func TestRestartedLeaderNeedsNoHandoverGap(t *testing.T) {
+	for machine, most := range map[string]time.Duration{"first": takeover, "second": time.Minute} {
+		t.Run(machine, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.register("a")
+			_, _, stop := f.startOn("first", "a", f.store)
+			f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+			last := f.lastOrder()
+			stop()
+			f.startOn(machine, "a", f.store)
+			order := f.next("3")
+			d := order.at.Sub(last.at)
+			if d > most || machine != "first" && d < f.gap {
+				t.Errorf("first order after the restart %v after the last one before, want at most %v, and the gap on another machine", d, most)
+			}
+			if order.token <= last.token {
+				t.Errorf("fencing token went from %d to %d", last.token, order.token)
+			}
+		})
+	}
+}
+
 // Guards against an order that has no response and is carried out after those of the next leader.
 func TestOrderWithoutResponseNeedsHandoverGap(t *testing.T) {
 	f := newFleet(t)
