feat(orderer): a leader in graceful shutdown hands over while that costs nothing

The leader now releases the leadership at the signal, if the next one can go on at least as soon: it has sent no order, its last one is older than the handover gap, or none is in progress or due. In the midst of a roll-out it goes on until the roll-out is done or its process ends. No order is in progress at the release, and none starts after it. A release that fails is repeated until the lease ends.

After a release, the nodes campaign in the order of their starts, the last one first: in a rolling restart it stops last. In large fleets only the first eight by rank take part, and a lease that ended keeps the order by rank, so that a process that fails again and again isn't preferred.

--- a/internal/orderer/handover.go
+++ b/internal/orderer/handover.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/successor"
 )
 
@@ -66,3 +67,25 @@
 	}
 	return h, 0, false
 }
+
+// handOver releases the leadership before this node shuts down, if the next leader can go on at
+// least as soon as this one: it sent no order itself, its last one was long ago, or none is due.
+// During a roll-out, the next leader would have to wait for the handover gap.
+func (o *Orderer) handOver(ctx context.Context) {
+	newest := newestVersions(o.obs.Snapshot())
+	o.mu.Lock()
+	token, now := o.currentToken(), o.boot.Elapsed()
+	if token == 0 || o.sending > 0 ||
+		o.ordered && o.history.FirstOrder(now, "", o.set.HandoverGap) > now && !o.roller.Settled(newest) {
+		o.mu.Unlock()
+		return
+	}
+	o.token = 0
+	o.mu.Unlock()
+	for end := o.clk.Now().Add(leaseTTL); ; clock.Sleep(ctx, o.clk, renewRetryDelay) {
+		err := o.release(context.WithoutCancel(ctx), token)
+		if err == nil || errors.Is(err, platform.Conflict) || ctx.Err() != nil || o.clk.Now().After(end) {
+			return
+		}
+	}
+}
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -40,7 +40,7 @@
 
 // release clears the leader record, so that the next leader needn't wait for the lease to
 // expire, and tells when the last order was sent. No order may be in progress.
-func (o *Orderer) release(ctx context.Context, token uint64) {
+func (o *Orderer) release(ctx context.Context, token uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	o.mu.Lock()
@@ -61,6 +61,7 @@
 		e = e.WithError(err) // the record expires with its lease
 	}
 	e.Info("released the leadership; this node sends no more orders")
+	return err
 }
 
 // lead renews the lease while this node is the leader, and campaigns otherwise.
@@ -83,7 +84,7 @@
 		case vacantSince.IsZero():
 			vacantSince = o.clk.Now()
 			continue
-		case o.clk.Now().Sub(vacantSince) < o.campaignDelay(snapshot.Roster):
+		case o.clk.Now().Sub(vacantSince) < o.campaignDelay(snapshot.Roster, released.revision != 0):
 			clock.Sleep(ctx, o.clk, campaignCheckInterval)
 			continue
 		default:
@@ -157,11 +158,15 @@
 
 // campaignDelay returns the delay of this node's campaign. Its rank isn't known if it isn't
 // registered yet.
-func (o *Orderer) campaignDelay(r *roster.Roster) time.Duration {
+func (o *Orderer) campaignDelay(r *roster.Roster, released bool) time.Duration {
 	if _, registered := r.Find(o.set.Node); !registered {
 		return maxCampaignDelay
 	}
-	delay := time.Duration(r.Rank(o.set.Node)) * campaignDelayPerRank
+	rank := r.Rank(o.set.Node)
+	if released {
+		rank = r.SuccessionRank(o.set.Node)
+	}
+	delay := time.Duration(rank) * campaignDelayPerRank
 	if o.clk.Now().Sub(o.obs.StoreInReachSince()) < outageEnd {
 		delay += formerLeaderTurn
 	}
@@ -232,7 +237,7 @@
 		if !told {
 			history = successor.New(now + inFlight)
 		}
-		o.history = history
+		o.history, o.ordered = history, false
 		o.ordersFrom = history.FirstOrder(now, o.set.Machine, o.set.HandoverGap)
 		o.roller.Reset()
 	}
@@ -269,6 +274,19 @@
 	return err
 }
 
+// beginOrder returns the fencing token of an order whose result will be recorded, or 0 if none
+// may be sent now.
+func (o *Orderer) beginOrder() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.boot.Elapsed() < o.ordersFrom || o.currentToken() == 0 {
+		return 0
+	}
+	o.ordered = true
+	o.sending++
+	return o.token
+}
+
 // orderToken returns the fencing token, or 0 if no order may be sent now.
 func (o *Orderer) orderToken() uint64 {
 	o.mu.Lock()
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -123,6 +123,8 @@
 	renewedAt  time.Duration // boot time at which the last confirmed renewal was sent
 	ordersFrom time.Duration // boot time from which on orders may be sent
 	history    successor.History
+	ordered    bool // an order was sent since this node became the leader
+	sending    int  // orders in progress
 	// holderRevision is the revision at which this node wrote lastHolderKey for its present
 	// or its last office, 0 if it isn't known or another node has held the office since.
 	holderRevision uint64
@@ -153,19 +155,22 @@
 	token := o.currentToken()
 	o.mu.Unlock()
 	if token != 0 {
-		o.release(context.WithoutCancel(ctx), token)
+		_ = o.release(context.WithoutCancel(ctx), token) // logged
 	}
 	return err
 }
 
 // StopCampaigning keeps a node that is about to shut down from becoming the
-// leader. A node that is the leader stays so until Run ends.
+// leader. A node that is the leader stays so while a roll-out is in progress, until Run ends at most.
 func (o *Orderer) StopCampaigning() { o.campaignStopped.Store(true) }
 
 // sendOrders carries out the actions that the roller plans.
 func (o *Orderer) sendOrders(ctx context.Context, g *errgroup.Group) error {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, o.clk, planInterval)
+		if o.campaignStopped.Load() {
+			o.handOver(ctx)
+		}
 		if ctx.Err() != nil || o.orderToken() == 0 {
 			continue
 		}
@@ -190,12 +195,18 @@
 	return nil
 }
 
-func (o *Orderer) plan() (map[string]traffic.Upstream, []roller.Action) {
-	snapshot := o.obs.Snapshot()
+// newestVersions returns the newest version of each model in a snapshot.
+func newestVersions(s *observer.Snapshot) map[string]int {
 	newest := map[string]int{}
-	for _, w := range snapshot.Weights {
+	for _, w := range s.Weights {
 		newest[w.Model] = w.Version
 	}
+	return newest
+}
+
+func (o *Orderer) plan() (map[string]traffic.Upstream, []roller.Action) {
+	snapshot := o.obs.Snapshot()
+	newest := newestVersions(snapshot)
 	ups := map[string]traffic.Upstream{}
 	var engines []roller.Engine
 	for _, u := range snapshot.Upstreams {
@@ -216,7 +227,7 @@
 
 func (o *Orderer) sendOrder(ctx context.Context, u traffic.Upstream, ord roller.Order) {
 	o.traffic.Suspend(ord.Incarnation, o.clk.Now().Add(suspendDuration))
-	token := o.orderToken()
+	token := o.beginOrder()
 	if token == 0 {
 		o.recordResult(ord, roller.Failed, errLeadershipExpired, 0)
 		return
@@ -248,6 +259,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if token != 0 {
+		o.sending--
 		o.history = o.history.WithOrder(o.set.Machine, o.boot.Elapsed(), res != roller.Unanswered)
 	}
 	o.roller.RecordResult(o.clk.Now(), ord, res)
--- a/pkg/roller/roller.go
+++ b/pkg/roller/roller.go
@@ -170,6 +170,16 @@
 // Reset drops the state of all engines and orders. A new leader calls it.
 func (r *Roller) Reset() { clear(r.engines) }
 
+// Settled reports whether no order is in progress or due, given the newest version of each model.
+func (r *Roller) Settled(newest map[string]int) bool {
+	for _, s := range r.engines {
+		if s.phase != idle || s.engine.Reachable && s.outdatedModel(newest) != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // Plan takes the engines in the registry and the newest version of each model,
 // and returns the actions that are due at now.
 func (r *Roller) Plan(now time.Time, engines []Engine, newest map[string]int) []Action {
--- a/pkg/roller/roller_test.go
+++ b/pkg/roller/roller_test.go
@@ -372,3 +372,36 @@
 		t.Error("the drain wasn't ended")
 	}
 }
+
+// Guards against a leader in graceful shutdown that releases the leadership in the midst of a
+// roll-out, which then stands still, and against one that waits for an engine out of reach.
+func TestSettledOnlyWithoutOrdersInProgressOrDue(t *testing.T) {
+	sim := newSimulation(t, 1, 6)
+	newest := map[string]int{model: 2}
+	if !sim.roller.Settled(newest) {
+		t.Error("not settled without engines")
+	}
+	sim.step()
+	if !sim.roller.Settled(map[string]int{model: 1}) || sim.roller.Settled(newest) {
+		t.Error("settled is not whether an order is due")
+	}
+	sim.newest = 2
+	sim.step()
+	sim.engines["e03"].unreachable = true
+	for last := false; !last; sim.step() {
+		last = true
+		for _, e := range sim.engines {
+			last = last && (e.unreachable || e.version == 2)
+		}
+		if !last && sim.roller.Settled(newest) {
+			t.Fatal("settled during the roll-out")
+		}
+	}
+	sim.run(time.Second)
+	for range 100 {
+		sim.step()
+	}
+	if !sim.roller.Settled(newest) {
+		t.Error("not settled after the roll-out, with one engine out of reach")
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -57,6 +57,18 @@
 	return len(r.ranked)
 }
 
+// SuccessionRank returns the position of a node among those that may take over from a leader that
+// stops as planned, from 0 on. In a rolling restart, the node that started last is the one that
+// keeps running the longest.
+func (r *Roster) SuccessionRank(name string) int {
+	candidates := slices.Clone(r.ranked[:min(standInCount, len(r.ranked))])
+	slices.SortStableFunc(candidates, func(a, b traffic.Node) int { return b.StartedAt.Compare(a.StartedAt) })
+	if i := slices.IndexFunc(candidates, func(n traffic.Node) bool { return n.Name == name }); i >= 0 {
+		return i
+	}
+	return r.Rank(name)
+}
+
 // Find returns the node with a name, and whether it is registered.
 func (r *Roster) Find(name string) (traffic.Node, bool) {
 	i := r.Rank(name)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -79,3 +79,25 @@
 		}
 	}
 }
+
+// Guards against a rolling restart in which the leadership moves to a node that stops next, and
+// against a node far down a large fleet that takes over.
+func TestNodeThatStartedLastSucceeds(t *testing.T) {
+	at := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+	var nodes []traffic.Node
+	for i := range 295 {
+		nodes = append(nodes, traffic.Node{Name: fmt.Sprint("n", i), MilliCores: 1000 - i, StartedAt: at})
+	}
+	nodes[5].StartedAt = at.Add(time.Minute)
+	nodes[2].StartedAt = at.Add(2 * time.Minute)
+	nodes[100].StartedAt = at.Add(3 * time.Minute)
+	r := roster.New(nodes)
+	for name, want := range map[string]int{"n2": 0, "n5": 1, "n0": 2, "n1": 3, "n7": 7, "n100": 100, "unknown": 295} {
+		if got := r.SuccessionRank(name); got != want {
+			t.Errorf("%s has rank %d, want %d", name, got, want)
+		}
+	}
+	if r.Rank("n2") != 2 || !r.IsAggregator("n0") {
+		t.Error("the ranking itself has changed")
+	}
+}
