fix(orderer): a leader that loses its lease within the handover gap waits for its end

A leader that lost its lease while it waited for the orders of the leader before, and took the leadership again as the last leader, only waited for its own orders: engines got orders of two nodes within the gap.

Failed before: TestLeaderThatRetakesOfficeWaitsForHandoverGap (b sent an order 5.66 s after a, with a gap of 18 s). TestStoppingLeaderAwaitsOrderInProgress holds since the release tells of orders; it fails without the count of orders in progress.

--- a/internal/orderer/handover_test.go
+++ b/internal/orderer/handover_test.go
@@ -261,6 +261,47 @@
 	}
 }
 
+// Guards against a leader that loses its lease while it waits for the end of the handover gap, takes
+// the leadership again as the last leader, and then doesn't wait any more.
+func TestLeaderThatRetakesOfficeWaitsForHandoverGap(t *testing.T) {
+	t.Parallel()
+	f := newSlowFleet(t)
+	f.register("a", "b")
+	_, stop := f.start("a")
+	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+	stop()
+	f.start("b")
+	f.store.Set("weights", "3")
+	f.untilLeads("b")
+	f.pass(lease) // b has read that it is the last leader
+	f.store.ExpireLeases()
+	f.until("the end of the lease", func() bool { it, _ := f.store.Item(orderer.LeaderKey); return len(it.Value) == 0 })
+	f.untilLeads("b")
+	f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
+	f.checkGaps()
+}
+
+// Guards against orders of two leaders within the handover gap where a node in graceful shutdown
+// releases the leadership while one of its orders has no response yet.
+func TestStoppingLeaderAwaitsOrderInProgress(t *testing.T) {
+	t.Parallel()
+	f := newSlowFleet(t)
+	f.register("a", "b")
+	_, o, _ := f.startOn("a's machine", "a", f.store)
+	f.untilLeads("a")
+	answer := f.ups.hold()
+	f.until("an order of a", func() bool { return len(f.ups.list()) >= 1 })
+	f.start("b")
+	o.StopCampaigning()
+	f.pass(time.Second)
+	if it, _ := f.store.Item(orderer.LeaderKey); string(it.Value) != "a" {
+		t.Error("the leadership was released while an order was in progress")
+	}
+	answer()
+	f.untilLeads("b")
+	f.checkGaps()
+}
+
 // Guards against a rolling restart in which the leadership moves to a node that stops next.
 func TestNodeThatStartedLastTakesOver(t *testing.T) {
 	t.Parallel()
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -232,7 +232,7 @@
 	o.suspended = false
 	now := o.boot.Elapsed()
 	if held != 0 {
-		o.ordersFrom = lastRenewedAt + maxRenewalAge + orderTimeout
+		o.ordersFrom = max(o.ordersFrom, lastRenewedAt+maxRenewalAge+orderTimeout)
 	} else {
 		if !told {
 			history = successor.New(now + inFlight)
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -38,6 +38,15 @@
 	received []receivedOrder
 	done     map[string]int
 	silent   bool // no order gets a response
+	held     chan struct{}
+}
+
+// hold keeps the responses to orders back until the returned function is called.
+func (e *engines) hold() (answer func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = make(chan struct{})
+	return sync.OnceFunc(func() { close(e.held) })
 }
 
 func (e *engines) setSilent(silent bool) {
@@ -46,9 +55,18 @@
 	e.silent = silent
 }
 
-func (e *engines) Order(_ context.Context, order orderer.FencedOrder) (roller.Result, error) {
+func (e *engines) Order(ctx context.Context, order orderer.FencedOrder) (roller.Result, error) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	held := e.held
+	defer func() {
+		e.mu.Unlock()
+		if held != nil {
+			select {
+			case <-held:
+			case <-ctx.Done():
+			}
+		}
+	}()
 	e.received = append(e.received, receivedOrder{leader: order.Leader, token: order.FencingToken, at: e.clk.Now()})
 	e.done[order.Incarnation] = order.Version
 	if e.silent {
