feat(orderer): others leave the leadership to a former leader that only restarts

The machine itself is back within a second and needs no gap, but found the leadership taken.

Nodes now read the handover before they campaign. While they would have to wait for the gap, and the machine of the last order is known, they campaign 0.5 s before the gap ends, by their rank as otherwise. If the machine doesn't return, the first order goes out when it would have anyway. The record that was read stays the condition of the campaign.

The case of a leader that stops within the gap now begins with orders without responses, since nobody takes the leadership in it otherwise; its bound counts from the release as before, by the flight time of these orders later.

--- a/internal/orderer/handover.go
+++ b/internal/orderer/handover.go
@@ -49,23 +49,37 @@
 	return successor.Told(seenAt, time.Duration(since)*time.Millisecond, r.Machine), nil
 }
 
-// readHandover returns what the leader that has released the leadership told by seenAt, and at
-// which revision. Any later leader writes the same key, unless allWriteHolder is false.
-func (o *Orderer) readHandover(ctx context.Context, seenAt time.Duration) (h successor.History, revision uint64, ok bool) {
-	if !allWriteHolder(o.obs.Snapshot().Roster) {
-		return h, 0, false
+// readHandover returns a vacancy with what the leader told. Any later leader writes the same key,
+// unless allWriteHolder is false.
+func (o *Orderer) readHandover(ctx context.Context, v vacancy) vacancy {
+	v = vacancy{revision: v.revision, seenAt: v.seenAt, read: true}
+	if v.revision == 0 || !allWriteHolder(o.obs.Snapshot().Roster) {
+		return v
 	}
 	p, err := o.store.Range(ctx, platform.LineOrders, lastHolderKey, "", false)
 	if err != nil {
-		return h, 0, false
+		return v
 	}
 	for _, it := range p.Items {
-		if it.Key == lastHolderKey {
-			h, err = DecodeHandover(it.Value, seenAt)
-			return h, it.Revision, err == nil
+		if it.Key != lastHolderKey {
+			continue
 		}
+		if h, err := DecodeHandover(it.Value, v.seenAt); err == nil {
+			v.told, v.history, v.toldAt = true, h, it.Revision
+		}
+	}
+	return v
+}
+
+// leavesToFormerLeader reports whether this node doesn't campaign yet. While it would have to wait for the handover gap, the machine that sent the last order
+// needn't, if it only restarts. Nodes then campaign in the same order as otherwise.
+func (o *Orderer) leavesToFormerLeader(v vacancy) bool {
+	if _, machine := v.history.Tell(0); !v.told || machine == "" || machine == o.set.Machine {
+		return false
 	}
-	return h, 0, false
+	now := o.boot.Elapsed()
+	due := v.history.FirstOrder(now, o.set.Machine, o.set.HandoverGap) - campaignTime
+	return now < due+o.campaignDelay(o.obs.Snapshot().Roster, true)
 }
 
 // handOver releases the leadership before this node shuts down, if the next leader can go on at
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -25,6 +25,10 @@
 type vacancy struct {
 	revision uint64
 	seenAt   time.Duration // boot time by which this node had seen it
+	read     bool          // told and what follows is known
+	told     bool          // the leader told of its orders
+	history  successor.History
+	toldAt   uint64 // revision of lastHolderKey
 }
 
 // next returns the vacancy in a newer snapshot, of which l is the leader record.
@@ -88,9 +92,17 @@
 			clock.Sleep(ctx, o.clk, campaignCheckInterval)
 			continue
 		default:
+			if !released.read {
+				released = o.readHandover(ctx, released)
+			}
+			if o.leavesToFormerLeader(released) {
+				clock.Sleep(ctx, o.clk, campaignCheckInterval)
+				continue
+			}
 			if !o.campaign(ctx, released) {
 				clock.Sleep(ctx, o.clk, lostCampaignDelay)
 			}
+			released.read = false
 		}
 		clock.Sleep(ctx, o.clk, campaignInterval)
 	}
@@ -202,17 +214,14 @@
 	// leaseTTL ago. Its last order may have been on its way until maxRenewalAge
 	// and orderTimeout after that renewal.
 	inFlight := maxRenewalAge + orderTimeout - leaseTTL
-	var history successor.History
-	told := false
 	if held != 0 {
 		expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: held})
 	} else if released.revision != 0 {
 		expect[0].Revision = released.revision
 		inFlight = orderTimeout
-		var rev uint64
-		if history, rev, told = o.readHandover(ctx, released.seenAt); told {
-			expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: rev})
-		}
+	}
+	if held == 0 && released.told {
+		expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: released.toldAt})
 	}
 	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 		// The revision that is returned is that of the last write.
@@ -234,17 +243,17 @@
 	if held != 0 {
 		o.ordersFrom = max(o.ordersFrom, lastRenewedAt+maxRenewalAge+orderTimeout)
 	} else {
-		if !told {
-			history = successor.New(now + inFlight)
+		o.history, o.ordered = successor.New(now+inFlight), false
+		if released.told {
+			o.history = released.history
 		}
-		o.history, o.ordered = history, false
-		o.ordersFrom = history.FirstOrder(now, o.set.Machine, o.set.HandoverGap)
+		o.ordersFrom = o.history.FirstOrder(now, o.set.Machine, o.set.HandoverGap)
 		o.roller.Reset()
 	}
 	wait := max(0, o.ordersFrom-now)
 	o.mu.Unlock()
 	o.log.WithFields(logrus.Fields{
-		"event": "officeTaken", "fence": rev, "again": held != 0, "told": told, "waitMs": wait.Milliseconds(),
+		"event": "officeTaken", "fence": rev, "again": held != 0, "told": released.told, "waitMs": wait.Milliseconds(),
 	}).Info("became the leader; this node sends the orders")
 	return true
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -55,6 +55,9 @@
 	formerLeaderTurn = 800 * time.Millisecond
 	// outageEnd is how long after an outage the former leader may still take its turn.
 	outageEnd = 2 * time.Second
+	// campaignTime is how long before its first order a node campaigns, so that it is the leader
+	// by then.
+	campaignTime = 500 * time.Millisecond
 	// lostCampaignDelay is the delay after another node has won a campaign, within
 	// which all nodes learn of it.
 	lostCampaignDelay = 2 * time.Second
