fix(orderer): a node that stops awaits the responses to its last orders

The end of the process cut an order between its sending and its response.

The stop no longer ends the exchange at once, but after 0.15 s; with the 0.3 s of the release it stays within the half second that is left when the last requests have ended.

Failed before: TestLastOrderIsAwaitedAtStop (the machine of the last order waits for 18.8 s).

--- a/internal/orderer/handover_test.go
+++ b/internal/orderer/handover_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -344,6 +345,31 @@
 	f.checkGaps()
 }
 
+// Guards against a roll-out that stands still for the handover gap, because the process of the last
+// leader ended between an order and its response.
+func TestLastOrderIsAwaitedAtStop(t *testing.T) {
+	t.Parallel()
+	f := newSlowFleet(t)
+	f.register("a")
+	_, _, stop := f.startOn("a's machine", "a", f.store)
+	f.untilLeads("a")
+	answer := f.ups.hold()
+	f.until("an order of a", func() bool { return len(f.ups.list()) >= 1 })
+	var stopped sync.WaitGroup
+	stopped.Go(stop)
+	time.Sleep(30 * time.Millisecond) // the stop has begun
+	answer()
+	stopped.Wait()
+	it, _ := f.store.Item(orderer.LeaderKey + "-last")
+	h, err := orderer.DecodeHandover(it.Value, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := h.FirstOrder(0, "a's machine", longGap); d > takeover {
+		t.Errorf("the machine of the last order waits for %v after its restart, want none", d)
+	}
+}
+
 // Guards against a rolling restart in which the leadership moves to a node that stops next.
 func TestNodeThatStartedLastTakesOver(t *testing.T) {
 	t.Parallel()
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -37,6 +37,9 @@
 	// orderTimeout bounds the sending of an order.
 	orderTimeout  = 800 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
+	// lastResponseTimeout bounds how long a node that stops waits for responses to its last
+	// orders. Together with releaseTimeout, it fits into what is left of the grace period.
+	lastResponseTimeout = 150 * time.Millisecond
 	// releaseTimeout bounds the release of the leadership, which comes last in the
 	// grace period, when the requests have ended. The node may exit sooner.
 	releaseTimeout = 300 * time.Millisecond
@@ -235,8 +238,12 @@
 		o.recordResult(ord, roller.Failed, errLeadershipExpired, 0)
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
+	// At a stop, a response that is on its way still comes: the next leader waits for long if
+	// it is told of an order without one.
+	stop := context.AfterFunc(ctx, func() { clock.Sleep(call, o.clk, lastResponseTimeout); cancel() })
+	defer stop()
 	permit := func() error {
 		if o.orderToken() != token {
 			return errLeadershipExpired
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -58,21 +58,27 @@
 func (e *engines) Order(ctx context.Context, order orderer.FencedOrder) (roller.Result, error) {
 	e.mu.Lock()
 	held := e.held
-	defer func() {
-		e.mu.Unlock()
-		if held != nil {
-			select {
-			case <-held:
-			case <-ctx.Done():
-			}
+	e.mu.Unlock()
+	res := e.carryOut(order)
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return roller.Unanswered, ctx.Err()
 		}
-	}()
+	}
+	return res, nil
+}
+
+func (e *engines) carryOut(order orderer.FencedOrder) roller.Result {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.received = append(e.received, receivedOrder{leader: order.Leader, token: order.FencingToken, at: e.clk.Now()})
 	e.done[order.Incarnation] = order.Version
 	if e.silent {
-		return roller.Unanswered, nil
+		return roller.Unanswered
 	}
-	return roller.Accepted, nil
+	return roller.Accepted
 }
 
 func (e *engines) Report(_ context.Context, u traffic.Upstream) (roller.Report, error) {
