test(orderer): rolling restarts with lost responses keep the handover gap

Three nodes stop, hand over and start again in turn while a third of the store's responses is lost and the writes are executed at once, 1.5 s or 6 s later: no two nodes send orders within the gap, and roll-outs end.

--- a/internal/orderer/late_test.go
+++ b/internal/orderer/late_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 	"github.com/auburnnotch/auburnnotch/platform/standin/metastore"
 	"github.com/auburnnotch/auburnnotch/platform/store"
 )
@@ -108,6 +109,54 @@
 	}
 }
 
+// Guards against orders of two leaders within the handover gap, and roll-outs that never end, where
+// nodes restart in turn while responses of the store are lost: each leader tells of its
+// orders, and what it told may be written late, twice or never.
+func TestRollingRestartWithLostResponses(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, late := range []time.Duration{0, 1500 * time.Millisecond, 6 * time.Second} {
+			t.Run(fmt.Sprint("seed ", seed, " ", late), func(t *testing.T) {
+				t.Parallel()
+				loses := func(n int) bool { return rand.New(rand.NewPCG(seed, uint64(n))).Float64() < 0.3 }
+				restartInTurn(t, metastore.Faults{Losses: metastore.Losses{Loses: loses, Late: late}})
+			})
+		}
+	}
+}
+
+func restartInTurn(t *testing.T, faults metastore.Faults) {
+	t.Helper()
+	f := newLossyFleet(t)
+	f.name(2)
+	nodes := []string{"a", "b", "c"}
+	orderers, stops := map[string]*orderer.Orderer{}, map[string]func(){}
+	start := func(node string) {
+		_, orderers[node], stops[node] = f.startOn(node+"'s machine", node, f.client(node))
+	}
+	for i, node := range nodes {
+		f.meta.Put("node/"+node, fmt.Appendf(nil, "%d %d", traffic.CurrentProtocol, i))
+		start(node)
+	}
+	f.untilInPlace(2)
+	for i, node := range nodes {
+		f.meta.SetFaults(node, faults)
+		orderers[node].StopCampaigning()
+		f.name(3 + i)
+		f.pass(2500 * time.Millisecond)
+		stops[node]()
+		f.pass(time.Second)
+		f.meta.Put("node/"+node, fmt.Appendf(nil, "%d %d", traffic.CurrentProtocol, 10+i))
+		start(node)
+	}
+	f.pass(7 * time.Second) // the last late writes are done
+	for _, node := range nodes {
+		f.meta.SetFaults(node, metastore.Faults{})
+	}
+	f.name(9)
+	f.untilInPlace(9)
+	f.checkGaps()
+}
+
 func loseWrites(t *testing.T, faults metastore.Faults) {
 	t.Helper()
 	f := newLossyFleet(t)
