--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roller"
+	"github.com/auburnnotch/auburnnotch/pkg/successor"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -36,6 +37,9 @@
 	// orderTimeout bounds the sending of an order.
 	orderTimeout  = 800 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
+	// lastResponseTimeout bounds how long a node that stops waits for responses to its last
+	// orders. Together with releaseTimeout, it fits into what is left of the grace period.
+	lastResponseTimeout = 150 * time.Millisecond
 	// releaseTimeout bounds the release of the leadership, which comes last in the
 	// grace period, when the requests have ended. The node may exit sooner.
 	releaseTimeout = 300 * time.Millisecond
@@ -54,6 +58,9 @@
 	formerLeaderTurn = 800 * time.Millisecond
 	// outageEnd is how long after an outage the former leader may still take its turn.
 	outageEnd = 2 * time.Second
+	// campaignTime is how long before its first order a node campaigns, so that it is the leader
+	// by then.
+	campaignTime = 500 * time.Millisecond
 	// lostCampaignDelay is the delay after another node has won a campaign, within
 	// which all nodes learn of it.
 	lostCampaignDelay = 2 * time.Second
@@ -95,6 +102,9 @@
 // Settings configure an Orderer.
 type Settings struct {
 	Node string
+	// Machine tells the machine of the node from others, also under the same name. It is empty
+	// if it isn't known.
+	Machine string
 	// HandoverGap is the time without orders between two leaders.
 	HandoverGap time.Duration
 }
@@ -118,6 +128,9 @@
 	token      uint64        // 0 if this node isn't the leader
 	renewedAt  time.Duration // boot time at which the last confirmed renewal was sent
 	ordersFrom time.Duration // boot time from which on orders may be sent
+	history    successor.History
+	ordered    bool // an order was sent since this node became the leader
+	sending    int  // orders in progress
 	// holderRevision is the revision at which this node wrote lastHolderKey for its present
 	// or its last office, 0 if it isn't known or another node has held the office since.
 	holderRevision uint64
@@ -148,19 +161,22 @@
 	token := o.currentToken()
 	o.mu.Unlock()
 	if token != 0 {
-		o.release(context.WithoutCancel(ctx), token)
+		_ = o.release(context.WithoutCancel(ctx), token) // logged
 	}
 	return err
 }
 
 // StopCampaigning keeps a node that is about to shut down from becoming the
-// leader. A node that is the leader stays so until Run ends.
+// leader. A node that is the leader stays so while a roll-out is in progress, until Run ends at most.
 func (o *Orderer) StopCampaigning() { o.campaignStopped.Store(true) }
 
 // sendOrders carries out the actions that the roller plans.
 func (o *Orderer) sendOrders(ctx context.Context, g *errgroup.Group) error {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, o.clk, planInterval)
+		if o.campaignStopped.Load() {
+			o.handOver(ctx)
+		}
 		if ctx.Err() != nil || o.orderToken() == 0 {
 			continue
 		}
@@ -185,12 +201,18 @@
 	return nil
 }
 
-func (o *Orderer) plan() (map[string]traffic.Upstream, []roller.Action) {
-	snapshot := o.obs.Snapshot()
+// newestVersions returns the newest version of each model in a snapshot.
+func newestVersions(s *observer.Snapshot) map[string]int {
 	newest := map[string]int{}
-	for _, w := range snapshot.Weights {
+	for _, w := range s.Weights {
 		newest[w.Model] = w.Version
 	}
+	return newest
+}
+
+func (o *Orderer) plan() (map[string]traffic.Upstream, []roller.Action) {
+	snapshot := o.obs.Snapshot()
+	newest := newestVersions(snapshot)
 	ups := map[string]traffic.Upstream{}
 	var engines []roller.Engine
 	for _, u := range snapshot.Upstreams {
@@ -211,13 +233,17 @@
 
 func (o *Orderer) sendOrder(ctx context.Context, u traffic.Upstream, ord roller.Order) {
 	o.traffic.Suspend(ord.Incarnation, o.clk.Now().Add(suspendDuration))
-	token := o.orderToken()
+	token := o.beginOrder()
 	if token == 0 {
 		o.recordResult(ord, roller.Failed, errLeadershipExpired, 0)
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
+	// At a stop, a response that is on its way still comes: the next leader waits for long if
+	// it is told of an order without one.
+	stop := context.AfterFunc(ctx, func() { clock.Sleep(call, o.clk, lastResponseTimeout); cancel() })
+	defer stop()
 	permit := func() error {
 		if o.orderToken() != token {
 			return errLeadershipExpired
@@ -242,6 +268,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if token != 0 {
+		o.sending--
+		o.history = o.history.WithOrder(o.set.Machine, o.boot.Elapsed(), res != roller.Unanswered)
+	}
 	o.roller.RecordResult(o.clk.Now(), ord, res)
 }
 
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -37,14 +37,48 @@
 	mu       sync.Mutex
 	received []receivedOrder
 	done     map[string]int
+	silent   bool // no order gets a response
+	held     chan struct{}
 }
 
-func (e *engines) Order(_ context.Context, order orderer.FencedOrder) (roller.Result, error) {
+// hold keeps the responses to orders back until the returned function is called.
+func (e *engines) hold() (answer func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = make(chan struct{})
+	return sync.OnceFunc(func() { close(e.held) })
+}
+
+func (e *engines) setSilent(silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = silent
+}
+
+func (e *engines) Order(ctx context.Context, order orderer.FencedOrder) (roller.Result, error) {
+	e.mu.Lock()
+	held := e.held
+	e.mu.Unlock()
+	res := e.carryOut(order)
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return roller.Unanswered, ctx.Err()
+		}
+	}
+	return res, nil
+}
+
+func (e *engines) carryOut(order orderer.FencedOrder) roller.Result {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.received = append(e.received, receivedOrder{leader: order.Leader, token: order.FencingToken, at: e.clk.Now()})
 	e.done[order.Incarnation] = order.Version
-	return roller.Accepted, nil
+	if e.silent {
+		return roller.Unanswered
+	}
+	return roller.Accepted
 }
 
 func (e *engines) Report(_ context.Context, u traffic.Upstream) (roller.Report, error) {
@@ -81,8 +115,10 @@
 	case strings.HasPrefix(it.Key, "up/"):
 		return &traffic.Upstream{ID: it.Key, Service: "s", Models: map[string]int{"m": 1}}, nil
 	case strings.HasPrefix(it.Key, "node/"):
-		v, err := strconv.Atoi(string(it.Value))
-		return &traffic.Node{Name: strings.TrimPrefix(it.Key, "node/"), Protocol: v}, err
+		protocol, started, _ := strings.Cut(string(it.Value), " ")
+		v, err := strconv.Atoi(protocol)
+		seconds, _ := strconv.ParseInt(started, 10, 64) // 0 if it isn't given
+		return &traffic.Node{Name: strings.TrimPrefix(it.Key, "node/"), Protocol: v, StartedAt: time.Unix(seconds, 0)}, err
 	case it.Key == orderer.LeaderKey:
 		return &traffic.Leader{Node: string(it.Value), Revision: it.Revision}, nil
 	case strings.HasPrefix(it.Key, orderer.AnnouncementsPrefix):
@@ -117,10 +153,16 @@
 }
 
 func (f *fleet) startWith(name string, st platform.Store) (*observer.Observer, func()) {
+	obs, _, stop := f.startOn(name+"'s machine", name, st)
+	return obs, stop
+}
+
+// startOn runs a node on a machine.
+func (f *fleet) startOn(machine, name string, st platform.Store) (*observer.Observer, *orderer.Orderer, func()) {
 	log, _ := logtest.NewNullLogger()
 	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
 	obs.SetListener(f.ups)
-	o := orderer.New(orderer.Settings{Node: name, HandoverGap: f.gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
+	o := orderer.New(orderer.Settings{Node: name, Machine: machine, HandoverGap: f.gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = obs.Run(ctx) })
@@ -128,7 +170,7 @@
 	var once sync.Once
 	stop := func() { once.Do(func() { cancel(); wg.Wait() }) }
 	f.t.Cleanup(stop)
-	return obs, stop
+	return obs, o, stop
 }
 
 // until advances the clock in steps of 20 ms until ok returns true, for at most
