fix(placer): a run takes the memory of its expected output, not of the largest

In short: a run counted at its engine with all the output that it may generate (955 tokens for a crew question, which makes 230 at the median by its caller's estimate), so that memory which nobody used was full, and what was left was too small for long prompts.

The caller's estimate of the output (X-Auburnnotch-Length-Hint) is read in platform/translate, sent to the placement coordinator with the question (at its end; golden bytes of protocol 5) and counted in place of the largest output, which bounds it. Without an estimate half of the largest counts. Earlier releases skip the new field and go on counting the largest output; what they report is too much rather than too little.

TestAdviceIsFollowed fails without the relayer's line (0 in place of 35). `serve` admits by slots and by what workspaces have had, not by size: TestLongRequestIsNotPassedByShortOnes, green from the start.

TestQuestionOfProtocolTwo compared this release's bytes with those of protocol 2. It now encodes the fields of that protocol, checks the same golden bytes and the same reads; TestQuestionOfProtocolFive checks this release's, and that releases of both earlier protocols read them.

--- a/internal/adviser/golden_test.go
+++ b/internal/adviser/golden_test.go
@@ -72,10 +72,41 @@
 	}
 }
 
+// protocolTwoQuery has the fields of protocol two, in their order.
+type protocolTwoQuery struct {
+	Service        string
+	Prompt         *traffic.Prompt
+	CacheScope     string
+	DataCentre     string
+	Exclude        []string
+	Tripped        []uint32
+	Version        int
+	SinceAnnounced time.Duration
+	Cutoffs        []placer.VersionCutoff
+	Pinned         bool
+	CacheAddress   string
+	CacheTokens    int
+	Unavailable    []uint32
+}
+
+type protocolTwoQuestion struct {
+	Number uint64
+	From   string
+	Query  protocolTwoQuery
+}
+
+func asProtocolTwo(q question) protocolTwoQuestion {
+	return protocolTwoQuestion{q.Number, q.From, protocolTwoQuery{
+		q.Query.Service, q.Query.Prompt, q.Query.CacheScope, q.Query.DataCentre, q.Query.Exclude, q.Query.Tripped, q.Query.Version,
+		q.Query.SinceAnnounced, q.Query.Cutoffs, q.Query.Pinned, q.Query.CacheAddress, q.Query.CacheTokens, q.Query.Unavailable,
+	}}
+}
+
+// This release reads the questions of protocol two, and releases of protocol one read them too.
 func TestQuestionOfProtocolTwo(t *testing.T) {
 	q := protocolOneQuestion()
 	q.Query.Unavailable = []uint32{11}
-	b, err := packer.Pack(&q)
+	b, err := packer.Pack(asProtocolTwo(q))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,3 +119,25 @@
 		t.Errorf("an earlier release reads %+v, error %v", old, err)
 	}
 }
+
+// This release reads its own questions, and earlier ones read them without their last fields.
+func TestQuestionOfProtocolFive(t *testing.T) {
+	q := protocolOneQuestion()
+	q.Query.Unavailable, q.Query.ExpectedOutput = []uint32{11}, 12
+	b, err := packer.Pack(&q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got question
+	if err := packer.New(testlib.Golden(t, "protocol-5-question", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, q) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var two protocolTwoQuestion
+	if err := packer.New(b).Unpack(&two); err != nil || !reflect.DeepEqual(two, asProtocolTwo(q)) {
+		t.Errorf("a release of protocol two reads %+v, error %v", two, err)
+	}
+	var one earlierQuestion
+	if err := packer.New(b).Unpack(&one); err != nil || !reflect.DeepEqual(one, earlier(q)) {
+		t.Errorf("a release of protocol one reads %+v, error %v", one, err)
+	}
+}
--- a/internal/relayer/advised_test.go
+++ b/internal/relayer/advised_test.go
@@ -19,13 +19,14 @@
 	key     uint32
 	verdict placer.Verdict
 	asked   []uint64
+	output  int // expected by the last question
 	onAsk   func()
 }
 
-func (g *fakeAdviser) Ask(_ context.Context, question uint64, _ *placer.Query) (placer.Advice, placer.Verdict) {
+func (g *fakeAdviser) Ask(_ context.Context, question uint64, q *placer.Query) (placer.Advice, placer.Verdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.asked = append(g.asked, question)
+	g.asked, g.output = append(g.asked, question), q.ExpectedOutput
 	if g.onAsk != nil {
 		g.onAsk()
 	}
@@ -38,7 +39,7 @@
 	r := &reply{}
 	b.relay.Serve(context.Background(), &relayer.Request{
 		ID: "id", Method: "POST", Target: "/safe/", Path: "/safe/", Host: "h", Key: "key", Timeout: timeout, Arrived: time.Now(),
-		Prompt: &traffic.Prompt{Model: "m", Tokens: 10, Parts: []traffic.Part{{ID: "a", Tokens: 10}}},
+		ExpectedOutput: 35, Prompt: &traffic.Prompt{Model: "m", Tokens: 10, Parts: []traffic.Part{{ID: "a", Tokens: 10}}},
 	}, r)
 	return r
 }
@@ -55,6 +56,9 @@
 		if r := servePrompt(b); r.status != 200 {
 			t.Fatalf("status %d", r.status)
 		}
+		if g.output != 35 {
+			t.Errorf("the question expects %d tokens of output, the caller 35", g.output)
+		}
 		if n := len(b.ups[4].Received()); n != i+1 {
 			t.Fatalf("%d of %d requests reached the advised upstream", n, i+1)
 		}
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -133,6 +133,7 @@
 	}
 	if p := u.req.Prompt; p != nil {
 		f["prompt"], f["shared"], f["output"] = p.Tokens, p.Shared(), p.MaxOutput
+		f["expectedOutput"] = u.req.ExpectedOutput
 	}
 	if u.choice.Upstream.ID != "" {
 		f["upstream"] = u.choice.Incarnation()
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -34,6 +34,8 @@
 	Arrived time.Time
 	// Prompt is nil for plain requests.
 	Prompt *traffic.Prompt
+	// ExpectedOutput is the caller's estimate of the output in tokens, 0 for none.
+	ExpectedOutput int
 	// LastEventID is the ID of the event after which a stream resumes; empty
 	// for a new stream.
 	LastEventID string
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -100,6 +100,26 @@
 	}
 }
 
+// Guards against long requests being starved by short ones: whoever comes next to a free slot is
+// chosen by what its workspace has had, whatever its own size.
+func TestLongRequestIsNotPassedByShortOnes(t *testing.T) {
+	h := newHarness(10_000)
+	h.handle(admitter.Capacity{Pool: "p", Slots: 1, Occupied: 1})
+	short := admitter.Request{Workspace: "short", Weight: 1, Class: config.Standard, Tokens: 600}
+	for range 50 {
+		h.arrive(short)
+	}
+	h.freeSlots(20)
+	h.arrive(admitter.Request{Workspace: "long", Weight: 1, Class: config.Standard, Tokens: 16_000})
+	for range 2 {
+		h.arrive(short)
+		h.freeSlots(1)
+	}
+	if n := h.count(func(r admitter.Request) bool { return r.Workspace == "long" }); n != 1 {
+		t.Errorf("%d long requests were admitted at the next two free slots, want 1", n)
+	}
+}
+
 func TestAgedBatchRequestPassesBacklog(t *testing.T) {
 	h := newHarness(10)
 	h.handle(admitter.Capacity{Pool: "p", Slots: 10, Engines: 1, Pending: 10})
--- a/pkg/placer/eligible.go
+++ b/pkg/placer/eligible.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// Eligible reports whether the incarnation is registered and not draining.
+func (p *Placer) Eligible(incarnation string) bool {
+	s, ok := p.states[incarnation]
+	return ok && s.registered && !s.up.Draining
+}
+
 // eligible reports whether an upstream may be chosen for q at all, regardless of
 // its load.
 func (p *Placer) eligible(now time.Time, s *upstreamState, q *Query) bool {
@@ -68,16 +74,3 @@
 
 // RecordActivity records that the upstream of the choice sent something at now.
 func (p *Placer) RecordActivity(now time.Time, c Choice) { c.state.lastActivity = now }
-
-// maxMemoryShare is the share of an engine's memory that running requests may take.
-// The rest is left to cached parts, which make up two thirds of the users' long
-// prompts.
-const maxMemoryShare = 0.5
-
-// memoryFull reports whether an engine has no memory for further tokens without
-// evicting the cached parts that its speed depends on. An engine without requests
-// is never full.
-func (p *Placer) memoryFull(s *upstreamState, tokens int) bool {
-	used := s.local.MemoryTokens + s.peers.MemoryTokens
-	return s.memoryTokens > 0 && used > 0 && float64(used+tokens) > maxMemoryShare*float64(s.memoryTokens)
-}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -41,6 +41,8 @@
 	// Unavailable lists the keys of the upstreams that want no request of the asking node:
 	// they are leaving, or have turned it away for a time.
 	Unavailable []uint32
+	// ExpectedOutput is the caller's estimate of the output in tokens, 0 for none.
+	ExpectedOutput int
 }
 
 // VersionCutoff limits how long requests may start on weights older than a
@@ -189,12 +191,6 @@
 	p.peerSumsValid = false
 }
 
-// Eligible reports whether the incarnation is registered and not draining.
-func (p *Placer) Eligible(incarnation string) bool {
-	s, ok := p.states[incarnation]
-	return ok && s.registered && !s.up.Draining
-}
-
 func (s *upstreamState) version(model string) int {
 	return max(s.up.Models[model], s.observedVersions[model])
 }
@@ -221,7 +217,7 @@
 	matches := p.findMatches(now, q)
 	var best Choice
 	bestCost := math.Inf(1)
-	longLived := p.cacheStoreLifetime(now, q) >= minSaveLifetime
+	longLived, uncached := p.cacheStoreLifetime(now, q) >= minSaveLifetime, q.memoryTokens()
 	for _, s := range p.services[q.Service] {
 		p.updateBreaker(now, s)
 		if !p.eligible(now, s, q) || p.trialInFlight(now, s) {
@@ -231,7 +227,7 @@
 		delay := p.queueingDelayMS(now, s)
 		prefix := matches.expect(s, version, delay)
 		misses := max(0, q.Prompt.Tokens-int(prefix.available))
-		tokens := q.Prompt.Tokens - int(prefix.own) + q.Prompt.MaxOutput
+		tokens := uncached - int(prefix.own)
 		if p.memoryFull(s, tokens) {
 			continue
 		}
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -91,8 +91,11 @@
 	ProtocolOutage = 3
 	// ProtocolServed is the first protocol with the services that have served requests.
 	ProtocolServed = 4
+	// ProtocolExpectedOutput is the first protocol with the expected output of a prompt that
+	// needs a placement.
+	ProtocolExpectedOutput = 5
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolServed
+	CurrentProtocol = ProtocolExpectedOutput
 )
 
 // Leader is the node that sends orders to engines.
