fix(front): requests that wait while all upstreams are replaced are served by the new ones

What callers saw (`serve`): when a declaration replaced the upstreams of a service or pool, the requests that waited for a slot there were refused with 503 noUpstream, though the new upstreams were free. Where some upstreams stayed, a waiting request that was given to a new one cost a retry.

Cause: a request keeps the configuration that it arrived under, and looked up the address of the picked upstream there. The scheduler, which picks, already had the new ones: such an upstream was unknown, counted as a refusal and was excluded.

Change: the pick carries the upstream's address. Only a stream from another entry node that is resumed, for which none is picked, still looks it up.

Ruled out: asking for the configuration in force at the time of the attempt. The scheduler learns of new upstreams and admits waiting requests at once, before or after the keeper has that configuration in force.

`serve-platform` isn't concerned: its pick has the address (placer).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -137,7 +137,7 @@
 		if !isLive(v.Name) {
 			continue
 		}
-		e := router.Engine{ID: u.Name, Pool: u.Pool, Slots: u.Slots}
+		e := router.Engine{ID: u.Name, URL: u.URL, Pool: u.Pool, Slots: u.Slots}
 		if u.Service != "" {
 			e.Pool = ServicePoolPrefix + u.Service
 		}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -75,11 +75,22 @@
 	return backoffTimeout(seconds, min(r.attempts-1, maxTimeoutDoublings))
 }
 
+// upstreamURL returns the base URL of the upstream of the current attempt. The scheduler may
+// have picked one that was declared after the request had arrived. None was picked for a
+// stream from another entry node that is resumed.
+func (r *runner) upstreamURL() (string, bool) {
+	if r.choice.ID == r.send.Target.Upstream {
+		return r.choice.URL, true
+	}
+	u, ok := r.catalog.Upstream(r.send.Target.Upstream)
+	return u.URL, ok
+}
+
 // runAttempt sends the request to the upstream of the current attempt and
 // handles the result.
 func (r *runner) runAttempt() {
 	r.attempts++
-	u, ok := r.catalog.Upstream(r.send.Target.Upstream)
+	url, ok := r.upstreamURL()
 	if !ok {
 		r.endRun(scheduler.Result{Refused: true})
 		r.handle(dispatcher.Refused{Attempt: r.send.Attempt})
@@ -89,13 +100,13 @@
 	if !r.job.repeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
-	a, outcome, err := r.f.upstreams.Open(ctx, r.attemptSpec(u.URL))
+	a, outcome, err := r.f.upstreams.Open(ctx, r.attemptSpec(url))
 	switch outcome {
 	case upstreamer.Opened:
 		defer a.Close()
 		r.readResponse(a)
 	case upstreamer.Refused:
-		r.log.WithFields(logrus.Fields{"event": "attemptRefused", "attempt": r.send.Attempt, "upstream": u.Name}).WithError(err).Info("upstream did not run the request")
+		r.log.WithFields(logrus.Fields{"event": "attemptRefused", "attempt": r.send.Attempt, "upstream": r.send.Target.Upstream}).WithError(err).Info("upstream did not run the request")
 		r.endRun(scheduler.Result{Refused: true})
 		r.handleRefusal()
 	case upstreamer.Broken:
@@ -169,13 +180,13 @@
 // a broken connection counts as a crash: otherwise a poison request could crash
 // more engines than the quarantine allows.
 func (r *runner) checkEngine(silent bool) engineHealth {
-	u, ok := r.catalog.Upstream(r.send.Target.Upstream)
+	url, ok := r.upstreamURL()
 	if !ok || !r.job.isCompletion {
 		return healthy
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), crashCheckTimeout)
 	defer cancel()
-	l, err := r.f.upstreams.FetchLoad(ctx, u.URL)
+	l, err := r.f.upstreams.FetchLoad(ctx, url)
 	knownIncarnation := r.send.Target.Incarnation
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -183,7 +194,7 @@
 	case err != nil:
 		return unreachable
 	case knownIncarnation == "" && !silent, knownIncarnation != "" && l.Incarnation != knownIncarnation:
-		r.f.sched.ReceiveLoad(u.Name, l, time.Time{})
+		r.f.sched.ReceiveLoad(r.send.Target.Upstream, l, time.Time{})
 		return crashed
 	default:
 		return healthy
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -26,6 +26,7 @@
 type fixture struct {
 	addr  string
 	up    *testlib.Upstream
+	log   *logrus.Logger
 	lines *logtest.Hook
 	stop  func() // ends the node gracefully
 }
@@ -66,23 +67,27 @@
 			t.Error(err)
 		}
 	})
-	f := &fixture{addr: s.Listen, up: up, lines: lines, stop: func() { cancel(); running.Wait() }}
+	f := &fixture{addr: s.Listen, up: up, log: log, lines: lines, stop: func() { cancel(); running.Wait() }}
 	t.Cleanup(func() {
 		f.stop()
 		platform.CloseClientConnections()
 		platform.Close()
 	})
-	f.declare(t)
+	f.declare(t, f.declaration())
 	return f
 }
 
-func (f *fixture) declare(t *testing.T) {
-	t.Helper()
-	d := declare.New().WithDataCentre("dc", "r").WithModel("assistant", "v1").WithVM(declare.VM("vm", "dc")).
+// declaration returns a declaration with one model and one service.
+func (f *fixture) declaration() declare.Declaration {
+	return declare.New().WithDataCentre("dc", "r").WithModel("assistant", "v1").WithVM(declare.VM("vm", "dc")).
 		WithPool(declare.Pool("p", "assistant", "v1", config.Interactive)).
 		WithService("orders", declare.Once("/commit", config.Interactive), declare.Repeatable("/stock", config.Interactive)).
 		WithUpstream(declare.Engine("e", "vm", "http://"+f.up.Addr, "p", 64, true), declare.BackEnd("o", "vm", "http://"+f.up.Addr, "orders", 64)).
 		WithWorkspace(declare.Workspace("w", 1, declare.HashKey(testlib.Key)))
+}
+
+func (f *fixture) declare(t *testing.T, d declare.Declaration) {
+	t.Helper()
 	var text bytes.Buffer
 	if err := d.Print(&text); err != nil {
 		t.Fatal(err)
@@ -103,3 +108,24 @@
 	}
 	t.Fatal("the node did not accept the declaration")
 }
+
+// inForce returns how many revisions have come in force.
+func (f *fixture) inForce() int {
+	n := 0
+	for _, e := range f.lines.AllEntries() {
+		if e.Data["event"] == "configInForce" {
+			n++
+		}
+	}
+	return n
+}
+
+// await waits until ok returns true.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -50,6 +50,7 @@
 	firstTokenAt   time.Time             // zero before the response has begun
 	lastTokenAt    time.Time
 	run            *scheduler.Run // nil while no attempt has an upstream
+	choice         router.Choice  // of the last run
 	send           dispatcher.Send
 	attemptStarted bool // the last Routed event caused a Send
 	sentText       strings.Builder
@@ -235,7 +236,7 @@
 			r.handle(dispatcher.Routed{Kind: p.Kind})
 		default:
 			run := p.Run
-			r.run, r.attemptStarted = &run, false
+			r.run, r.choice, r.attemptStarted = &run, run.Choice, false
 			r.handle(dispatcher.Routed{Target: dispatcher.Target{
 				Upstream: run.Choice.ID, Incarnation: run.Choice.Incarnation, LeavesAt: run.Choice.LeavesAt,
 			}})
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -13,6 +13,7 @@
 // Engine describes an eligible engine, or a back end of a plain service.
 type Engine struct {
 	ID    string
+	URL   string
 	Pool  string
 	Slots int
 	// LeavesAt is when the engine stops accepting new work; zero means never.
@@ -43,6 +44,7 @@
 // the request proceeds.
 type Choice struct {
 	ID          string
+	URL         string
 	Incarnation string
 	LeavesAt    time.Time
 	// Hits and Misses are the numbers of pieces expected to be cached and to be
@@ -213,7 +215,7 @@
 func (r *Router) newChoice(slot int32, q *Query, hits int) Choice {
 	e := &r.engines[slot]
 	return Choice{
-		ID: e.ID, Incarnation: e.incarnation, LeavesAt: e.LeavesAt,
+		ID: e.ID, URL: e.URL, Incarnation: e.incarnation, LeavesAt: e.LeavesAt,
 		Hits: hits, Misses: len(q.Chain) - hits, slot: slot, epoch: e.epoch, rank: uint8(q.Rank),
 	}
 }
