fix(configkeeper): the scheduler knows the upstreams of a configuration before it is in force

What callers saw (`serve`): a request that arrived right after a configuration with a new service, pool or first upstreams had come in force was refused with 503 noUpstream, though its upstreams were ready.

Cause: the keeper put a configuration in force and only then told its listener, which passes the upstreams on to the scheduler. A request that came between the two was admitted, since the capacity of its pool wasn't known, and found no upstream.

Change: the listener is called before the configuration is in force. The scheduler's commands are in order, so that a request under the configuration finds its upstreams. The poller keeps the configuration that it was told last, as the one in force may still be the former. It also passes engines on under its lock: a change of the VM list while a configuration came in force could leave the scheduler with the engines of the former (from reading).

Ruled out: no configuration within the 0.3 s for which a request waits for the first one (its message is another one), a full queue, a broken attempt.

Tests: TestRequestIsServedOnceConfigurationIsInForce holds the keeper up where it logs the new configuration; before, 503 in 3 of 3 runs.

--- a/internal/configkeeper/configkeeper.go
+++ b/internal/configkeeper/configkeeper.go
@@ -75,8 +75,8 @@
 // SetPeers sets the services that reach other nodes.
 func (k *Keeper) SetPeers(x Exchanger, g Gossiper) { k.peers, k.gossip = x, g }
 
-// OnChange registers f to be called with each configuration that comes in force.
-// It must be called before Run.
+// OnChange registers f to be called with each configuration before it comes in force, so
+// that requests under it find what f prepares. It must be called before Run.
 func (k *Keeper) OnChange(f func(*catalog.Catalog)) { k.onChange = append(k.onChange, f) }
 
 // Name implements supervisor.Service.
@@ -169,11 +169,11 @@
 	k.doc = doc
 	k.mu.Unlock()
 	c := catalog.New(doc.Revision, d)
-	k.current.Store(c)
-	k.log.WithField("event", "configInForce").WithField("revision", doc.Revision).Info("configuration in force")
 	for _, f := range k.onChange {
 		f(c)
 	}
+	k.current.Store(c)
+	k.log.WithField("event", "configInForce").WithField("revision", doc.Revision).Info("configuration in force")
 	k.gossip.SendToSome(ctx, pushFanout, &peerlink.Message{Document: &doc})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 	claims := ledger.New(clk, log, store, link, gossip, rand.New(rand.NewPCG(rnd.Uint64(), 2)))
 	sched := scheduler.New(clk, s.Limits.QueueLength, rand.New(rand.NewPCG(rnd.Uint64(), 3)))
 	upstreams := upstreamer.New(clk)
-	polls := poller.New(clk, log, upstreams, sched, store, keeper.Current)
+	polls := poller.New(clk, log, upstreams, sched, store)
 	keeper.OnChange(polls.Update)
 	orders := drainer.New(clk, log, store, upstreams, keeper.Current, func() bool {
 		return rank(gossip.Live(), gossip.Self(), "orders/", false) < leaderCandidates
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -51,11 +51,11 @@
 	upstreams *upstreamer.Upstreamer
 	sched     *scheduler.Scheduler
 	store     *platform.Client
-	current   func() *catalog.Catalog
 
 	updated *queue.Queue[struct{}]
 
-	mu      sync.Mutex
+	mu      sync.Mutex // held while engines are passed on, so that the last ones stay
+	catalog *catalog.Catalog
 	notLive map[string]bool
 	cursor  int
 }
@@ -71,10 +71,9 @@
 	return nil
 }
 
-// New returns a Poller. current returns the configuration in force, or nil if
-// there is none.
-func New(clk clock.Clock, log logrus.FieldLogger, u *upstreamer.Upstreamer, s *scheduler.Scheduler, store *platform.Client, current func() *catalog.Catalog) *Poller {
-	return &Poller{clk: clk, log: log, upstreams: u, sched: s, store: store, current: current, notLive: map[string]bool{}, updated: queue.New[struct{}](1)}
+// New returns a Poller that polls no engines before the first Update.
+func New(clk clock.Clock, log logrus.FieldLogger, u *upstreamer.Upstreamer, s *scheduler.Scheduler, store *platform.Client) *Poller {
+	return &Poller{clk: clk, log: log, upstreams: u, sched: s, store: store, notLive: map[string]bool{}, updated: queue.New[struct{}](1)}
 }
 
 // Name implements supervisor.Service.
@@ -83,15 +82,17 @@
 // Update passes the engines of c to the scheduler and starts a poll of the engines
 // at once.
 func (p *Poller) Update(c *catalog.Catalog) {
-	p.sched.SetEngines(c.Engines(p.isLive))
+	p.mu.Lock()
+	p.catalog = c
+	p.setEngines()
+	p.mu.Unlock()
 	p.updated.Offer(struct{}{})
 }
 
-// isLive reports whether the platform's list does not mark vm as leaving or gone.
-func (p *Poller) isLive(vm string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.notLive[vm]
+// setEngines passes the engines to the scheduler, but for those whose VM the platform's
+// list marks as leaving or gone. p.mu must be held.
+func (p *Poller) setEngines() {
+	p.sched.SetEngines(p.catalog.Engines(func(vm string) bool { return !p.notLive[vm] }))
 }
 
 // Run polls until ctx is canceled.
@@ -128,7 +129,9 @@
 }
 
 func (p *Poller) pollEngines(ctx context.Context) {
-	c := p.current()
+	p.mu.Lock()
+	c := p.catalog
+	p.mu.Unlock()
 	if c == nil {
 		return
 	}
@@ -169,10 +172,13 @@
 		}
 	}
 	p.mu.Lock()
-	unchanged := maps.Equal(p.notLive, notLive)
+	defer p.mu.Unlock()
+	if maps.Equal(p.notLive, notLive) {
+		return // setEngines rebuilds every hash ring
+	}
 	p.notLive = notLive
-	p.mu.Unlock()
-	if c := p.current(); c != nil && !unchanged {
-		p.Update(c) // rebuilds every hash ring, so it is done only after a change
+	if p.catalog != nil {
+		p.setEngines()
+		p.updated.Offer(struct{}{})
 	}
 }
