fix(observer): upstreams are known before the configuration that they serve is in force

Change: the upstreams are passed on first.

Test: TestUpstreamsAreKnownBeforeConfigurationIsInForce failed before in 5 of 5 runs and passes in 5 of 5. internal/observer (also with the race detector), relayer, feeder and orderer pass.

--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -143,12 +143,12 @@
 	} else {
 		v.Matcher = matcher.New(o.catalog)
 	}
-	o.view.Store(v)
 	memory := map[string]int{}
 	for i := range o.catalog.Services {
 		if s := &o.catalog.Services[i]; s.Engine != nil {
 			memory[s.Name] = s.Engine.MemoryTokens
 		}
 	}
-	o.listener.SetUpstreams(s.Upstreams, memory)
+	o.listener.SetUpstreams(s.Upstreams, memory) // requests under v find them
+	o.view.Store(v)
 }
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnnotch/auburnnotch/internal/observer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -55,11 +56,16 @@
 	ups      []traffic.Upstream
 	restored [][]traffic.Rejection // of each call
 	early    bool                  // upstreams were set before
+	view     func() *relayer.View
+	viewed   bool // there was a view when upstreams were first set
 }
 
 func (l *recordingListener) SetUpstreams(ups []traffic.Upstream, _ map[string]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ups == nil {
+		l.viewed = l.view() != nil
+	}
 	l.ups = ups
 }
 
@@ -114,6 +120,7 @@
 	b.store.Set("up/b", "1")
 	b.store.SetError(initial)
 	b.obs = observer.New(b.clk, b.clk, log, b.store, observer.Layout{OperatorPrefix: "ops/", Decode: decode})
+	b.listener.view = b.obs.View
 	b.obs.SetListener(b.listener)
 	b.obs.SetStoreReader(func() bool { return isReader })
 	ctx, cancel := context.WithCancel(t.Context())
@@ -390,3 +397,13 @@
 		t.Errorf("restored %v, upstreams were known before: %t; want one rejection with one feature, once, before", restored, b.listener.early)
 	}
 }
+
+// Guards against proper requests that are refused: a configuration was in force before the
+// node knew the upstreams that serve it.
+func TestUpstreamsAreKnownBeforeConfigurationIsInForce(t *testing.T) {
+	b := startFixture(t, true, nil)
+	b.until("the configuration", func() bool { return b.obs.View() != nil })
+	if b.listener.ids() == "" || b.listener.viewed {
+		t.Errorf("upstreams %q, set after the configuration was in force: %t", b.listener.ids(), b.listener.viewed)
+	}
+}
