--- a/internal/soak/soaker/call.go
+++ b/internal/soak/soaker/call.go
@@ -174,27 +174,36 @@
 		Method: req.Method, Target: req.Target, Route: r.Prefix, BodyHash: xxhash.Sum64(req.Body), Workspace: workspace(k), Key: req.APIKey,
 		WantBody: wantBody, Poison: poison,
 	}
+	sending := c.exchange(req, &record, func() bool { return longStream && ctx.Err() != nil })
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	limit := c.s.declared.leastFactor(record.SentAt.Add(-sending-Bounds().Config), record.EndedAt) * float64(r.Timeout)
+	record.Timeout = min(wait, time.Duration(limit)) - sending // nodes count from the header
+	c.s.history.Requests = append(c.s.history.Requests, record)
+}
+
+// exchange sends a request, waits for the response and records the outcome. It returns how
+// long the sending took. A request that abandoned reports true for has been given up.
+func (c *caller) exchange(req *client.Request, record *checker.Request, abandoned func() bool) (sending time.Duration) {
 	begunAt := c.s.clk.Now()
 	sendErr := c.conn.Send(req)
 	record.SentAt, record.SentWhole = c.s.clk.Now(), sendErr == nil
-	resp, err := c.conn.Receive(record.SentAt.Add(wait + time.Second)) // a refusal may come before the request is sent whole
+	resp, err := c.conn.Receive(record.SentAt.Add(req.Timeout + time.Second)) // a refusal may come before the request is sent whole
 	record.EndedAt = c.s.clk.Now()
 	record.Status, record.Complete, record.Stamped, record.ResponseID = resp.Status, resp.Complete, resp.Stamped, resp.RequestID
 	record.Body = strings.ReplaceAll(string(resp.Body), upstream.Comment, "") // callers ignore comments
-	var timeout net.Error
-	timedOut, abandoned := errors.As(err, &timeout) && timeout.Timeout(), longStream && ctx.Err() != nil
-	record.ConnectionLost, record.TimedOut = err != nil && !abandoned && !timedOut, timedOut && !abandoned
+	if err != nil && !abandoned() {
+		var network net.Error
+		record.TimedOut = errors.As(err, &network) && network.Timeout()
+		record.ConnectionLost = !record.TimedOut
+	}
 	if err != nil || sendErr != nil {
 		c.failedAt[c.node.callerAddr()] = record.EndedAt
 	}
 	if err != nil || sendErr != nil || !resp.Reusable {
 		c.closeConn()
 	}
-	c.s.mu.Lock()
-	limit := c.s.declared.leastFactor(begunAt.Add(-Bounds().Config), record.EndedAt) * float64(r.Timeout)
-	record.Timeout = min(wait, time.Duration(limit)) - record.SentAt.Sub(begunAt) // nodes count from the header
-	c.s.history.Requests = append(c.s.history.Requests, record)
-	c.s.mu.Unlock()
+	return record.SentAt.Sub(begunAt)
 }
 
 // drawLargeBody gives a request that has a body a large one, sent in pieces, or leaves it as it is.
