feat(scoper): a removed isolated workspace stays in the set that names the shared scope

Cause: the shared cache scope is named after the isolated workspaces of the configuration. Once one of them is removed, the scope has the name that it had before the isolation, and others find the parts that the workspace had left there.

Change: scoper.New takes names of workspaces that were isolated in earlier configurations. Nothing uses them yet: the names of all scopes are unchanged.

--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -28,7 +28,7 @@
 		catalog: c, routesByHost: map[string][]*traffic.Route{},
 		servicesByName:  make(map[string]*traffic.Service, len(c.Services)),
 		workspacesByKey: map[string]*traffic.Workspace{},
-		scopes:          scoper.New(c.Workspaces),
+		scopes:          scoper.New(c.Workspaces, nil),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -55,6 +55,14 @@
 	return m
 }
 
+// WithPast returns a Matcher of the same catalog whose cache scopes take into account the
+// names of workspaces that were isolated in earlier configurations.
+func (m *Matcher) WithPast(names []string) *Matcher {
+	with := *m
+	with.scopes = scoper.New(m.catalog.Workspaces, names)
+	return &with
+}
+
 // Catalog returns the catalog that the index was built from.
 func (m *Matcher) Catalog() *traffic.Catalog { return m.catalog }
 
--- a/pkg/scoper/scoper.go
+++ b/pkg/scoper/scoper.go
@@ -24,16 +24,32 @@
 // Scoper returns the cache scopes of one configuration. It is an immutable value.
 type Scoper struct{ shared string }
 
-// New returns the Scoper of a configuration with the given workspaces.
+// New returns the Scoper of a configuration with the given workspaces. past are names of
+// workspaces that were isolated in earlier configurations.
 //
 // The shared scope is named after the set of isolated workspaces, so that it holds no
-// part of theirs: whoever uses a scope isn't in its set. That needs no memory of earlier
-// configurations, and holds for nodes that learn of a change at different times.
-func New(workspaces []traffic.Workspace) Scoper {
+// part of theirs: whoever uses a scope isn't in its set. That holds for nodes that learn of
+// a change at different times. Past names stay in the set until the configuration lists
+// them as shared; otherwise, once an isolated workspace is removed, others would find what
+// it had shared before its isolation.
+func New(workspaces []traffic.Workspace, past []string) Scoper {
 	var isolated []string
+	listed := make(map[string]bool, len(past))
+	for _, name := range past {
+		listed[name] = false
+	}
 	for i := range workspaces {
+		name := workspaces[i].Name
 		if workspaces[i].Isolated {
-			isolated = append(isolated, workspaces[i].Name)
+			isolated = append(isolated, name)
+		}
+		if _, ok := listed[name]; ok {
+			listed[name] = true
+		}
+	}
+	for name, ok := range listed {
+		if !ok {
+			isolated = append(isolated, name)
 		}
 	}
 	if len(isolated) == 0 {
