fix(observer): parts that a removed isolated workspace had left aren't found by others

Cause: nodes knew only the isolated workspaces of the configuration in force. A workspace that was isolated and then removed was in no set any more, and the shared scope had its former name.

Change: every node keeps the names that it saw isolated (pkg/recorder), and an aggregator writes them to the store under auburnnotch/isolated (internal/isolationkeeper), conditional on the revision that it has read and again after a second if that fails. The view of the configuration takes the names into account. A record that is lost or unreadable is restored by running nodes. Fleets without isolated workspaces write nothing, and their scopes have the names they had.

Changed test: fleet.set of internal/relayer takes past names, none in the tests before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/feeder"
+	"github.com/auburnnotch/auburnnotch/internal/isolationkeeper"
 	"github.com/auburnnotch/auburnnotch/internal/linewriter"
 	"github.com/auburnnotch/auburnnotch/internal/logger"
 	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
@@ -151,7 +152,8 @@
 		return nil, errors.Trace(err)
 	}
 	kept := rejectionkeeper.New(clk, log, st, obs, relay, isAggregator)
-	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, kept, in, registrar.New(clk, log, st, obs, self))
+	isolations := isolationkeeper.New(clk, log, st, obs, isAggregator)
+	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, kept, isolations, in, registrar.New(clk, log, st, obs, self))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/isolationkeeper/keeper_test.go
@@ -0,0 +1,293 @@
+package isolationkeeper_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/auburnnotch/auburnnotch/internal/isolationkeeper"
+	"github.com/auburnnotch/auburnnotch/internal/observer"
+	"github.com/auburnnotch/auburnnotch/internal/packer"
+	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+	"github.com/auburnnotch/auburnnotch/platform/translate"
+)
+
+// store counts the writes and can refuse them.
+type store struct {
+	*testlib.Store
+	refuses atomic.Bool
+	writes  atomic.Int32
+}
+
+func (s *store) Commit(ctx context.Context, l platform.Line, t platform.Txn) (uint64, error) {
+	s.writes.Add(1)
+	if s.refuses.Load() {
+		return 0, platform.Unavailable
+	}
+	return s.Store.Commit(ctx, l, t)
+}
+
+type fleet struct {
+	t       *testing.T
+	clk     *testlib.Clock
+	store   *store
+	log     *logtest.Hook
+	version uint64
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, clk: testlib.NewClock(time.Date(2026, 12, 6, 9, 0, 0, 0, time.UTC)), store: &store{Store: testlib.NewStore()}}
+}
+
+// configure puts the next version of the configuration into force. Workspaces that end
+// with "!" are isolated.
+func (f *fleet) configure(workspaces ...string) {
+	f.t.Helper()
+	type tenant struct {
+		Name     string `json:"name"`
+		Isolated bool   `json:"isolated"`
+	}
+	f.version++
+	var tenants []tenant
+	for _, w := range workspaces {
+		name := w
+		if w[len(w)-1] == '!' {
+			name = w[:len(w)-1]
+		}
+		tenants = append(tenants, tenant{name, name != w})
+	}
+	value, err := json.Marshal(map[string]any{"version": f.version, "tenants": tenants})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.Set(translate.KeyConfig, string(value))
+}
+
+type listener struct{}
+
+func (listener) SetUpstreams([]traffic.Upstream, map[string]int) {}
+func (listener) RestoreRejections([]traffic.Rejection)           {}
+
+// start starts a node and returns it once it has read the store.
+func (f *fleet) start(isWriter bool) (obs *observer.Observer, stop func()) {
+	f.t.Helper()
+	log, hook := logtest.NewNullLogger()
+	f.log = hook
+	obs = observer.New(f.clk, f.clk, log, f.store, translate.Layout())
+	obs.SetListener(listener{})
+	k := isolationkeeper.New(f.clk, log, f.store, obs, func() bool { return isWriter })
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return obs.Run(ctx) })
+	g.Go(func() error { return k.Run(ctx) })
+	stop = func() { cancel(); _ = g.Wait() }
+	f.t.Cleanup(stop)
+	f.until("the first read", func() bool { return obs.View() != nil })
+	return obs, stop
+}
+
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		f.clk.Step(50 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatalf("%s didn't happen within 20 s", what)
+}
+
+// settle lets all nodes have the configuration in force and time to write.
+func (f *fleet) settle(nodes ...*observer.Observer) {
+	f.t.Helper()
+	f.until("the configuration", func() bool {
+		return !slices.ContainsFunc(nodes, func(o *observer.Observer) bool { return o.View().Matcher.Catalog().Version != f.version })
+	})
+	for end := f.clk.Now().Add(4 * time.Second); f.clk.Now().Before(end); {
+		f.clk.Step(50 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func scope(o *observer.Observer) string { return o.View().Matcher.CacheScope(nil) }
+
+// Guards against WALL: a workspace that was isolated is removed, and the others find what
+// it had left in the shared scope before; on nodes that saw it isolated, on nodes that
+// start later, and if the store accepts no writes while it is isolated.
+func TestRemovedIsolatedWorkspaceLeavesNoPartToOthers(t *testing.T) {
+	for name, refuses := range map[string]bool{"written in time": false, "written late": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure("a", "b")
+			writer, stopWriter := f.start(true)
+			reader, stopReader := f.start(false)
+			before := scope(writer)
+			f.store.refuses.Store(refuses)
+			f.configure("a!", "b")
+			f.settle(writer, reader)
+			isolated := scope(writer)
+			f.configure("b")
+			f.settle(writer, reader)
+			if got := []string{scope(writer), scope(reader)}; isolated == before || got[0] != isolated || got[1] != isolated {
+				t.Errorf("shared scope %q before the isolation, %q during it, then %q", before, isolated, got)
+			}
+			f.store.refuses.Store(false)
+			f.settle(writer, reader)
+			stopWriter()
+			stopReader()
+			writer, _ = f.start(true)
+			if got := scope(writer); got != isolated {
+				t.Errorf("shared scope of a node that started since is %q, want %q", got, isolated)
+			}
+			f.configure("b", "a")
+			f.settle(writer)
+			if got := scope(writer); got != before {
+				t.Errorf("shared scope after the workspace returned to it is %q, want %q", got, before)
+			}
+			f.configure("b")
+			f.settle(writer)
+			if got := scope(writer); got != isolated {
+				t.Errorf("shared scope after the workspace was removed again is %q, want %q", got, isolated)
+			}
+		})
+	}
+}
+
+// Guards against a node that takes the configuration after the next one without the one
+// between them: it learns of the isolated workspace from the store.
+func TestNodeThatMissedTheIsolationLearnsOfIt(t *testing.T) {
+	f := newFleet(t)
+	f.configure("a", "b")
+	missing, stop := f.start(false)
+	stop()
+	before := scope(missing)
+	writer, _ := f.start(true)
+	f.configure("a!", "b")
+	f.settle(writer)
+	f.configure("b")
+	g, ctx := errgroup.WithContext(t.Context())
+	ctx, cancel := context.WithCancel(ctx)
+	g.Go(func() error { return missing.Run(ctx) }) // goes on with what it knew
+	t.Cleanup(func() { cancel(); _ = g.Wait() })
+	f.until("the configuration", func() bool { return missing.View().Matcher.Catalog().Version == f.version })
+	if got := scope(missing); got == before {
+		t.Errorf("shared scope %q, as before the isolation", got)
+	}
+}
+
+// Guards against a node that uses old parts for good, since it started before the name was
+// written: it learns of the name once that is in the store.
+func TestNodeThatStartedBeforeTheRecordLearnsOfIt(t *testing.T) {
+	f := newFleet(t)
+	f.configure("a!", "b")
+	f.store.refuses.Store(true)
+	writer, _ := f.start(true)
+	f.configure("b")
+	f.settle(writer)
+	late, _ := f.start(false)
+	f.store.refuses.Store(false)
+	f.until("the name", func() bool { return scope(late) == scope(writer) && scope(late) != "" })
+}
+
+// Guards against calls of the store that are paid for nothing: there is nothing to write
+// without isolated workspaces, and one write is enough for a set of them.
+func TestNothingIsWrittenWithoutNeed(t *testing.T) {
+	f := newFleet(t)
+	f.configure("a", "b")
+	writer, _ := f.start(true)
+	reader, _ := f.start(false)
+	f.configure("a")
+	f.settle(writer, reader)
+	if n := f.store.writes.Load(); n != 0 || scope(writer) != "" {
+		t.Errorf("%d writes, shared scope %q without isolated workspaces", n, scope(writer))
+	}
+	for _, workspaces := range [][]string{{"a", "x!", "y!"}, {"a", "x!"}, {"x", "y"}, {"y!"}, {"a"}} {
+		f.configure(workspaces...)
+		f.settle(writer, reader)
+	}
+	if n := f.store.writes.Load(); n != 1 {
+		t.Errorf("%d writes for two names, want 1", n)
+	}
+}
+
+// Guards against a record that is lost or damaged by hand: nodes that run restore it.
+func TestLostRecordIsRestored(t *testing.T) {
+	for name, damage := range map[string]func(*testlib.Store){
+		"removed":    func(s *testlib.Store) { s.Delete(isolationkeeper.Key) },
+		"unreadable": func(s *testlib.Store) { s.Set(isolationkeeper.Key, "\xc0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure("a!", "b")
+			writer, _ := f.start(true)
+			f.settle(writer)
+			f.configure("b")
+			f.settle(writer)
+			isolated := scope(writer)
+			damage(f.store.Store)
+			f.settle(writer)
+			it, _ := f.store.Item(isolationkeeper.Key)
+			if r, err := isolationkeeper.Decode(it); err != nil || !slices.Equal(r.Names, []string{"a"}) || scope(writer) != isolated {
+				t.Errorf("restored %+v, error %v, shared scope %q, want %q", r, err, scope(writer), isolated)
+			}
+		})
+	}
+}
+
+// Guards against a name that is dropped without notice.
+func TestDroppedNamesAreLogged(t *testing.T) {
+	f := newFleet(t)
+	var names []string
+	for i := range 256 {
+		names = append(names, string(rune('a'+i/26))+string(rune('a'+i%26))+"!")
+	}
+	f.configure(names...)
+	writer, _ := f.start(true)
+	f.settle(writer)
+	for _, workspaces := range [][]string{{"new!"}, {"b"}} {
+		f.configure(workspaces...)
+		f.settle(writer)
+	}
+	var dropped []any
+	for _, e := range f.log.AllEntries() {
+		if e.Data["event"] == "isolationsDropped" && e.Level == logrus.WarnLevel {
+			dropped = append(dropped, e.Data["workspaces"])
+		}
+	}
+	if len(dropped) != 1 || !slices.Equal(dropped[0].([]string), []string{"aa"}) {
+		t.Errorf("logged %v as dropped, want aa once", dropped)
+	}
+}
+
+type storedWorkspace struct{ Name string }
+
+func TestIsolationsOfProtocolFive(t *testing.T) {
+	value, err := packer.Pack([]storedWorkspace{{"a"}, {"b \"ü\""}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := isolationkeeper.Decode(platform.Item{Value: testlib.Golden(t, "protocol-5-isolations", value), Revision: 7})
+	if err != nil || got.Revision != 7 || got.Unreadable || !slices.Equal(got.Names, []string{"a", "b \"ü\""}) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+}
+
+// Guards against odd records that end a node or replace the names that it knows.
+func TestOddRecordsAreUnreadable(t *testing.T) {
+	for _, value := range []string{"", "\xc0", "\x90", "\x91\xc0", "\x91\x91\xa0", "null", "\xdd\xff\xff\xff\xff"} {
+		got, err := isolationkeeper.Decode(platform.Item{Value: []byte(value), Revision: 7})
+		if err == nil || got == nil || !got.Unreadable || len(got.Names) > 0 || got.Revision != 7 {
+			t.Errorf("%q: decoded %+v, error %v", value, got, err)
+		}
+	}
+}
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -84,6 +85,7 @@
 		return
 	}
 	o.catalog = c
+	o.isolated = o.isolated.WithWorkspaces(c.Workspaces)
 	o.log.WithFields(logrus.Fields{
 		"event": "configTaken", "config": c.Version, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
 	}).Info("applied a new configuration")
@@ -102,6 +104,7 @@
 // publish makes the current state available to the other services.
 func (o *Observer) publish() {
 	s := &Snapshot{Loaded: !o.lastRead.IsZero()}
+	record := &traffic.Isolations{Unreadable: true}
 	for _, k := range o.items {
 		switch f := k.record.(type) {
 		case *traffic.Upstream:
@@ -114,8 +117,16 @@
 			s.Announcements = append(s.Announcements, *f)
 		case *traffic.Rejections:
 			s.Rejections = *f
+		case *traffic.Isolations:
+			record = f
 		}
 	}
+	if record.Unreadable {
+		o.isolated = o.isolated.WithoutRecord()
+	} else {
+		o.isolated = o.isolated.WithRecord(record.Names)
+	}
+	s.Isolations, s.IsolationsRevision = o.isolated, record.Revision
 	for model, versions := range o.weights {
 		s.Weights = append(s.Weights, traffic.Weights{Model: model, Version: newestVersion(versions)})
 	}
@@ -138,11 +149,7 @@
 	for model, w := range o.weights {
 		v.Versions[model] = w
 	}
-	if old := o.view.Load(); old != nil && old.Matcher.Catalog() == o.catalog {
-		v.Matcher = old.Matcher
-	} else {
-		v.Matcher = matcher.New(o.catalog)
-	}
+	v.Matcher = o.matcher()
 	memory := map[string]int{}
 	for i := range o.catalog.Services {
 		if s := &o.catalog.Services[i]; s.Engine != nil {
@@ -152,3 +159,19 @@
 	o.listener.SetUpstreams(s.Upstreams, memory) // requests under v find them
 	o.view.Store(v)
 }
+
+// matcher returns the index of the configuration, which is that of the latest view if
+// nothing has changed.
+func (o *Observer) matcher() *matcher.Matcher {
+	past := o.isolated.Past()
+	old := o.view.Load()
+	switch {
+	case old == nil || old.Matcher.Catalog() != o.catalog:
+		o.past = past
+		return matcher.New(o.catalog).WithPast(past)
+	case !slices.Equal(past, o.past):
+		o.past = past
+		return old.Matcher.WithPast(past)
+	}
+	return old.Matcher
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/outage"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
+	"github.com/auburnnotch/auburnnotch/pkg/recorder"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -86,6 +87,10 @@
 	Announcements []traffic.Announcements
 	// Rejections is what the fleet rejects, as stored.
 	Rejections traffic.Rejections
+	// Isolations are the names of isolated workspaces that the node knows, and the revision
+	// of their record in the store.
+	Isolations         recorder.Recorder
+	IsolationsRevision uint64
 	// Roster assigns the fleet-wide roles to Nodes.
 	Roster *roster.Roster
 	// Loaded is true once the store has been read.
@@ -114,6 +119,8 @@
 	proof     prover.Prover
 	items     map[string]knownItem
 	catalog   *traffic.Catalog
+	isolated  recorder.Recorder
+	past      []string // isolated workspaces that the latest view takes into account
 	weights   map[string][]relayer.ModelVersion
 	revision  uint64    // store revision at the last read
 	lastRead  time.Time // zero before the first read
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -106,10 +106,10 @@
 
 func (f *fleet) StoreInReachSince() time.Time { return time.Time{} }
 
-func (f *fleet) set(c *traffic.Catalog, provenAt time.Duration) {
+func (f *fleet) set(c *traffic.Catalog, provenAt time.Duration, pastIsolated ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view = &relayer.View{Matcher: matcher.New(c), Nodes: 1}
+	f.view = &relayer.View{Matcher: matcher.New(c).WithPast(pastIsolated), Nodes: 1}
 	f.proof = prover.New().WithProof(c.Version, provenAt)
 }
 
--- a/internal/relayer/scope_test.go
+++ b/internal/relayer/scope_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Guards against WALL: the isolated workspace is removed, and requests of others have the
+// salt that it had used before its isolation. Once it is listed as shared, they may have.
+func TestRemovedIsolatedWorkspaceLeavesNoPartToOthers(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	b.fleet.set(isolation(1, false), b.boot.Elapsed())
+	before, _ := b.servePrompt(t, "keyA")
+	b.fleet.set(isolation(2, true), b.boot.Elapsed())
+	isolated, _ := b.servePrompt(t, "keyB")
+	removed := isolation(3, true)
+	removed.Workspaces = removed.Workspaces[1:]
+	b.fleet.set(removed, b.boot.Elapsed(), "a")
+	if got, _ := b.servePrompt(t, "keyB"); got == before || got != isolated {
+		t.Errorf("salt %q before the isolation, %q during it, then %q", before, isolated, got)
+	}
+	b.fleet.set(isolation(4, false), b.boot.Elapsed(), "a")
+	if got, _ := b.servePrompt(t, "keyB"); got != before {
+		t.Errorf("salt %q, want %q as before the isolation", got, before)
+	}
+}
+
 // Guards against WALL: a key moved to another workspace between the choice of an upstream
 // and the send, and the request was sent for the workspace that had held it.
 func TestKeyThatMovesBeforeTheSendCountsForItsNewWorkspace(t *testing.T) {
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -216,6 +216,21 @@
 	}
 }
 
+// Guards against parts that are expected, or fetched, where upstreams keep them for another
+// cache scope, as after a change of the isolated workspaces.
+func TestPartsOfAnotherCacheScopeAreIgnored(t *testing.T) {
+	p := newPlacer(9, engines(2, versionOne))
+	complete(p, pickAndSend(t, p, start, prompt("s", 1000)))
+	q := prompt("s", 1000)
+	q.CacheScope, q.CacheAddress = "~ac8d8342bbb2362d", ""
+	if c, _ := p.Pick(start.Add(time.Second), q); c.Misses != 7300 || c.Source != "" {
+		t.Errorf("%d misses, parts from %q; want 7300 misses and no source", c.Misses, c.Source)
+	}
+	if c, _ := p.Pick(start.Add(time.Second), prompt("s", 1000)); c.Misses > 2000 {
+		t.Errorf("%d misses in the scope of the parts", c.Misses)
+	}
+}
+
 // Guards against overloading plain upstreams that many nodes share: the loads that
 // peers report count.
 func TestPlainRequestsAccountForPeerLoads(t *testing.T) {
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -27,15 +27,15 @@
 	// unstored are the names of earlier configurations that the node hasn't read in the
 	// record, oldest first.
 	unstored []string
-	dropped  []string // from unstored, for lack of room
+	dropped  []string // from unstored for lack of room, since the record last changed
 }
 
 // WithWorkspaces returns a Recorder for a configuration with the given workspaces.
 func (r Recorder) WithWorkspaces(workspaces []traffic.Workspace) Recorder {
 	var isolated []string
 	for i := range workspaces {
-		if workspaces[i].Isolated && len(workspaces[i].Name) < maxNameBytes {
-			isolated = append(isolated, workspaces[i].Name)
+		if name := workspaces[i].Name; workspaces[i].Isolated && name != "" && len(name) < maxNameBytes {
+			isolated = append(isolated, name)
 		}
 	}
 	slices.Sort(isolated)
@@ -48,6 +48,9 @@
 // WithRecord returns a Recorder that has read the names in the store's record. Names that
 // it had read before and that are no longer there were dropped for newer ones.
 func (r Recorder) WithRecord(names []string) Recorder {
+	if len(names) > 0 && slices.Equal(names, r.stored) {
+		return r
+	}
 	return Recorder{stored: names, isolated: r.isolated, unstored: without(r.unstored, names)}
 }
 
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -48,6 +48,7 @@
 		"removed ones displace listed ones": {recorder.Recorder{}.WithRecord(many).WithWorkspaces(isolated(append(many[1:], "n")...)).WithWorkspaces(isolated(many[1:]...)), append(many[:255:255], "n"), nil, true},
 		"too many at once":                  {recorder.Recorder{}.WithWorkspaces(isolated(more...)), more[:256], nil, true},
 		"too many removed before a record":  {recorder.Recorder{}.WithWorkspaces(isolated(more...)).WithWorkspaces(nil), more[44:], more[:44], true},
+		"too many removed beside a record":  {recorder.Recorder{}.WithRecord(many).WithWorkspaces(isolated(more...)).WithWorkspaces(nil).WithRecord(many), more[44:], slices.Concat(many, more[:44]), true},
 		"many long ones":                    {recorder.Recorder{}.WithRecord([]string{"a"}).WithWorkspaces(isolated(numbered(long, 20)...)).WithWorkspaces(nil), append([]string{"a"}, numbered(long, 20)[6:]...), numbered(long, 20)[:6], true},
 		"one that is too long":              {recorder.Recorder{}.WithRecord([]string{"a"}).WithWorkspaces(isolated(long + long)), []string{"a"}, nil, false},
 	} {
--- a/pkg/traffic/storerecord.go
+++ b/pkg/traffic/storerecord.go
@@ -1,7 +1,8 @@
 package traffic
 
 // StoreRecord is the decoded value of one key of the platform's store: a *Catalog,
-// an *Upstream, a *Weights, a *Node, a *Leader, an *Announcements or a *Rejections.
+// an *Upstream, a *Weights, a *Node, a *Leader, an *Announcements, a *Rejections
+// or an *Isolations.
 type StoreRecord interface{ storeRecord() }
 
 func (*Catalog) storeRecord()       {}
@@ -11,3 +12,4 @@
 func (*Leader) storeRecord()        {}
 func (*Announcements) storeRecord() {}
 func (*Rejections) storeRecord()    {}
+func (*Isolations) storeRecord()    {}
