test(soak): an isolated workspace is removed

Cause: no fault of the soak removed a workspace, so that its check of isolation couldn't find parts that a removed one had left.

The checker already counts a removed workspace as isolated; one more case shows it.

--- a/internal/soak/checker/walls_test.go
+++ b/internal/soak/checker/walls_test.go
@@ -20,6 +20,7 @@
 		{"the isolated workspace uses others' parts", []checker.Wall{{At: at(1), Workspace: "a", Isolated: true}}, []checker.Run{{Workspace: "b", StartedAt: at(0)}, {Workspace: "a", StartedAt: at(10)}}, 1},
 		{"the wall isn't in force everywhere yet", []checker.Wall{{At: at(1), Workspace: "a", Isolated: true}}, []checker.Run{{Workspace: "a", StartedAt: at(0)}, {Workspace: "b", StartedAt: at(3)}}, 0},
 		{"the wall is gone again", []checker.Wall{{At: at(1), Workspace: "a", Isolated: true}, {At: at(9), Workspace: "a"}}, []checker.Run{{Workspace: "a", StartedAt: at(0)}, {Workspace: "b", StartedAt: at(10)}}, 0},
+		{"the isolated workspace is removed", []checker.Wall{{At: at(1), Workspace: "a", Isolated: true}}, []checker.Run{{Workspace: "a", StartedAt: at(0)}, {Workspace: "b", StartedAt: at(3), CacheSalt: "other"}, {Workspace: "b", StartedAt: at(20)}}, 1},
 		{"another salt", []checker.Wall{{At: at(1), Workspace: "a", Isolated: true}}, []checker.Run{{Workspace: "a", StartedAt: at(0)}, {Workspace: "b", CacheSalt: "other", StartedAt: at(10)}}, 0},
 	} {
 		h := &checker.History{Walls: c.walls}
--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -156,6 +156,8 @@
 	}
 	// WallChanged isolates a workspace, or ends its isolation.
 	WallChanged struct{ Workspace int }
+	// WallRemoved isolates a workspace and removes it, with its keys, once that is in force.
+	WallRemoved struct{ Workspace int }
 	// Reload sends SIGHUP to a node.
 	Reload struct{ Node int }
 	// LimitsChanged replaces what callers may send, and how long they may stay idle.
@@ -211,6 +213,7 @@
 func (Poison) fault()                 {}
 func (LonePoison) fault()             {}
 func (WallChanged) fault()            {}
+func (WallRemoved) fault()            {}
 func (Reload) fault()                 {}
 func (LimitsChanged) fault()          {}
 func (TimeLimitsChanged) fault()      {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -58,6 +58,8 @@
 	minNotices = 3
 	// minWalls is the smallest number of changes of walls in a plan with any.
 	minWalls = 3
+	// removalSpan is the time in which a workspace becomes isolated that is then removed.
+	removalSpan = time.Second
 	// minChangeGap and changeGapSpread bound the time between two changes in a series.
 	minChangeGap, changeGapSpread = 50 * time.Millisecond, 400 * time.Millisecond
 	// maxIdleSpread and maxBodySpread limit the random parts of limits for callers.
@@ -89,6 +91,9 @@
 	// walls draws changed walls, lone a LonePoison, and notices what upstreams say of
 	// themselves. Each is nil for nine seeds of ten.
 	walls, lone, notices *rand.Rand
+	// removals draws the isolated workspace that is removed. It is nil for nineteen seeds of
+	// twenty.
+	removals *rand.Rand
 	// changes draws a series of changes and large bodies. It is nil for eight seeds of ten.
 	changes *rand.Rand
 	opts    Options
@@ -104,6 +109,9 @@
 	if seed%6 < 2 {
 		p.late = source(0x50a7)
 	}
+	if seed%20 == 10 {
+		p.removals = source(0x50ac)
+	}
 	switch seed % 10 {
 	case 6:
 		p.walls = source(0x50a8)
@@ -151,6 +159,12 @@
 			out = append(out, Step{At: at, Fault: WallChanged{Workspace: p.walls.IntN(p.opts.Keys)}})
 		}
 	}
+	if p.removals != nil {
+		// Early, so that there is traffic after the removal. Workspaces with an even number
+		// are isolated from the start.
+		at := startupTime + time.Duration(p.removals.Int64N(int64(removalSpan)))
+		out = append(out, Step{At: at, Fault: WallRemoved{Workspace: 1 + 2*p.removals.IntN(p.opts.Keys/2)}})
+	}
 	if p.lone != nil {
 		at := startupTime + time.Duration(p.lone.Int64N(int64(poisonStartSpan)))
 		out = append(out, Step{At: at, Fault: LonePoison{Route: p.lone.IntN(p.opts.PlainRoutes), For: p.opts.Length - at}})
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/auburnnotch/auburnnotch/internal/soak/checker"
 	"github.com/auburnnotch/auburnnotch/internal/soak/planner"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
@@ -112,6 +114,8 @@
 		s.wallChanged[f.Workspace] = !s.wallChanged[f.Workspace]
 		s.mu.Unlock()
 		s.reconfigure()
+	case planner.WallRemoved:
+		s.runAsync(func() { s.removeIsolated(ctx, f.Workspace) })
 	case planner.Reload:
 		s.reload(s.nodes[f.Node])
 	case planner.LimitsChanged, planner.TimeLimitsChanged, planner.WorkspaceChanged, planner.RoutesAdded:
@@ -183,6 +187,39 @@
 	s.mu.Unlock()
 }
 
+// removeIsolated isolates a workspace, and removes it from the configuration once every
+// node that can read the store has had time to take the isolation. Its key is revoked with
+// it. If half of the keys are revoked already, the workspace stays.
+func (s *Soaker) removeIsolated(ctx context.Context, i int) {
+	s.mu.Lock()
+	s.wallChanged[i] = i%2 != 0 // isolated
+	s.mu.Unlock()
+	s.reconfigure()
+	isolated := s.clk.Now()
+	for !s.storeUndisturbedSince(s.clk.Now().Add(-Bounds().Settle)) || s.clk.Now().Sub(isolated) < Bounds().Settle {
+		if !clock.Sleep(ctx, s.clk, pollInterval) {
+			return
+		}
+	}
+	s.revokeKey(key(i))
+	s.mu.Lock()
+	_, s.removed[i] = s.history.RevokedAt[key(i)]
+	removed := s.removed[i]
+	s.mu.Unlock()
+	s.reconfigure()
+	s.log.WithFields(logrus.Fields{"event": "workspaceRemoved", "workspace": i, "removed": removed, "isolatedMs": s.clk.Now().Sub(isolated).Milliseconds()}).
+		Info("isolated workspace removed from the configuration")
+}
+
+// storeUndisturbedSince reports whether all nodes could use the store since a time.
+func (s *Soaker) storeUndisturbedSince(from time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.history.Disturbances, func(d checker.Disturbance) bool {
+		return (d.StoreOnly || d.Node < 0) && d.To.After(from)
+	})
+}
+
 // injectStoreFault makes the store fail for one node or all nodes, and ends the fault
 // in the background.
 func (s *Soaker) injectStoreFault(ctx context.Context, scope planner.Scope, f metastore.Faults, d time.Duration) {
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -95,6 +95,7 @@
 	weightsVersion   int
 	routeMoved       bool
 	wallChanged      [KeyCount]bool // by workspace
+	removed          [KeyCount]bool // workspaces that aren't in the configuration any more
 	upstreamsStarted int            // number of upstream IDs assigned so far
 	// lateUntil is when the last late write has been executed; zero if there was none.
 	lateUntil time.Time
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -110,6 +110,9 @@
 	}
 	c.Routes = append(c.Routes, s.declared.routes()...)
 	for i := range KeyCount {
+		if s.removed[i] {
+			continue
+		}
 		w := s.declared.workspace(i)
 		w.Isolated = (i%2 == 0) != s.wallChanged[i]
 		if _, revoked := s.history.RevokedAt[key(i)]; revoked {
