feat(observer): log the findings on a new configuration

Cause: a node took a faulty configuration without a word about the fault. Change: a check that the layout provides runs beside the reads of the store, once for each version and at most every 10 s. At most 20 findings are logged, errors first, then the number omitted. The configuration is in force independently of the check, also if that panics.

--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -60,7 +60,7 @@
 	o.items[it.Key] = knownItem{revision: it.Revision, record: f, item: it}
 	switch f := f.(type) {
 	case *traffic.Catalog:
-		o.setCatalog(f)
+		o.setCatalog(f, it)
 	case *traffic.Weights:
 		o.setWeights(f, initial)
 	case *traffic.Announcements:
@@ -79,7 +79,7 @@
 	return it
 }
 
-func (o *Observer) setCatalog(c *traffic.Catalog) {
+func (o *Observer) setCatalog(c *traffic.Catalog, it platform.Item) {
 	if o.catalog != nil && c.Version <= o.catalog.Version {
 		return
 	}
@@ -87,6 +87,7 @@
 	o.log.WithFields(logrus.Fields{
 		"event": "configTaken", "config": c.Version, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
 	}).Info("applied a new configuration")
+	o.queueCheck(queuedConfig{item: it, version: c.Version})
 }
 
 func (o *Observer) logUpstreamChange(before traffic.StoreRecord, u *traffic.Upstream) {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -13,6 +13,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/linter"
 	"github.com/auburnnotch/auburnnotch/pkg/outage"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
@@ -66,6 +67,9 @@
 	// be ignored. A record that is returned with an error holds the part that
 	// could be decoded.
 	Decode func(platform.Item) (traffic.StoreRecord, error)
+	// Check returns the findings on a configuration, at most limit of each severity, and the
+	// number of those omitted. It may be nil.
+	Check func(it platform.Item, limit int) (findings []linter.Finding, omitted int)
 }
 
 // Listener is notified of changes. Calls are not concurrent.
@@ -127,6 +131,7 @@
 	restored      bool   // the listener has the rejections of the first read
 	feed          feed
 	trigger       chan struct{}
+	unchecked     chan queuedConfig // the latest configuration, until it is checked
 	isStoreReader func() bool
 	pace          func() roster.Pace
 	changeSource  ChangeSource
@@ -137,7 +142,7 @@
 func New(clk clock.Clock, boot clock.BootClock, log logrus.FieldLogger, s platform.Store, l Layout) *Observer {
 	o := &Observer{
 		clk: clk, boot: boot, log: log, store: s, layout: l, items: map[string]knownItem{}, weights: map[string][]relayer.ModelVersion{},
-		feed: newFeed(), trigger: make(chan struct{}, 1), isStoreReader: func() bool { return true },
+		feed: newFeed(), trigger: make(chan struct{}, 1), unchecked: make(chan queuedConfig, 1), isStoreReader: func() bool { return true },
 		pace: func() roster.Pace { return roster.New(nil).Pace("") },
 	}
 	o.snapshot.Store(&Snapshot{Roster: roster.New(nil)})
@@ -185,11 +190,12 @@
 // Name implements supervisor.Service.
 func (o *Observer) Name() string { return "observer" }
 
-// Run polls and watches the store until ctx ends.
+// Run polls and watches the store, and checks configurations, until ctx ends.
 func (o *Observer) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return o.poll(ctx) })
 	g.Go(func() error { return o.watch(ctx) })
+	g.Go(func() error { o.checkConfigs(ctx); return nil })
 	return g.Wait()
 }
 
