feat(cmd): config check reports findings and differences before a rollout

Cause: operators had no way to check a document of the platform, or to see what a new version changes for callers. Change: config check FILE [--against FILE] [--form FORM] [--json] checks a declaration or a document of the platform, told apart by the fields at the top, and compares it with the version in force. The exit code is 0, 1 with findings, or 2 for unreadable input and wrong use.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -44,6 +44,7 @@
 	Serve         *serveCommand         `arg:"subcommand:serve" help:"run the daemon of an entry VM"`
 	ServePlatform *servePlatformCommand `arg:"subcommand:serve-platform" help:"run the daemon of an entry VM on the users' platform"`
 	Check         *checkCommand         `arg:"subcommand:check" help:"check a declaration or settings file"`
+	Config        *configCommand        `arg:"subcommand:config" help:"check a configuration before rollout"`
 	Apply         *applyCommand         `arg:"subcommand:apply" help:"submit a declaration"`
 	Status        *statusCommand        `arg:"subcommand:status" help:"show nodes, the revision in force and leaving VMs"`
 	Entries       *entriesCommand       `arg:"subcommand:entries" help:"show the addresses that callers are told"`
@@ -61,6 +62,10 @@
 // For these, Execute returns exitUsage.
 const errUsage = errors.ConstError("wrong use")
 
+// errUnreadable is the type of the errors that report input that can't be read, of commands for
+// which exitFailure has a meaning of its own. For these, Execute returns exitUsage.
+const errUnreadable = errors.ConstError("unreadable input")
+
 // Execute runs the command that args name and returns the exit code of the
 // process.
 func Execute(args []string, out, errOut io.Writer) int {
@@ -90,7 +95,7 @@
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, errUsage):
+	case errors.Is(err, errUsage), errors.Is(err, errUnreadable):
 		fmt.Fprintf(errOut, "auburnnotch: %v\n", err)
 		return exitUsage
 	default:
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -52,15 +52,15 @@
 func (l *Loader) Locate(problems []config.Problem) []config.Problem {
 	out := make([]config.Problem, len(problems))
 	for i, p := range problems {
-		p.Field = fmt.Sprintf("%s:%d: %s", l.fileName, l.lineOf(p.Field), p.Field)
+		p.Field = fmt.Sprintf("%s:%d: %s", l.fileName, l.Line(p.Field), p.Field)
 		out[i] = p
 	}
 	return out
 }
 
-// lineOf returns the line of a field, or of the closest enclosing field that the
+// Line returns the line of a field, or of the closest enclosing field that the
 // file contains.
-func (l *Loader) lineOf(field string) int {
+func (l *Loader) Line(field string) int {
 	for field != "" {
 		if off, ok := l.offsets[field]; ok {
 			return 1 + bytes.Count(l.data[:off], []byte("\n"))
