fix(cmd): compare no declaration that can not be decoded

Cause: a declaration with an unknown field has an empty view, so that the comparison listed all routes as removed. Change: the comparison is left out, and a declaration in force that can not be decoded is unreadable. Measured: the two new cases of TestConfigCheckExitCodes pass.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -32,7 +32,7 @@
 	Form     inspector.Form   `json:"form"`
 	Version  uint64           `json:"version,omitempty"`
 	Findings []linter.Finding `json:"findings"`
-	// Against is absent without a comparison.
+	// Against is absent without a comparison, and if the file can't be decoded.
 	Against *configComparison `json:"against,omitempty"`
 }
 
@@ -69,6 +69,9 @@
 		if before, err = inspectFile(now, c.Against, form, nil); err != nil {
 			return nil, err
 		}
+		if !before.Decoded() {
+			return nil, errors.NotValidf("%s", c.Against)
+		}
 		form = before.Form // only configurations of one form can be compared
 	}
 	after, err := inspectFile(now, c.File, form, before)
@@ -76,7 +79,7 @@
 		return nil, err
 	}
 	r := &configReport{File: c.File, Form: after.Form, Version: after.View.Catalog.Version, Findings: append([]linter.Finding{}, after.Findings...)}
-	if before != nil {
+	if before != nil && after.Decoded() {
 		r.Against = &configComparison{
 			File: c.Against, Version: before.View.Catalog.Version, Changes: append([]differ.Changes{}, differ.Compare(before.View, after.View)...),
 		}
--- a/cmd/config_test.go
+++ b/cmd/config_test.go
@@ -71,6 +71,8 @@
 		"other form":                   {[]string{declaration, "--against", before}, 2, "declaration.json"},
 		"broken":                       {[]string{broken}, 2, "broken.json: hujson: line 2"},
 		"broken file in force":         {[]string{before, "--against", broken}, 2, "broken.json: hujson: line 2"},
+		"undecodable declaration":      {[]string{badDeclaration, "--against", declaration, "--json"}, 1, "]\n}\n"},
+		"undecodable one in force":     {[]string{declaration, "--against", badDeclaration}, 2, "bad.json not valid"},
 		"missing":                      {[]string{filepath.Join(dir, "none")}, 2, "no such file"},
 		"missing file in force":        {[]string{before, "--against", filepath.Join(dir, "none")}, 2, "no such file"},
 		"no file":                      {nil, 2, "FILE is required"},
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -35,9 +35,13 @@
 	View linter.View
 	// Findings are in the order of their lines.
 	Findings    []linter.Finding
-	declaration *config.Declaration
+	declaration *config.Declaration // nil if it can't be decoded
 }
 
+// Decoded reports whether the View has the content of the file. A declaration with unknown fields
+// or wrong types isn't decoded.
+func (c *Configuration) Decoded() bool { return c.Form != Declaration || c.declaration != nil }
+
 // Inspect checks the content of a file as the successor of prev, which may be nil. An empty form
 // is told by the content. The error reports content that can't be read.
 func Inspect(now time.Time, text []byte, form Form, prev *Configuration) (*Configuration, error) {
