feat(relayer): charge requests to the rate limit of their workspace

Cause: the limits of workspaces in the configuration were not read.

Change: the four fields are decoded, a request is charged once for each attempt of its caller, before its body is read, and refunded if nothing ran it. Over the limit it gets 429 at once. Nodes report usage and the aggregators the workspaces in shortage in fields at the end of the message, protocol 6, with a golden file of its own. The test of protocol 4 packs a struct of that protocol's fields, as those of protocols 1 to 3 do: the message has further fields now.

--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -112,6 +113,13 @@
 	// StoreAgeMS is how long the platform's store has been in reach of the sender since the
 	// last outage, 0 if it knows of none. Nodes have it since ProtocolOutage.
 	StoreAgeMS int64
+	// Usage is what the sender has used of the limits of workspaces. Nodes have it, and the
+	// next fields, since ProtocolUsage.
+	Usage []limiter.Usage
+	// Summarized is true if Shortages are the workspaces in shortage, from a node that
+	// receives the reports of all nodes of a large fleet.
+	Summarized bool
+	Shortages  []limiter.Shortage
 }
 
 // Kind is the first byte of a datagram.
--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -8,6 +8,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 )
 
@@ -149,10 +150,22 @@
 	}
 }
 
-func TestMessageOfProtocolFour(t *testing.T) {
+// protocolFour has the fields of protocols four and five, in their order.
+type protocolFour struct {
+	ProtocolOne
+	Evidence   detector.Evidence
+	StoreAgeMS int64
+}
+
+func protocolFourMessage() broadcaster.Message {
 	m := protocolThreeMessage()
 	m.Evidence.Served = []detector.Service{40, 41}
-	b, err := packer.Pack(&m)
+	return m
+}
+
+func TestMessageOfProtocolFour(t *testing.T) {
+	m := protocolFourMessage()
+	b, err := packer.Pack(&protocolFour{earlier(m), m.Evidence, m.StoreAgeMS})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,3 +178,21 @@
 		t.Errorf("an earlier release reads %+v, error %v", old, err)
 	}
 }
+
+func TestMessageOfProtocolSix(t *testing.T) {
+	m := protocolFourMessage()
+	m.Usage = []limiter.Usage{{Workspace: 42, Period: 43, Admitted: -44, Asked: 45, Requests: 46}}
+	m.Summarized, m.Shortages = true, []limiter.Shortage{{Workspace: 47, Level: -48.5, Asked: 49.5}}
+	b, err := packer.Pack(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got broadcaster.Message
+	if err := packer.New(testlib.Golden(t, "protocol-6-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old protocolFour
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, protocolFour{earlier(m), m.Evidence, m.StoreAgeMS}) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
--- /dev/null
+++ b/internal/entry/limits.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// limitFleet returns what the limits of workspaces need to know of the fleet.
+func (s *localState) limitFleet() limiter.Fleet {
+	fleet := s.roster()
+	return limiter.Fleet{
+		Nodes: len(fleet.Nodes()), ReceivesAll: s.receivesAll(),
+		Summarized: slices.ContainsFunc(fleet.Aggregators(), func(n traffic.Node) bool { return n.Protocol >= traffic.ProtocolUsage }),
+	}
+}
+
+// fillLimits sets the usage of limits, which all nodes report, and on the aggregators of a large
+// fleet the workspaces in shortage. Both aggregators send them, so that the loss of one goes
+// unnoticed.
+func (s *localState) fillLimits(m *broadcaster.Message, t *relayer.TrafficReport) {
+	m.Usage = t.Usage
+	if !t.Summarized || s.roster().FullMesh() {
+		return
+	}
+	m.Summarized, m.Shortages = true, t.Summary.Shortages
+	if t.Summary.Urgent {
+		s.broadcaster.FlushEvents()
+	}
+}
+
+// mergeLimits merges the usage of each peer in a small fleet and on aggregators, and the summary
+// of an aggregator on other nodes.
+func (s *localState) mergeLimits(m *broadcaster.Message) {
+	switch each := s.receivesAll(); {
+	case each && !m.Aggregated:
+		s.relay.MergeUsage(m.From, m.BootID, m.Usage)
+	case !each && m.Summarized:
+		s.relay.FollowLimits(m.Shortages)
+	}
+}
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -57,8 +57,10 @@
 // Fill implements broadcaster.LocalState.
 func (s *localState) Fill(m *broadcaster.Message) {
 	s.relay.SetJudge(s.receivesAll())
+	s.relay.SetFleet(s.limitFleet())
 	t := s.relay.TakeReport()
 	m.Report, m.Placements, m.Evidence = t.Report, t.Placements, t.Evidence
+	s.fillLimits(m, &t)
 	s.flushNewEvidence(t.Evidence)
 	for _, key := range t.Leaving {
 		s.broadcaster.AnnounceSuspension(key, s.clk.Now().Add(leavingSuspension))
@@ -124,6 +126,7 @@
 func (s *localState) Receive(m *broadcaster.Message) {
 	now := s.clk.Now()
 	s.mergeLoads(m)
+	s.mergeLimits(m)
 	s.relay.MergeEvidence(m.Evidence)
 	if m.StoreReader {
 		s.mu.Lock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -39,6 +39,7 @@
 	mu          sync.RWMutex
 	series      map[seriesKey]*series
 	workspaces  map[string]bool
+	limits      map[string]*limitSeries // by workspace
 	staleChunks tally.Counter
 	retries     tally.Counter
 }
@@ -52,7 +53,7 @@
 	}, reportInterval)
 	return &Meter{
 		scope: scope, closer: closer, handler: r.HTTPHandler(),
-		series: map[seriesKey]*series{}, workspaces: map[string]bool{},
+		series: map[seriesKey]*series{}, workspaces: map[string]bool{}, limits: map[string]*limitSeries{},
 		staleChunks: scope.Counter("stale_chunks"), retries: scope.Counter("retries"),
 	}
 }
--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -22,6 +22,9 @@
 	if k == failure.None && !u.mayStart(r.Clock.Now()) {
 		k, u.reason = failure.Draining, unstartedReason
 	}
+	if k == failure.None {
+		k = u.admitLimited()
+	}
 	return &Arrival{u: u, kind: k}
 }
 
@@ -45,9 +48,13 @@
 // Examine found.
 func (a *Arrival) Refuse(k failure.Kind, reason string) {
 	a.u.reason = cmp.Or(reason, a.u.reason)
+	a.u.refund()
 	a.u.refuse(k, a.u.retryAfter(k))
 }
 
+// Drop ends a request whose body couldn't be read. Its caller has been told already.
+func (a *Arrival) Drop() { a.u.refund() }
+
 // admit determines the route, workspace, deadline and service of the request.
 func (u *relay) admit() failure.Kind {
 	if k := u.admitHeader(); k != failure.None {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/estimator"
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -74,12 +75,14 @@
 	lastQuestion  uint64
 	openQuestions map[uint64]struct{}
 	leaving       []uint32 // for the next report
+	limiter       *limiter.Limiter
+	limitedBy     *traffic.Catalog // whose limits the limiter has
 }
 
 // New returns a Relayer without upstreams.
 func New(s Settings, deps Dependencies) *Relayer {
 	return &Relayer{
-		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(deps.Rand), estimator: estimator.New(), retryBudgets: map[string]*budgeter.Budgeter{},
+		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(deps.Rand), estimator: estimator.New(), limiter: limiter.New(deps.Clock.Now(), deps.Rand), retryBudgets: map[string]*budgeter.Budgeter{},
 		// Question numbers of earlier incarnations of this node are smaller.
 		lastQuestion: uint64(deps.Clock.Now().UnixMicro()), openQuestions: map[uint64]struct{}{},
 	}
@@ -113,6 +116,12 @@
 	// Leaving has the keys of the upstreams that have said since the last report that they
 	// are leaving.
 	Leaving []uint32
+	// Usage is what this node has used of the limits of workspaces.
+	Usage []limiter.Usage
+	// Summary has the workspaces in shortage. It is valid if Summarized is set, on nodes that
+	// receive all reports.
+	Summary    limiter.Summary
+	Summarized bool
 }
 
 // TakeReport returns the load that this node has in flight at upstreams and the
@@ -127,7 +136,9 @@
 	}
 	leaving := r.leaving
 	r.leaving = nil
+	usage, summary, summarized := r.takeUsage(now)
 	return TrafficReport{
+		Usage: usage, Summary: summary, Summarized: summarized,
 		Leaving:    leaving,
 		Report:     placer.Report{Loads: r.placer.LocalLoads(now), Settled: settled, Tripped: r.placer.Tripped(now)},
 		Placements: r.placer.TakePlacements(),
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -56,6 +57,8 @@
 	switch k {
 	case failure.ConfigStale, failure.Draining:
 		return otherNodeRetryAfter
+	case failure.RateLimited:
+		return u.limited.RetryAfter
 	case failure.NoUpstream, failure.Overloaded:
 		u.r.mu.Lock()
 		defer u.r.mu.Unlock()
@@ -65,7 +68,11 @@
 }
 
 func (u *relay) refuse(k failure.Kind, after time.Duration) {
-	u.finalEntry("refused", k).WithField("retryAfterMs", after.Milliseconds()).Info("request ended without a response from an upstream")
+	e := u.finalEntry("refused", k).WithField("retryAfterMs", after.Milliseconds())
+	if k == failure.RateLimited {
+		e = e.WithFields(logrus.Fields{"cost": u.limited.cost, "level": math.Round(u.limited.Level), "fraction": u.limited.Fraction})
+	}
+	e.Info("request ended without a response from an upstream")
 	u.r.Meter.RecordRefusal(k)
 	u.w.Refuse(k, after)
 }
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -89,12 +89,17 @@
 	// turnedAwayFor is how long all upstreams want no requests of this node, if that is why
 	// the request ends.
 	turnedAwayFor time.Duration
+	limited       refusal // if the workspace's limit is why the request ends
 	reason        string
 }
 
 func (u *relay) serve() {
 	u.lastEventID = u.req.LastEventID
+	defer u.refund()
 	k := u.admit()
+	if k == failure.None {
+		k = u.admitLimited()
+	}
 	if k != failure.None {
 		u.refuse(k, u.retryAfter(k))
 		return
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -34,11 +34,17 @@
 	Arrived time.Time
 	// Prompt is nil for plain requests.
 	Prompt *traffic.Prompt
+	// Tokens is the length of the prompt and of the longest output, 0 if the caller doesn't
+	// tell them.
+	Tokens int
 	// ExpectedOutput is the caller's estimate of the output in tokens, 0 for none.
 	ExpectedOutput int
 	// LastEventID is the ID of the event after which a stream resumes; empty
 	// for a new stream.
 	LastEventID string
+	// charge is what was charged to the workspace's limit for this attempt of the caller; nil
+	// if nothing was.
+	charge *charge
 }
 
 // dropBody drops a body that won't be sent again.
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -17,9 +17,11 @@
 	// at random: a workspace whose burst holds two of them would else be refused at ordinary
 	// demand. It is half of the smallest tolerance, 8 requests; the lag takes the other half.
 	sizeAllowance, burstAllowance = 4.0, 2.0
-	// allowanceTime is the time in seconds in which a new bucket grants the allowance, which
-	// may have been used before a restart. It is the window of the quota.
-	allowanceTime = 8.0
+	// quotaWindow is the window in which the work for a workspace is counted, in seconds. A
+	// new bucket grants the allowance in the course of one, since it may have been used before
+	// a restart. A request costs at most the rate of one: a larger number, probably a wrong
+	// one, would block the workspace for long.
+	quotaWindow = 8.0
 	// noiseMargin is the number of standard deviations by which the fast average of what is
 	// asked has to exceed a random fluctuation.
 	noiseMargin = 1.0
@@ -57,6 +59,9 @@
 	usage ownUsage
 }
 
+// charged returns what a request of a cost is charged.
+func (b *bucket) charged(cost float64) float64 { return max(0, min(cost, b.rate*quotaWindow)) }
+
 // advance refills the level.
 func (b *bucket) advance(l *Limiter, t float64) {
 	refilled := l.refilled(t)
@@ -97,7 +102,7 @@
 	if b.requests <= 0 {
 		return 0
 	}
-	return min(sizeAllowance*b.sizes/b.requests, burstAllowance*b.burst) * min(1, (b.askedAt-b.since)/allowanceTime)
+	return min(sizeAllowance*b.sizes/b.requests, burstAllowance*b.burst) * min(1, (b.askedAt-b.since)/quotaWindow)
 }
 
 // asked returns the rate that is asked for, at askedAt.
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -191,6 +191,7 @@
 	t := l.seconds(now)
 	d := Decision{Fraction: 1}
 	rate := b.rate
+	cost = b.charged(cost)
 	switch {
 	case l.fleet.ReceivesAll:
 		b.advance(l, t)
@@ -230,6 +231,7 @@
 		return
 	}
 	t := l.seconds(now)
+	cost = b.charged(cost)
 	l.use(b, t).admitted -= cost
 	if l.fleet.ReceivesAll {
 		b.advance(l, t)
--- a/pkg/traffic/catalog.go
+++ b/pkg/traffic/catalog.go
@@ -110,6 +110,29 @@
 	HasPriority bool
 	// Isolated workspaces share no cached parts with others.
 	Isolated bool
+	Limit    RateLimit
+}
+
+// RateLimit bounds what all nodes together run for a workspace.
+type RateLimit struct {
+	// Rate is the cost per second and Burst the cost that may exceed it at once. A Rate of 0
+	// means that there is no limit.
+	Rate, Burst float64
+	// Tokens is true if a request costs its tokens, and false if each request costs 1.
+	Tokens bool
+	// PlainTokens is the cost of a request that doesn't tell its tokens.
+	PlainTokens int
+}
+
+// Cost returns the cost of a request with a number of tokens, 0 if it tells none.
+func (l *RateLimit) Cost(tokens int) float64 {
+	switch {
+	case !l.Tokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return float64(l.PlainTokens)
 }
 
 // Limits bounds the size and time of callers' requests.
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -94,8 +94,11 @@
 	// ProtocolExpectedOutput is the first protocol with the expected output of a prompt that
 	// needs a placement.
 	ProtocolExpectedOutput = 5
+	// ProtocolUsage is the first protocol with the usage of limited workspaces, and with
+	// summaries of the workspaces in shortage.
+	ProtocolUsage = 6
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolExpectedOutput
+	CurrentProtocol = ProtocolUsage
 )
 
 // Leader is the node that sends orders to engines.
