--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -69,6 +69,7 @@
 	v.checkConfigOrder()
 	v.checkOrders()
 	v.checkWalls()
+	v.checkLimits()
 	v.checkNotices()
 	for _, p := range h.Poisons {
 		v.checkPoison(p)
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -136,7 +136,9 @@
 	// during the soak.
 	MovingPrefix string
 	// Walls lists when workspaces became isolated or ceased to be, oldest first.
-	Walls        []Wall
+	Walls []Wall
+	// Limits lists the workspaces with a rate limit, which holds from the start.
+	Limits       []Limit
 	Poisons      []*Poison
 	Crashes      []Crash
 	Disturbances []Disturbance
--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -177,6 +177,13 @@
 		Share float64
 		For   time.Duration
 	}
+	// Surge sends PerSecond requests of a workspace whose limit is Rate and Burst, in requests,
+	// to random nodes.
+	Surge struct {
+		Rate, Burst float64
+		PerSecond   int
+		For         time.Duration
+	}
 	// KeyTaken revokes a key.
 	KeyTaken struct{ Key int }
 	// RouteMoved directs the moving route to the other service.
@@ -217,6 +224,7 @@
 func (WorkspaceChanged) fault()       {}
 func (RoutesAdded) fault()            {}
 func (LargeBodies) fault()            {}
+func (Surge) fault()                  {}
 func (KeyTaken) fault()               {}
 func (RouteMoved) fault()             {}
 func (WeightsNamed) fault()           {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -54,6 +54,10 @@
 	// they go on after the length of the soak, when few other faults excuse them.
 	poisonStartSpan = 2 * time.Second
 	poisonOverrun   = 6 * time.Second
+	// surgeStartSpan is the time in which a surge starts, minSurge and surgeSpread bound its
+	// duration.
+	surgeStartSpan        = 2 * time.Second
+	minSurge, surgeSpread = 5 * time.Second, 4 * time.Second
 	// minNotices is the smallest number of upstreams in a plan that speak of themselves, if any.
 	minNotices = 3
 	// minWalls is the smallest number of changes of walls in a plan with any.
@@ -91,7 +95,9 @@
 	walls, lone, notices *rand.Rand
 	// changes draws a series of changes and large bodies. It is nil for eight seeds of ten.
 	changes *rand.Rand
-	opts    Options
+	// surges draws a Surge. It is nil for nineteen seeds of twenty.
+	surges *rand.Rand
+	opts   Options
 }
 
 // New returns a Planner for a seed.
@@ -114,6 +120,9 @@
 	case 1, 5:
 		p.changes = source(0x50ab)
 	}
+	if seed%20 == 13 {
+		p.surges = source(0x50ac)
+	}
 	return p
 }
 
@@ -164,10 +173,23 @@
 	if p.changes != nil {
 		out = append(out, p.drawSeries()...)
 	}
+	if p.surges != nil {
+		out = append(out, p.drawSurge())
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
 
+// drawSurge draws a surge of 6 to 9 times the ordinary demand, of which the limit is 1.8 times.
+func (p *Planner) drawSurge() Step {
+	rate := float64(30 + p.surges.IntN(30))
+	times := 6 + 3*p.surges.Float64()
+	at := startupTime + time.Duration(p.surges.Int64N(int64(surgeStartSpan)))
+	return Step{At: at, Fault: Surge{
+		Rate: rate, Burst: rate, PerSecond: int(times * rate / 1.8), For: minSurge + time.Duration(p.surges.Int64N(int64(surgeSpread))),
+	}}
+}
+
 // drawLateWrites draws late writes around a kill of all nodes and around one of the faults
 // of plan after which nodes write to the store: stops, starts, elections and roll-outs.
 func (p *Planner) drawLateWrites(plan []Step) []Step {
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -125,6 +125,8 @@
 			clock.Sleep(ctx, s.clk, f.For)
 			s.largeBodies.Store(nil)
 		})
+	case planner.Surge:
+		s.runAsync(func() { s.surge(ctx, f) })
 	case planner.KeyTaken:
 		s.revokeKey(key(f.Key))
 	case planner.RouteMoved:
--- a/internal/soak/soaker/soaker.go
+++ b/internal/soak/soaker/soaker.go
@@ -119,6 +119,7 @@
 	background, ctx := errgroup.WithContext(ctx)
 	defer func() { cancel(); _ = background.Wait() }() // its error cancels ctx and is returned below as the cause
 	defer s.killAll()
+	s.declareLimit(plan)
 	if err := s.startFleet(ctx, background); err != nil {
 		return nil, nil, err
 	}
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -117,6 +117,7 @@
 		}
 		c.Workspaces = append(c.Workspaces, w)
 	}
+	c.Workspaces = append(c.Workspaces, s.limitedWorkspaces()...)
 	service := plainService
 	if s.routeMoved {
 		service = otherService
