fix(limiter): a node that starts anew refuses no ordinary demand

Cause: a new aggregator counted the whole period of a workspace that a peer listed first in a later report, reported a shortage of everything until it heard its peers, and a node of a full mesh began empty.

Change: reports have the number of the latest period, which tells the periods that began before. A node relies on its own bucket once it has heard most nodes for 0.5 s; until then it follows summaries, and takes over the levels of the first. In a small fleet, nodes send summaries while a peer is new.

--- a/internal/broadcaster/bench_test.go
+++ b/internal/broadcaster/bench_test.go
@@ -20,7 +20,7 @@
 	}
 	var usage, shortage broadcaster.Message
 	for i := range 9 {
-		usage.Usage = append(usage.Usage, limiter.Usage{Workspace: 1<<31 + uint32(i), Period: 100_000, Admitted: 9200, Asked: 9200, Requests: 1})
+		usage.Usage.Usage = append(usage.Usage.Usage, limiter.Usage{Workspace: 1<<31 + uint32(i), Period: 100_000, Admitted: 9200, Asked: 9200, Requests: 1})
 	}
 	for i := range 256 {
 		shortage.Shortages = append(shortage.Shortages, limiter.Shortage{Workspace: 1<<31 + uint32(i), Level: -9200, Asked: 90_000})
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -115,9 +115,9 @@
 	StoreAgeMS int64
 	// Usage is what the sender has used of the limits of workspaces. Nodes have it, and the
 	// next fields, since ProtocolUsage.
-	Usage []limiter.Usage
+	Usage limiter.Report
 	// Summarized is true if Shortages are the workspaces in shortage, from a node that
-	// receives the reports of all nodes of a large fleet.
+	// receives the reports of all nodes.
 	Summarized bool
 	Shortages  []limiter.Shortage
 }
--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -181,7 +181,7 @@
 
 func TestMessageOfProtocolSix(t *testing.T) {
 	m := protocolFourMessage()
-	m.Usage = []limiter.Usage{{Workspace: 42, Period: 43, Admitted: -44, Asked: 45, Requests: 46}}
+	m.Usage = limiter.Report{Periods: 50, Usage: []limiter.Usage{{Workspace: 42, Period: 43, Admitted: -44, Asked: 45, Requests: 46}}}
 	m.Summarized, m.Shortages = true, []limiter.Shortage{{Workspace: 47, Level: -48.5, Asked: 49.5}}
 	b, err := packer.Pack(&m)
 	if err != nil {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -20,25 +20,26 @@
 
 // fillLimits sets the usage of limits, which all nodes report, and on the aggregators of a large
 // fleet the workspaces in shortage. Both aggregators send them, so that the loss of one goes
-// unnoticed.
+// unnoticed. In a small fleet only nodes that have just started need them.
 func (s *localState) fillLimits(m *broadcaster.Message, t *relayer.TrafficReport) {
 	m.Usage = t.Usage
-	if !t.Summarized || s.roster().FullMesh() {
+	fullMesh := s.roster().FullMesh()
+	if !t.Summarized || fullMesh && !t.Summary.NewPeer {
 		return
 	}
 	m.Summarized, m.Shortages = true, t.Summary.Shortages
-	if t.Summary.Urgent {
+	if t.Summary.Urgent && !fullMesh {
 		s.broadcaster.FlushEvents()
 	}
 }
 
-// mergeLimits merges the usage of each peer in a small fleet and on aggregators, and the summary
-// of an aggregator on other nodes.
+// mergeLimits merges the usage of each peer in a small fleet and on aggregators, and the summaries
+// of aggregators. A node that has just started follows them until it knows the levels itself.
 func (s *localState) mergeLimits(m *broadcaster.Message) {
-	switch each := s.receivesAll(); {
-	case each && !m.Aggregated:
+	if s.receivesAll() && !m.Aggregated {
 		s.relay.MergeUsage(m.From, m.BootID, m.Usage)
-	case !each && m.Summarized:
+	}
+	if m.Summarized {
 		s.relay.FollowLimits(m.Shortages)
 	}
 }
--- a/internal/relayer/limit.go
+++ b/internal/relayer/limit.go
@@ -92,7 +92,7 @@
 
 // takeUsage returns what this node tells the others about the limits of workspaces. The relayer's
 // lock must be held.
-func (r *Relayer) takeUsage(now time.Time) (usage []limiter.Usage, s limiter.Summary, summarized bool) {
+func (r *Relayer) takeUsage(now time.Time) (usage limiter.Report, s limiter.Summary, summarized bool) {
 	r.updateLimits()
 	usage = r.limiter.TakeUsage(now)
 	s, summarized = r.limiter.Summary(now)
@@ -111,7 +111,7 @@
 
 // MergeUsage merges what a peer has used of the limits of workspaces, on a node that receives the
 // reports of all nodes.
-func (r *Relayer) MergeUsage(peer string, bootID uint64, usage []limiter.Usage) {
+func (r *Relayer) MergeUsage(peer string, bootID uint64, usage limiter.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.limiter.MergeUsage(r.Clock.Now(), peer, bootID, usage)
--- a/internal/relayer/limit_test.go
+++ b/internal/relayer/limit_test.go
@@ -56,7 +56,7 @@
 func (b *fixture) checkUsage(t *testing.T, admitted int64, asked uint64) {
 	t.Helper()
 	var u limiter.Usage
-	if usage := b.relay.TakeReport().Usage; len(usage) == 1 {
+	if usage := b.relay.TakeReport().Usage.Usage; len(usage) == 1 {
 		u = usage[0]
 	}
 	if u.Admitted != admitted || u.Asked != asked {
@@ -135,7 +135,7 @@
 	if r := b.serveLimited(t, "/safe/"); r.status != 200 {
 		t.Errorf("status %d, kind %s", r.status, r.kind)
 	}
-	if u := b.relay.TakeReport().Usage; len(u) > 0 {
+	if u := b.relay.TakeReport().Usage.Usage; len(u) > 0 {
 		t.Errorf("usage %v", u)
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -117,7 +117,7 @@
 	// are leaving.
 	Leaving []uint32
 	// Usage is what this node has used of the limits of workspaces.
-	Usage []limiter.Usage
+	Usage limiter.Report
 	// Summary has the workspaces in shortage. It is valid if Summarized is set, on nodes that
 	// receive all reports.
 	Summary    limiter.Summary
--- a/pkg/limiter/bench_test.go
+++ b/pkg/limiter/bench_test.go
@@ -54,7 +54,7 @@
 	const listed, changed = 9, 2
 	l, names := newBench(true)
 	rnd := rand.New(rand.NewPCG(3, 1))
-	reports := make([][]limiter.Usage, benchNodes)
+	reports := make([]limiter.Report, benchNodes)
 	peers := make([]string, benchNodes)
 	peer, _ := newBench(false)
 	for i := range reports {
@@ -68,10 +68,10 @@
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(300 * time.Microsecond)
 		report := reports[i%benchNodes]
-		for j := range report[:changed] {
-			report[j].Admitted += longPrompt
-			report[j].Asked += longPrompt
-			report[j].Requests++
+		for j := range report.Usage[:changed] {
+			report.Usage[j].Admitted += longPrompt
+			report.Usage[j].Asked += longPrompt
+			report.Usage[j].Requests++
 		}
 		l.MergeUsage(now, peers[i%benchNodes], 1, report)
 	}
--- a/pkg/limiter/fleet_test.go
+++ b/pkg/limiter/fleet_test.go
@@ -75,6 +75,7 @@
 	flushed time.Time
 	pending bool
 	round   int
+	knownAt time.Time // when the others have read its registration
 }
 
 // fleet is a simulated fleet. The first aggregators nodes receive all reports.
@@ -103,6 +104,7 @@
 	f.bootID++
 	n := f.nodes[i]
 	n.Limiter, n.bootID, n.dead = limiter.New(f.now, rand.New(rand.NewPCG(f.rnd.Uint64(), 2))), f.bootID, false
+	n.knownAt = f.now.Add(time.Duration(f.rnd.Int64N(int64(time.Second))))
 	f.setLimits(n)
 	f.setFleet(i)
 }
@@ -125,7 +127,7 @@
 
 // arrives reports whether a datagram between two nodes arrives.
 func (f *fleet) arrives(from, to *node) bool {
-	return from != to && !to.dead && from.side == to.side && f.rnd.Float64() >= lossShare
+	return from != to && !to.dead && !f.now.Before(to.knownAt) && from.side == to.side && f.rnd.Float64() >= lossShare
 }
 
 // exchange sends the messages of a node's round.
@@ -145,6 +147,9 @@
 		case f.receivesAll(j):
 			if f.arrives(n, peer) {
 				peer.MergeUsage(f.now, n.name, n.bootID, usage)
+				if summarizes && (len(f.nodes) > 16 || summary.NewPeer) {
+					peer.Follow(f.now, summary.Shortages)
+				}
 			}
 		case summarizes && (everyone || j%5 == n.round%5) && f.arrives(n, peer):
 			peer.Follow(f.now, summary.Shortages)
@@ -372,6 +377,34 @@
 	}
 }
 
+// Guards against refusals of ordinary demand when a node that receives all reports starts anew, or
+// another aggregator takes its place.
+func TestNewAggregatorAdmitsOrdinaryDemand(t *testing.T) {
+	for _, nodes := range []int{5, 90} {
+		sent, refused := 0, 0
+		for seed := range uint64(seeds) {
+			f := newFleet(seed, nodes, tenants(steady, anyNode)...)
+			f.advance(startTime)
+			for _, w := range f.tenants {
+				w.sent, w.refused = 0, 0
+			}
+			f.nodes[0].dead = true
+			f.advance(5 * time.Second)
+			f.restart(0)
+			f.advance(5 * time.Second)
+			f.aggregators = []int{1, 2}
+			f.advance(5 * time.Second)
+			for _, w := range f.tenants {
+				sent, refused = sent+w.sent, refused+w.refused
+			}
+		}
+		t.Logf("%d of %d requests refused", refused, sent)
+		if refused*100 >= sent {
+			t.Errorf("%d nodes: %d of %d requests refused below the limit", nodes, refused, sent)
+		}
+	}
+}
+
 // Guards against a burst that is spent twice: before and after all nodes restart.
 func TestRestartOfAllNodesGrantsNoFurtherBurst(t *testing.T) {
 	for _, nodes := range []int{5, 90} {
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -32,6 +32,17 @@
 
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
+
+	// learningTime is how long a node has to receive the reports of most nodes until it relies
+	// on them, in seconds: it takes two reports, while the average of what is asked follows
+	// them. Before, it would find no shortage, or one of everything. It follows another node's
+	// summary meanwhile, if there is one.
+	learningTime = 0.5
+	// hearingTime is how long most nodes may be silent to a node that has just begun to receive
+	// all reports, in seconds. They send to it once they have read its registration.
+	hearingTime = 2.0
+	// newPeerTime is how long after a peer was first heard it may need a summary, in seconds.
+	newPeerTime = 1.5
 )
 
 // Limit is the limit of a workspace over all nodes: Rate in units per second and Burst in units.
@@ -73,8 +84,13 @@
 	// the share of the nodes that it hears. refill is the integral of share over time up to
 	// refillAt, in seconds.
 	share, refill, refillAt float64
-	// receivesSince is when this node began to receive all reports.
-	receivesSince float64
+	// receivesSince is when this node began to receive all reports, hearsMostSince since when
+	// it has heard more than half of the nodes.
+	receivesSince, hearsMostSince float64
+	// tookOver is set once this node has taken over the levels of a summary.
+	tookOver bool
+	// newPeerAt is when a peer was heard for the first time.
+	newPeerAt float64
 
 	peers  map[string]*peer
 	active []*bucket // with a level under the burst, or asked for recently
@@ -148,8 +164,11 @@
 		}
 	}
 	l.share = min(1, float64(heard)/float64(f.Nodes))
+	if 2*heard <= f.Nodes {
+		l.hearsMostSince = t
+	}
 	if takeover {
-		l.receivesSince = t
+		l.receivesSince, l.hearsMostSince, l.tookOver = t, t, true
 		l.takeOver(t)
 	}
 }
@@ -178,6 +197,12 @@
 	}
 }
 
+// knows reports whether this node receives all reports, and has for long enough to know the use of
+// the limits.
+func (l *Limiter) knows(t float64) bool {
+	return l.fleet.ReceivesAll && (t-l.hearsMostSince >= learningTime || t-l.receivesSince >= hearingTime)
+}
+
 // follows reports whether this node follows a summary of the aggregators.
 func (l *Limiter) follows(t float64) bool { return l.heard && t-l.summaryAt < summaryTTL }
 
@@ -192,15 +217,17 @@
 	d := Decision{Fraction: 1}
 	rate := b.rate
 	cost = b.charged(cost)
-	switch {
-	case l.fleet.ReceivesAll:
+	if l.fleet.ReceivesAll {
 		b.advance(l, t)
 		l.activate(b)
 		b.ask(t, 1, cost)
+	}
+	switch follows := l.follows(t); {
+	case l.fleet.ReceivesAll && (l.knows(t) || !follows):
 		d.Level, d.Fraction = b.level, b.fraction(l.share)
 	case !l.fleet.Summarized:
 		d.Level = b.burst
-	case l.follows(t):
+	case follows:
 		d.Level = b.burst
 		if b.listedIn == l.summaries {
 			d.Level = b.heardLevelAt(t - l.summaryAt)
--- a/pkg/limiter/summary.go
+++ b/pkg/limiter/summary.go
@@ -19,11 +19,6 @@
 	summaryRounds = 5
 	// idleTime is how long after its last request a workspace's averages matter, in seconds.
 	idleTime = 2.0
-	// learningTime is how long a node that has begun to receive all reports sends no summary,
-	// in seconds. It would report that there is no shortage until it has two reports of most
-	// nodes, while the average of what is asked follows them. Until then, the others keep to
-	// the other aggregator's summary or to their shares.
-	learningTime = 0.5
 	// calmTime is how long a workspace has to be admitted whole until its shortage has ended,
 	// in seconds.
 	calmTime = 2.0
@@ -50,6 +45,9 @@
 	Shortages []Shortage
 	// Urgent is set if the summary must go to all nodes at once.
 	Urgent bool
+	// NewPeer is set if a node that has just started may need the summary, although it receives
+	// the reports of all nodes itself.
+	NewPeer bool
 }
 
 // Summary returns the summary of this round. ok is false if there is none: this node doesn't
@@ -99,7 +97,8 @@
 	for _, f := range found {
 		s.Shortages = append(s.Shortages, f.Shortage)
 	}
-	return s, t-l.receivesSince >= learningTime
+	s.NewPeer = len(l.peers) > 0 && t-l.newPeerAt < newPeerTime
+	return s, l.knows(t)
 }
 
 // isCalm reports whether the workspace is far from shortage, as all nodes know. It is a rough check
@@ -129,14 +128,23 @@
 	return out
 }
 
-// Follow applies a summary, on a node that doesn't receive the reports of all nodes. A workspace
-// that isn't listed is not in shortage.
+// Follow applies a summary of an aggregator. A workspace that isn't listed is not in shortage. A
+// node that receives the reports of all nodes itself takes over the levels of the first summary
+// that it hears while it doesn't know them yet.
 func (l *Limiter) Follow(now time.Time, shortages []Shortage) {
-	l.summaryAt, l.heard = l.seconds(now), true
+	t := l.seconds(now)
+	if l.knows(t) {
+		return
+	}
+	l.summaryAt, l.heard = t, true
 	l.summaries++
 	for _, s := range shortages[:min(len(shortages), maxShortages)] {
 		if b := l.byID[s.Workspace]; b != nil {
 			b.listedIn, b.heardLevel, b.heardAsked = l.summaries, float64(s.Level), float64(s.Asked)
 		}
 	}
+	if l.fleet.ReceivesAll && !l.tookOver {
+		l.tookOver = true
+		l.takeOver(t)
+	}
 }
--- a/pkg/limiter/usage.go
+++ b/pkg/limiter/usage.go
@@ -32,6 +32,14 @@
 	Asked, Requests uint64
 }
 
+// Report is what a node reports of its use of limits.
+type Report struct {
+	// Periods is the number of the latest period at the node.
+	Periods uint32
+	// Usage lists workspaces that have changed lately, not all.
+	Usage []Usage
+}
+
 // ownUsage has the counters of this node.
 type ownUsage struct {
 	period          uint32
@@ -64,8 +72,8 @@
 	}
 }
 
-// TakeUsage returns the usage for the next report.
-func (l *Limiter) TakeUsage(now time.Time) []Usage {
+// TakeUsage returns the next report.
+func (l *Limiter) TakeUsage(now time.Time) Report {
 	t := l.seconds(now)
 	var out []Usage
 	l.used = slices.DeleteFunc(l.used, func(b *bucket) bool {
@@ -80,11 +88,14 @@
 		u.counted = t-u.changedAt < usageTTL
 		return !u.counted
 	})
-	return out
+	return Report{Periods: l.periods, Usage: out}
 }
 
 // peer has the counters of another node.
 type peer struct {
+	// unknown is the latest period that had begun before this node heard the peer. How much of
+	// such a period was counted before isn't known.
+	unknown  uint32
 	bootID   uint64
 	heardAt  float64
 	messages uint64
@@ -98,24 +109,28 @@
 
 // MergeUsage counts what a peer's report says that it has used. It must be called for reports
 // without usage, too: they tell that the peer is heard.
-func (l *Limiter) MergeUsage(now time.Time, node string, bootID uint64, usage []Usage) {
+func (l *Limiter) MergeUsage(now time.Time, node string, bootID uint64, r Report) {
 	t := l.seconds(now)
 	p := l.peers[node]
-	unknown := p == nil // for how long it has counted already
-	if unknown || p.bootID != bootID {
+	if heard := p != nil; !heard || p.bootID != bootID {
+		l.newPeerAt = t
 		p = &peer{bootID: bootID, counters: map[uint32]peerUsage{}}
+		if !heard {
+			p.unknown = r.Periods
+		}
 		l.peers[node] = p
 	}
 	p.heardAt = t
 	p.messages++
-	for _, u := range usage[:min(len(usage), maxUsages)] {
+	for _, u := range r.Usage[:min(len(r.Usage), maxUsages)] {
 		last := p.counters[u.Workspace]
+		known := last.Period == u.Period || u.Period > p.unknown
 		if last.Period != u.Period {
 			last = peerUsage{}
 		}
 		p.counters[u.Workspace] = peerUsage{Usage: u, message: p.messages}
 		b := l.byID[u.Workspace]
-		if b == nil || unknown {
+		if b == nil || !known {
 			continue
 		}
 		admitted, asked, requests := float64(u.Admitted-last.Admitted), float64(u.Asked)-float64(last.Asked), float64(u.Requests)-float64(last.Requests)
