--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -136,6 +136,10 @@
 	// carries them.
 	ChangesRequest
 	ChangesResponse
+	// GrantRequest asks an aggregator whether the limit of a workspace admits a request;
+	// GrantResponse carries its decision.
+	GrantRequest
+	GrantResponse
 )
 
 // Handler handles the body of a datagram. It must not retain the body.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/broadcaster"
 	"github.com/auburnnotch/auburnnotch/internal/connector"
 	"github.com/auburnnotch/auburnnotch/internal/feeder"
+	"github.com/auburnnotch/auburnnotch/internal/granter"
 	"github.com/auburnnotch/auburnnotch/internal/isolationkeeper"
 	"github.com/auburnnotch/auburnnotch/internal/linewriter"
 	"github.com/auburnnotch/auburnnotch/internal/logger"
@@ -110,6 +111,7 @@
 		return nil
 	}, isAggregator)
 	adv := adviser.New(clk, log, s.Name, state.roster)
+	grants := granter.New(clk, s.Name, state.roster)
 	relay := relayer.New(relayer.Settings{
 		DataCentre: s.DataCentre, MaxProofAge: maxProofAge, VersionCutoff: config.Milliseconds(s.WeightsMS),
 		RetryBudget: budgeter.Limits{
@@ -117,7 +119,7 @@
 		},
 	}, relayer.Dependencies{
 		Clock: clk, Boot: boot, Log: log, Fleet: obs, Connector: conns, Dialect: translate.Dialect{},
-		Adviser: adv, CacheDown: cache.Down, Meter: metrics, Memory: memory, Rand: rnd,
+		Adviser: adv, Granter: grants, CacheDown: cache.Down, Meter: metrics, Memory: memory, Rand: rnd,
 	})
 	obs.SetListener(relay)
 	state.relay, state.cache = relay, cache
@@ -127,6 +129,7 @@
 	}
 	state.broadcaster = bcast
 	adv.Attach(bcast, state)
+	grants.Attach(bcast, relay)
 	obs.SetStoreReader(state.readsForOthers)
 	obs.SetPace(state.pace)
 	obs.SetChangeSource(feeder.New(log, s.Name, state.roster, bcast, obs).Request)
--- a/internal/relayer/limit.go
+++ b/internal/relayer/limit.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -33,7 +34,7 @@
 	if cost <= 0 {
 		return failure.None
 	}
-	d := u.r.allow(u.view.Matcher.Catalog(), name, cost)
+	d := u.r.allow(u.ctx, u.view.Matcher.Catalog(), name, cost)
 	u.r.Meter.RecordLimit(name, cost, d.OK, d.Fraction)
 	if !d.OK {
 		u.limited = refusal{Decision: d, cost: cost}
@@ -57,13 +58,34 @@
 	u.r.limiter.Refund(u.r.Clock.Now(), c.workspace, c.cost)
 }
 
-func (r *Relayer) allow(c *traffic.Catalog, workspace string, cost float64) limiter.Decision {
+// allow decides about a request of a limited workspace. An aggregator decides while the workspace
+// asks for more than its limit; without its answer, this node does.
+func (r *Relayer) allow(ctx context.Context, c *traffic.Catalog, workspace string, cost float64) limiter.Decision {
+	if r.Granter != nil && r.needsGrant(c, workspace) {
+		if d, ok := r.Granter.Ask(ctx, workspace, cost); ok {
+			return d
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limiter.Allow(r.Clock.Now(), workspace, cost)
+}
+
+func (r *Relayer) needsGrant(c *traffic.Catalog, workspace string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c != r.limitedBy {
 		r.updateLimits()
 	}
-	return r.limiter.Allow(r.Clock.Now(), workspace, cost)
+	return r.limiter.NeedsGrant(r.Clock.Now(), workspace)
+}
+
+// Grant decides about a request of another node. ok is false if this node can't.
+func (r *Relayer) Grant(workspace string, cost float64) (d limiter.Decision, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updateLimits()
+	return r.limiter.Grant(r.Clock.Now(), workspace, cost)
 }
 
 // updateLimits applies the limits of the newest configuration. The relayer's lock must be held.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -47,6 +47,9 @@
 	// Adviser returns placement advice for prompts; nil if this node places
 	// them on its own.
 	Adviser Adviser
+	// Granter asks an aggregator about requests of limited workspaces; nil if this node
+	// decides on its own.
+	Granter Granter
 	// CacheDown reports whether the cache store with the given address is
 	// unreachable.
 	CacheDown func(address string) bool
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
@@ -163,3 +164,9 @@
 	// in time. Question numbers increase.
 	Ask(ctx context.Context, question uint64, q *placer.Query) (placer.Advice, placer.Verdict)
 }
+
+// Granter asks an aggregator whether the limit of a workspace admits a request.
+type Granter interface {
+	// Ask returns ok=false if no decision arrives in time.
+	Ask(ctx context.Context, workspace string, cost float64) (d limiter.Decision, ok bool)
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -221,6 +221,9 @@
 		b.advance(l, t)
 		l.activate(b)
 		b.ask(t, 1, cost)
+		if l.knows(t) && b.fraction(l.share) < 1 {
+			return l.decide(b, t, cost)
+		}
 	}
 	switch follows := l.follows(t); {
 	case l.fleet.ReceivesAll && (l.knows(t) || !follows):
@@ -246,8 +249,7 @@
 		b.level -= cost
 		return d
 	}
-	wait := time.Duration(min(max(0, -d.Level/rate), maxRetryAfter.Seconds()) * float64(time.Second))
-	d.RetryAfter = time.Duration(float64(max(minRetryAfter, wait)) * (1 + l.rnd.Float64()))
+	d.RetryAfter = l.retryAfter(-d.Level / rate)
 	return d
 }
 
