feat(granter): an aggregator decides about requests of a workspace in shortage

Callers of a workspace over its limit got a random part of their requests admitted. Small requests were refused as often as large ones, although the bucket had room for them.

Nodes now ask the first aggregator about each request of such a workspace, and decide by the fraction only without its answer.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -92,7 +92,7 @@
 func (g *Granter) mayAsk(n *traffic.Node) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return n.Name != g.self && n.Protocol >= traffic.ProtocolGrants && !g.clk.Now().Before(g.skipUntil[n.Name])
+	return n.Name != g.self && n.Protocol >= traffic.ProtocolUsage && !g.clk.Now().Before(g.skipUntil[n.Name])
 }
 
 func (g *Granter) askNode(ctx context.Context, node *traffic.Node, workspace string, cost float64) (d limiter.Decision, ok bool) {
--- a/internal/relayer/limit.go
+++ b/internal/relayer/limit.go
@@ -68,6 +68,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if c != r.limitedBy {
+		r.updateLimits()
+	}
 	return r.limiter.Allow(r.Clock.Now(), workspace, cost)
 }
 
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -97,11 +97,8 @@
 	// ProtocolUsage is the first protocol with the usage of limited workspaces, and with
 	// summaries of the workspaces in shortage.
 	ProtocolUsage = 6
-	// ProtocolGrants is the first protocol with decisions of aggregators about single requests
-	// of limited workspaces.
-	ProtocolGrants = 7
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolGrants
+	CurrentProtocol = ProtocolUsage
 )
 
 // Leader is the node that sends orders to engines.
