feat(relayer): send a slow request to a second upstream

Cause: a request that may be repeated waits for a slow upstream until that has been silent for several objectives, although another one would respond.

Change: with the setting hedgeShare, the first attempt of such a request runs beside a second one after the delay that pkg/hedger has learned. Each attempt has its own copy of the request's state. The first response head under 500, or the first event of a stream, wins; the other attempt is canceled and joined before anything is written to the caller. The recording of an attempt's end is now apart from the decision on a retry, so that both attempts of a hedged request use it. Usage of the placer and Suspects of the detector are new.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -34,6 +34,7 @@
 	closeAfter bool
 	complete   bool
 	stop       func() bool
+	unread     []byte // to be read again before the rest of the body
 }
 
 const (
@@ -191,6 +192,11 @@
 
 // Read reads the body. io.EOF means that the body is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
+	if len(x.unread) > 0 {
+		n := copy(p, x.unread)
+		x.unread = x.unread[n:]
+		return n, nil
+	}
 	n, err := x.body.Read(p)
 	if err == io.EOF {
 		x.complete = true
@@ -198,6 +204,10 @@
 	return n, err
 }
 
+// Unread makes the next calls of Read return p, which was read before, and then the rest
+// of the body.
+func (x *Exchange) Unread(p []byte) { x.unread = p }
+
 // Drain reads the rest of a response that isn't needed, so that the connection can
 // be reused. If the rest is too long or too slow, Close closes the connection.
 func (x *Exchange) Drain() error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,7 @@
 		RetryBudget: budgeter.Limits{
 			Ratio: s.RetryRatio, Window: config.Seconds(s.RetryWindowSeconds), Allowance: s.RetryAllowance,
 		},
+		HedgeShare: s.HedgeShare,
 	}, relayer.Dependencies{
 		Clock: clk, Boot: boot, Log: log, Fleet: obs, Connector: conns, Dialect: translate.Dialect{},
 		Adviser: adv, CacheDown: cache.Down, Meter: metrics, Memory: memory, Rand: rnd,
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -135,3 +135,9 @@
 
 // RecordRetry counts an attempt after the first one of a request.
 func (m *Meter) RecordRetry() { m.retries.Inc(1) }
+
+// RecordHedge counts a hedged attempt that has started, won or lost, or that was withheld
+// for the given reason. The other results have no reason.
+func (m *Meter) RecordHedge(result, reason string) {
+	m.scope.Tagged(map[string]string{"result": result, "reason": reason}).Counter("hedges").Inc(1)
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/estimator"
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
+	"github.com/auburnnotch/auburnnotch/pkg/hedger"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -33,6 +34,9 @@
 	VersionCutoff time.Duration
 	// RetryBudget is the fleet-wide retry budget of each service.
 	RetryBudget budgeter.Limits
+	// HedgeShare is the largest number of hedged attempts of the fleet as a share of the
+	// requests of each service, 0 for none.
+	HedgeShare float64
 }
 
 // Dependencies are the services that a Relayer uses.
@@ -67,6 +71,7 @@
 	placer       *placer.Placer
 	detector     *detector.Detector
 	estimator    *estimator.Estimator
+	hedger       *hedger.Hedger
 	retryBudgets map[string]*budgeter.Budgeter // by service
 	// lastQuestion is the number of the latest question to the placement
 	// coordinator. openQuestions are those whose outcome isn't included in the
@@ -80,6 +85,7 @@
 func New(s Settings, deps Dependencies) *Relayer {
 	return &Relayer{
 		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(deps.Rand), estimator: estimator.New(), retryBudgets: map[string]*budgeter.Budgeter{},
+		hedger: hedger.New(s.HedgeShare, s.RetryBudget.Window),
 		// Question numbers of earlier incarnations of this node are smaller.
 		lastQuestion: uint64(deps.Clock.Now().UnixMicro()), openQuestions: map[uint64]struct{}{},
 	}
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -92,7 +92,11 @@
 
 // finalEntry returns the log entry for the last line of a request.
 func (u *relay) finalEntry(event string, k failure.Kind) *logrus.Entry {
-	return u.logEntry(event).WithFields(logrus.Fields{
+	e := u.logEntry(event)
+	if u.hedge != "" {
+		e = e.WithField("hedge", u.hedge)
+	}
+	return e.WithFields(logrus.Fields{
 		"kind": k.String(), "reason": u.reason, "sends": u.sends, "runs": u.runs,
 		"firstMs": u.timeToFirstEvent.Milliseconds(), "ms": u.r.Clock.Now().Sub(u.req.Arrived).Milliseconds(),
 	})
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/connector"
-	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/failure"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
@@ -89,6 +87,7 @@
 	// turnedAwayFor is how long all upstreams want no requests of this node, if that is why
 	// the request ends.
 	turnedAwayFor time.Duration
+	hedge         string // outcome of the hedged attempt, empty for none
 	reason        string
 }
 
@@ -110,14 +109,18 @@
 	}
 }
 
-// recordRequest counts a request for the retry budget of its service.
+// recordRequest counts a request for the retry budget of its service, and for its share of
+// hedged attempts.
 func (r *Relayer) recordRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.retryBudget(service).RecordRequest(r.Clock.Now())
+	now := r.Clock.Now()
+	r.retryBudget(service).RecordRequest(now)
+	r.hedger.RecordRequest(now, service)
 }
 
-// attempt sends the request once and reports whether to make another attempt.
+// attempt sends the request, to two upstreams if it is hedged, and reports whether to make
+// another attempt.
 func (u *relay) attempt() bool {
 	q, ok := u.pickUpstream()
 	if !ok {
@@ -125,8 +128,8 @@
 	}
 	u.firstEventSeen = false
 	u.silence = newSilenceWatch(u.ctx, u.r.Clock)
-	defer u.silence.end()
-	x, outcome, err := u.send(&q)
+	defer func() { u.silence.end() }() // of the hedged attempt if that has won
+	x, outcome, err := u.open(&q)
 	u.silence.disarm()
 	switch outcome {
 	case connector.NotSent:
@@ -146,7 +149,7 @@
 		return u.handleRefusal(x, a)
 	case !a.Stamped:
 		u.runs++
-		return u.handleBroken(errors.Errorf("response with status %d has no stamp of the upstream", x.Status))
+		return u.handleBroken(errUnstamped(x.Status))
 	}
 	u.runs++
 	if !u.mayRetry(0) {
@@ -155,12 +158,20 @@
 	if u.req.Prompt != nil && a.Version > 0 {
 		u.recordVersion(a.Version)
 	}
-	if x.Status == http.StatusOK && u.route.Kind == traffic.Streaming && strings.HasPrefix(x.Header.Get("Content-Type"), eventStreamType) {
+	if u.isEventStream(x) {
 		return u.relayStream(x)
 	}
 	return u.relayWhole(x)
 }
 
+func errUnstamped(status int) error {
+	return errors.Errorf("response with status %d has no stamp of the upstream", status)
+}
+
+func (u *relay) isEventStream(x *connector.Exchange) bool {
+	return x.Status == http.StatusOK && u.route.Kind == traffic.Streaming && strings.HasPrefix(x.Header.Get("Content-Type"), eventStreamType)
+}
+
 func (u *relay) recordVersion(version int) {
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
@@ -219,14 +230,21 @@
 	if err := u.permit(); err != nil {
 		return err
 	}
-	if u.mayRetry(1) {
-		sent := *u
-		sent.sends, sent.runs = u.sends+1, u.runs+1 // as if the attempt had failed
-		u.silence.arm(&sent, u.firstBytePatience())
-	}
+	u.watchUnanswered(u.firstBytePatience())
 	return nil
 }
 
+// watchUnanswered watches the upstream of an attempt that isn't counted in u yet.
+func (u *relay) watchUnanswered(patience time.Duration) {
+	if !u.mayRetry(1) {
+		u.silence.disarm()
+		return
+	}
+	sent := *u
+	sent.sends, sent.runs = u.sends+1, u.runs+1 // as if the attempt had failed
+	u.silence.arm(&sent, patience)
+}
+
 // priority maps the priorities of the workspace and the route to a priority of
 // the engines.
 func (u *relay) priority() int {
@@ -289,19 +307,11 @@
 // handleUnreachable handles an attempt of which nothing was sent and reports
 // whether to make another one.
 func (u *relay) handleUnreachable(err error) bool {
-	callerGone := u.ctx.Err() != nil
-	notPermitted := errors.Is(err, errNotPermitted)
-	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		if !callerGone && !notPermitted {
-			p.RecordUnreachable(u.r.Clock.Now(), c)
-		}
-	})
-	if notPermitted {
-		u.logEntry("attemptNotSent").WithError(err).Info("request was not sent")
+	u.recordUnreachable(err)
+	if errors.Is(err, errNotPermitted) {
 		return true // the check before the next attempt tells why
 	}
 	u.exclude = append(u.exclude, u.choice.Incarnation())
-	u.logEntry("attemptNotSent").WithError(err).Info("connection to the upstream failed")
 	if len(u.exclude) > maxSends {
 		u.reason = "too many upstreams are unreachable"
 		u.fail(failure.NoUpstream)
@@ -313,30 +323,16 @@
 // handleRefusal handles a response that reports that the upstream didn't run
 // the request. It returns whether to make another attempt.
 func (u *relay) handleRefusal(x *connector.Exchange, a ResponseInfo) bool {
-	now := u.r.Clock.Now()
-	otherUpstream := u.isOtherUpstream(a)
-	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		switch {
-		case otherUpstream:
-			p.RecordUnreachable(now, c)
-		case a.Misdirected && u.req.Prompt != nil && a.Version > c.Version:
-			p.RecordVersion(c.Incarnation(), u.req.Prompt.Model, a.Version)
-		default:
-			p.Suspend(c.Incarnation(), now.Add(refusalPause))
-		}
-	})
+	u.recordRefusal(x.Status, a)
 	if err := x.Drain(); err != nil {
 		u.logEntry("refusalUnread").WithError(err).Debug("refusal response could not be read to its end")
 	}
-	u.logEntry("attemptRefused").WithFields(logrus.Fields{
-		"status": x.Status, "misdirected": a.Misdirected, "answeredBy": a.Upstream, "answeredVersion": a.Version, "turnAwayMs": a.TurnAway.Milliseconds(),
-	}).Info("upstream refused the request without running it")
 	if u.sends >= maxSends {
 		u.reason = "all upstreams tried refused the request"
 		u.fail(failure.NoUpstream)
 		return false
 	}
-	if otherUpstream {
+	if u.isOtherUpstream(a) {
 		u.exclude = append(u.exclude, u.choice.Incarnation())
 	}
 	return true
@@ -345,17 +341,8 @@
 // handleBroken handles an attempt that ended early and may have been run, and
 // reports whether to make another one.
 func (u *relay) handleBroken(err error) bool {
-	callerGone := u.ctx.Err() != nil
-	u.endAttempt(func(p *placer.Placer, c placer.Choice) {
-		if !callerGone && !errors.Is(err, memorykeeper.ErrFull) {
-			p.RecordFailure(u.r.Clock.Now(), c)
-			u.recordLoss(err)
-		}
-	})
-	u.logEntry("attemptBroken").WithError(err).WithFields(logrus.Fields{
-		"endedBy": u.endedBy(err), "parts": u.sharedParts(), "features": hexFeatures(lastFeatures(u.features)),
-	}).Info("attempt ended before the response was complete")
-	if callerGone || !u.mayRetry(0) || u.sends >= maxSends {
+	u.recordBroken(err)
+	if u.ctx.Err() != nil || !u.mayRetry(0) || u.sends >= maxSends {
 		u.reason = "upstream failed before the response was complete"
 		u.fail(failure.UpstreamFailed)
 		return false
--- a/internal/relayer/silence.go
+++ b/internal/relayer/silence.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	probe    relay         // copy of the request's state, to find out whether it may move
 	patience time.Duration // 0 unless armed
+	hedgedAt string        // incarnation with another attempt of the request, empty for none
 	lastSign time.Time     // of the upstream
 	pausedAt time.Time     // zero unless paused
 	timer    clock.Timer   // nil until the watch is first armed
@@ -65,6 +66,14 @@
 	w.timer.Reset(d)
 }
 
+// setHedge counts another attempt of the request, at the given incarnation, beside the
+// watched one; an empty incarnation ends that.
+func (w *silenceWatch) setHedge(incarnation string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hedgedAt = incarnation
+}
+
 // pause stops the time of the watch while the node can't read what the upstream sends.
 func (w *silenceWatch) pause() {
 	w.mu.Lock()
@@ -130,5 +139,10 @@
 			}).Error("panic while checking whether a request may move")
 		}
 	}()
-	return w.probe.mayMove()
+	probe := w.probe
+	if w.hedgedAt != "" {
+		probe.sends, probe.runs = probe.sends+1, probe.runs+1
+		probe.exclude = append(probe.exclude[:len(probe.exclude):len(probe.exclude)], w.hedgedAt)
+	}
+	return probe.mayMove()
 }
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -96,7 +96,11 @@
 		u.silence.disarm()
 		return
 	}
-	u.silence.arm(u, max(minEventPatience, eventPauseObjectives*u.route.PauseObjective))
+	u.silence.arm(u, u.eventPatience())
+}
+
+func (u *relay) eventPatience() time.Duration {
+	return max(minEventPatience, eventPauseObjectives*u.route.PauseObjective)
 }
 
 // writeEvents forwards complete events to the caller.
--- a/pkg/config/entrysettings.go
+++ b/pkg/config/entrysettings.go
@@ -33,6 +33,11 @@
 	RetryRatio         float64 `json:"retryRatio,omitempty"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds,omitempty"`
 	RetryAllowance     float64 `json:"retryAllowance,omitempty"`
+	// HedgeShare is the largest number of hedged attempts as a share of the requests
+	// of a service, from 0 to 0.2 (default 0: none). A hedged attempt is a second
+	// attempt at another upstream of a request whose first one is slow. Each also
+	// spends the retry budget.
+	HedgeShare float64 `json:"hedgeShare,omitempty"`
 	// GraceSeconds is the grace period from SIGTERM to the end of the process
 	// (default 8).
 	GraceSeconds float64 `json:"graceSeconds,omitempty"`
@@ -49,6 +54,10 @@
 	LogLevel string `json:"logLevel,omitempty"`
 }
 
+// maxHedgeShare is the largest HedgeShare. It is the default of RetryRatio: hedged
+// attempts also spend the retry budget.
+const maxHedgeShare = 0.2
+
 // The defaults of EntrySettings.
 const (
 	defaultRevokeMS           = 5000.0
@@ -96,6 +105,9 @@
 	if s.MemoryMB <= 0 {
 		c.add("set the memory limit of the process in MB", "memoryMB", "is %v", s.MemoryMB)
 	}
+	if !(s.HedgeShare >= 0 && s.HedgeShare <= maxHedgeShare) {
+		c.add("use 0 for no hedged attempts, or a share of the requests up to 0.2", "hedgeShare", "is %v", s.HedgeShare)
+	}
 	for _, f := range []struct {
 		field string
 		value float64
--- a/pkg/config/entrysettings_test.go
+++ b/pkg/config/entrysettings_test.go
@@ -1,6 +1,8 @@
 package config_test
 
 import (
+	"math"
+	"slices"
 	"testing"
 
 	"github.com/auburnnotch/auburnnotch/pkg/config"
@@ -31,3 +33,19 @@
 		t.Errorf("no problem reported for %s", field)
 	}
 }
+
+// Guards against a share of hedged attempts that the retry budget doesn't cover, and
+// against hedging that nobody has enabled.
+func TestHedgeShareIsBoundedAndOffByDefault(t *testing.T) {
+	if share := (config.EntrySettings{}).WithDefaults().HedgeShare; share != 0 {
+		t.Errorf("the default is %v", share)
+	}
+	for share, valid := range map[float64]bool{0: true, 0.05: true, 0.2: true, 0.21: false, -0.01: false, math.Inf(1): false, math.NaN(): false} {
+		reported := slices.ContainsFunc(config.EntrySettings{HedgeShare: share}.Check(), func(p config.Problem) bool {
+			return p.Field == "hedgeShare" && p.Remedy != ""
+		})
+		if reported == valid {
+			t.Errorf("share %v: problem reported %t", share, reported)
+		}
+	}
+}
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -111,6 +111,12 @@
 	return !now.Before(p.until.Add(d.delay)) && !now.Before(p.triedUntil)
 }
 
+// Suspects reports whether a request with the given features may have crashed an upstream:
+// a run with one of them was lost, and none has succeeded since.
+func (d *Detector) Suspects(now time.Time, features []Feature) bool {
+	return slices.ContainsFunc(features, func(f Feature) bool { return now.Before(d.suspects[f]) })
+}
+
 // RecordSend records that a request is sent to an upstream. If it is the first one after a
 // rejection, the others are rejected until its outcome is known.
 func (d *Detector) RecordSend(now time.Time, features []Feature) {
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -64,6 +64,11 @@
 	// Slots and Memory: too much of the service's slots or memory is in use.
 	Slots  Verdict = "slots"
 	Memory Verdict = "memory"
+	// NotPermitted: the request may no longer be sent, for example since its key was
+	// revoked.
+	NotPermitted Verdict = "notPermitted"
+	// NoCapacity: the placement coordinator says that no upstream can take the request.
+	NoCapacity Verdict = "noCapacity"
 	// NoUpstream: no other upstream takes the request.
 	NoUpstream Verdict = "noUpstream"
 	// ShareSpent: the service's share of hedged attempts is used up.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -199,9 +199,7 @@
 // If there is none, Pick tries again without regard to the circuit breakers: an
 // upstream that failed lately is better than none.
 func (p *Placer) Pick(now time.Time, q *Query) (Choice, bool) {
-	p.sumPeers(now)
-	p.lastResort = false
-	c, ok := p.pick(now, q)
+	c, ok := p.PickHealthy(now, q)
 	if !ok {
 		p.lastResort = true
 		c, ok = p.pick(now, q)
@@ -209,6 +207,13 @@
 	return c, ok
 }
 
+// PickHealthy is Pick without the second try.
+func (p *Placer) PickHealthy(now time.Time, q *Query) (Choice, bool) {
+	p.sumPeers(now)
+	p.lastResort = false
+	return p.pick(now, q)
+}
+
 func (p *Placer) pick(now time.Time, q *Query) (Choice, bool) {
 	if q.Prompt == nil {
 		return p.pickPlain(now, q)
