test(relayer): hedged requests against the upstream stand-ins

Cause: the tests of the second attempt were missing.

Change: tests of the outcomes of both attempts, responses at the same moment, a caller that leaves, a shutdown, withheld attempts, and a clock that panics at each step of a hedged request. They showed three faults, which are mended: a delay that was unknown stayed so for 100 ms; a panic after both attempts had ended left the second one counted as running; a lost second attempt was counted twice when the first stream fell silent later.

--- /dev/null
+++ b/internal/relayer/hedge_test.go
@@ -0,0 +1,458 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/budgeter"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/failure"
+	"github.com/auburnnotch/auburnnotch/pkg/finisher"
+	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/traffic"
+)
+
+// hedgeFixture is a fixture with three upstreams, in which the first request after arm is
+// answered by the script first, and the further ones by next.
+type hedgeFixture struct {
+	*fixture
+	armed  atomic.Bool
+	warmed int
+	// closed receives a value when a silent upstream's connection ends.
+	closed chan struct{}
+}
+
+func hedgeCatalog(attempts int) *traffic.Catalog {
+	c := catalog(1, "key")
+	for i := range c.Routes {
+		c.Routes[i].Timeout = unlimited
+		if c.Routes[i].Name != "once" {
+			c.Routes[i].MaxAttempts = attempts
+		}
+	}
+	return c
+}
+
+func newHedgeFixture(t *testing.T, clk clock.Clock, share float64, path string, attempts int) *hedgeFixture {
+	t.Helper()
+	b := &hedgeFixture{closed: make(chan struct{}, 8), fixture: newFixtureWithSettings(t, clk, relayer.Settings{
+		DataCentre: "a", MaxProofAge: maxProofAge, VersionCutoff: time.Hour, HedgeShare: share,
+		RetryBudget: budgeter.Limits{Ratio: 1, Window: 10 * time.Second, Allowance: 100},
+	}, responding, responding, responding)}
+	b.fleet.set(hedgeCatalog(attempts), b.boot.Elapsed())
+	for range 40 { // the delay is learned from 20, and 40 allow for more than one hedged attempt
+		if r := b.serveWithin(t.Context(), path, unlimited); r.status != 200 {
+			t.Fatalf("status %d, %v before the test", r.status, r.kind)
+		}
+	}
+	b.warmed = b.sent()
+	b.hook.Reset()
+	return b
+}
+
+// responding answers at once.
+func responding(conn net.Conn, r testlib.Received) bool {
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
+		return streaming(0)(conn, r)
+	}
+	return ok(conn, r)
+}
+
+func (b *hedgeFixture) arm(first, next testlib.Script) {
+	for _, u := range b.ups {
+		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
+			if b.armed.CompareAndSwap(false, true) {
+				return first(conn, r)
+			}
+			return next(conn, r)
+		})
+	}
+}
+
+// silent sends nothing until its connection is closed.
+func (b *hedgeFixture) silent(conn net.Conn, _ testlib.Received) bool {
+	_, _ = io.Copy(io.Discard, conn)
+	b.closed <- struct{}{}
+	return false
+}
+
+// begun sends the head of a stream, a comment and a part of an event.
+func (b *hedgeFixture) begun(conn net.Conn, r testlib.Received) bool {
+	streamHead(conn, r)
+	fmt.Fprint(conn, "3\r\n:\n\n\r\n8\r\nid: 1\nda\r\n")
+	return b.silent(conn, r)
+}
+
+func after(d time.Duration, s testlib.Script) testlib.Script {
+	return func(conn net.Conn, r testlib.Received) bool {
+		time.Sleep(d)
+		return s(conn, r)
+	}
+}
+
+func (b *hedgeFixture) check(t *testing.T, sends int, hedge any) {
+	t.Helper()
+	if n := b.sent() - b.warmed; n != sends {
+		t.Errorf("%d sends, want %d", n, sends)
+	}
+	if got := b.hook.LastEntry().Data["hedge"]; got != hedge {
+		t.Errorf("the final entry has hedge=%v, want %v", got, hedge)
+	}
+	if loads := b.relay.TakeReport().Loads; len(loads) > 0 {
+		t.Errorf("loads %v after the request has ended", loads)
+	}
+}
+
+func (b *hedgeFixture) awaitClosed(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		select {
+		case <-b.closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the connection of a canceled attempt stays open")
+		}
+	}
+}
+
+// Guards against an answer that isn't delivered whole and once, a second attempt at the
+// same upstream, and a canceled attempt that stays connected or counts as a failure.
+func TestSecondAttemptWinsAgainstSilentUpstream(t *testing.T) {
+	for path, first := range map[string]func(*hedgeFixture) testlib.Script{
+		"/safe/":   func(b *hedgeFixture) testlib.Script { return b.silent },
+		"/stream/": func(b *hedgeFixture) testlib.Script { return b.begun },
+	} {
+		want := map[string]string{"/safe/": "ok", "/stream/": wholeStream}[path]
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			b := newHedgeFixture(t, systemclock.New(), 0.2, path, 2)
+			for range 4 { // a circuit breaker opens after three failures
+				b.armed.Store(false)
+				b.arm(first(b), responding)
+				r := b.serveWithin(t.Context(), path, unlimited)
+				if r.status != 200 || r.body.String() != want || r.starts != 1 || r.aborted {
+					t.Fatalf("status %d, %v, %d starts, body %q", r.status, r.kind, r.starts, r.body.String())
+				}
+				b.awaitClosed(t, 1)
+				b.check(t, 2, "won")
+				b.warmed = b.sent()
+			}
+			for _, e := range b.hook.AllEntries() {
+				if event := e.Data["event"]; event == "attemptBroken" || event == "hedged" && e.Data["first"] == e.Data["upstream"] {
+					t.Errorf("unexpected line %v", e.Data)
+				}
+			}
+			for i := range b.ups {
+				if s := b.relay.Status(fmt.Sprintf("u%d@1", i)); !s.Reachable || s.Running != 0 {
+					t.Errorf("upstream %d: %+v", i, s)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a lost or doubled answer when the first attempt responds while the second
+// one is on its way, or fails.
+func TestOutcomesOfHedgedRequests(t *testing.T) {
+	const late = 250 * time.Millisecond // the delay is at least 100 ms
+	for name, c := range map[string]struct {
+		path        string
+		first, next func(*hedgeFixture) testlib.Script
+		attempts    int
+		status      int
+		kind        failure.Kind
+		body        string
+		aborted     bool
+		sends       int
+		hedge       any
+	}{
+		"first responds": {path: "/safe/", first: script(after(late, ok)), next: (*hedgeFixture).silence, status: 200, body: "ok", sends: 2, hedge: "lost"},
+		"first stream responds": {
+			path: "/stream/", first: script(after(late, streaming(0))), next: (*hedgeFixture).silence,
+			status: 200, body: wholeStream, sends: 2, hedge: "lost",
+		},
+		"first is reset, second responds later": {
+			path: "/safe/", first: script(after(late, resetting)), next: script(after(late, ok)), status: 200, body: "ok", sends: 2, hedge: "won",
+		},
+		"first has a server error, second responds later": {
+			path: "/safe/", first: script(after(late, failing)), next: script(after(late, ok)), status: 200, body: "ok", sends: 2, hedge: "won",
+		},
+		"second is reset, first responds later": {
+			path: "/safe/", first: script(after(late, ok)), next: script(resetting), status: 200, body: "ok", sends: 2, hedge: "lost",
+		},
+		"second is refused, first responds later": {
+			path: "/safe/", first: script(after(late, ok)), next: script(refusing), status: 200, body: "ok", sends: 2, hedge: "lost",
+		},
+		"both are reset": {
+			path: "/safe/", first: script(after(late, resetting)), next: script(resetting), kind: failure.UpstreamFailed, sends: 2, hedge: "lost",
+		},
+		"both streams break": {
+			path: "/stream/", first: script(after(late, resetting)), next: script(after(late, unstamped)), kind: failure.UpstreamFailed, sends: 2, hedge: "lost",
+		},
+		"both have server errors": {
+			path: "/safe/", first: script(after(late, failing)), next: script(failing), status: 500, body: "bad", sends: 2, hedge: "lost",
+		},
+		"first is reset, second has a server error": {
+			path: "/safe/", first: script(after(late, resetting)), next: script(failing), status: 500, body: "bad", sends: 2, hedge: "lost",
+		},
+		"both are reset, and a third attempt is allowed": {
+			path: "/safe/", first: script(after(late, resetting)), next: onceThen(resetting, ok), attempts: 3, status: 200, body: "ok", sends: 3, hedge: "lost",
+		},
+		"winner breaks off": {
+			path: "/stream/", first: (*hedgeFixture).silence, next: script(streaming(3)), status: 200, body: wholeStream[:len(wholeStream)/2], aborted: true, sends: 2, hedge: "won",
+		},
+		"winner breaks off, and a third attempt is allowed": {
+			path: "/stream/", first: (*hedgeFixture).silence, next: onceThen(streaming(3), streaming(0)), attempts: 3, status: 200, body: wholeStream, sends: 3, hedge: "won",
+		},
+		"first responds and stalls, and a third attempt is allowed": {
+			path: "/stream/", first: stalling(late), next: (*hedgeFixture).silenceOnce, attempts: 3, status: 200, body: wholeStream, sends: 3, hedge: "lost",
+		},
+		"unsafe request":               {path: "/unsafe/", first: script(after(late, ok)), next: script(ok), status: 200, body: "ok", sends: 1},
+		"stream that can't be resumed": {path: "/once/", first: script(after(late, streaming(0))), next: script(ok), status: 200, body: wholeStream, sends: 1},
+		"one attempt":                  {path: "/safe/", first: script(after(late, ok)), next: script(ok), attempts: 1, status: 200, body: "ok", sends: 1},
+		"reset before the delay":       {path: "/safe/", first: script(resetting), next: script(ok), status: 200, body: "ok", sends: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newHedgeFixture(t, systemclock.New(), 0.2, c.path, max(c.attempts, 2))
+			if c.attempts > 0 {
+				b.fleet.set(hedgeCatalog(c.attempts), b.boot.Elapsed())
+			}
+			b.arm(c.first(b), c.next(b))
+			r := b.serveWithin(t.Context(), c.path, unlimited)
+			starts := 1
+			if r.status != c.status || r.kind != c.kind || r.body.String() != c.body || r.starts != starts || r.aborted != c.aborted {
+				t.Errorf("status %d, %v, %d starts, aborted %t, body %q", r.status, r.kind, r.starts, r.aborted, r.body.String())
+			}
+			b.check(t, c.sends, c.hedge)
+		})
+	}
+}
+
+func script(s testlib.Script) func(*hedgeFixture) testlib.Script {
+	return func(*hedgeFixture) testlib.Script { return s }
+}
+
+func (b *hedgeFixture) silence() testlib.Script { return b.silent }
+
+func (b *hedgeFixture) silenceOnce() testlib.Script { return onceThen(b.silent, streaming(0))(b) }
+
+// stalling sends three events after the given time and then nothing.
+func stalling(d time.Duration) func(*hedgeFixture) testlib.Script {
+	return func(b *hedgeFixture) testlib.Script {
+		return func(conn net.Conn, r testlib.Received) bool {
+			time.Sleep(d)
+			streamHead(conn, r)
+			for id := 1; id <= 3; id++ {
+				event(conn, id)
+			}
+			return b.silent(conn, r)
+		}
+	}
+}
+
+// onceThen runs one script for the first request and another one for the further ones.
+func onceThen(first, next testlib.Script) func(*hedgeFixture) testlib.Script {
+	return func(*hedgeFixture) testlib.Script {
+		var asked atomic.Bool
+		return func(conn net.Conn, r testlib.Received) bool {
+			if asked.CompareAndSwap(false, true) {
+				return first(conn, r)
+			}
+			return next(conn, r)
+		}
+	}
+}
+
+// Guards against two answers, or a mix of them, when both upstreams respond at the same
+// moment.
+func TestResponsesAtTheSameMomentAreNotMixed(t *testing.T) {
+	for path, want := range map[string]string{"/safe/": "ok", "/stream/": wholeStream} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			b := newHedgeFixture(t, systemclock.New(), 0.2, path, 2)
+			for range 4 {
+				second := make(chan struct{})
+				b.armed.Store(false)
+				b.arm(func(conn net.Conn, r testlib.Received) bool {
+					<-second
+					return responding(conn, r)
+				}, func(conn net.Conn, r testlib.Received) bool {
+					close(second)
+					return responding(conn, r)
+				})
+				r := b.serveWithin(t.Context(), path, unlimited)
+				if r.status != 200 || r.body.String() != want || r.starts != 1 || r.aborted {
+					t.Errorf("status %d, %v, %d starts, body %q", r.status, r.kind, r.starts, r.body.String())
+				}
+			}
+			if n := b.sent() - b.warmed; n != 8 {
+				t.Errorf("%d sends, want 8", n)
+			}
+		})
+	}
+}
+
+// Guards against extra attempts without the setting, in a shutdown, and while the
+// coordinator finds no capacity.
+func TestSlowRequestIsNotHedged(t *testing.T) {
+	for name, c := range map[string]struct {
+		share   float64
+		prepare func(b *hedgeFixture)
+	}{
+		"no share":    {0, func(*hedgeFixture) {}},
+		"spent share": {0.001, func(*hedgeFixture) {}},
+		"shutdown": {0.2, func(b *hedgeFixture) {
+			now := time.Now()
+			b.relay.BeginShutdown(finisher.New(now, now.Add(unlimited), now.Add(2*unlimited)))
+		}},
+		"recent refusal": {0.2, func(b *hedgeFixture) {
+			b.arm(refusing, ok)
+			b.serveWithin(context.Background(), "/safe/", unlimited)
+			b.armed.Store(false)
+			b.warmed = b.sent()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newHedgeFixture(t, systemclock.New(), c.share, "/safe/", 2)
+			c.prepare(b)
+			b.arm(after(300*time.Millisecond, ok), ok)
+			if r := b.serveWithin(t.Context(), "/safe/", unlimited); r.status != 200 {
+				t.Errorf("status %d, %v", r.status, r.kind)
+			}
+			b.check(t, 1, nil)
+		})
+	}
+}
+
+// Guards against more load on engines that have no room: the coordinator has placed the
+// first attempt, and has no capacity for another.
+func TestRequestIsNotHedgedWhenCoordinatorFindsNoCapacity(t *testing.T) {
+	b := newHedgeFixture(t, systemclock.New(), 0.2, "/safe/", 2)
+	g := &fakeAdviser{verdict: placer.Unanswered}
+	b.relay.Adviser = g
+	b.arm(func(conn net.Conn, r testlib.Received) bool {
+		g.mu.Lock()
+		g.verdict = placer.NoCapacity
+		g.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		return ok(conn, r)
+	}, ok)
+	if r := servePrompt(b.fixture); r.status != 200 || len(g.asked) != 2 {
+		t.Errorf("status %d, %v, %d questions", r.status, r.kind, len(g.asked))
+	}
+	b.check(t, 1, nil)
+}
+
+// Guards against attempts that outlast their caller.
+func TestBothAttemptsEndWithTheirCaller(t *testing.T) {
+	for name, begin := range map[string]func(*hedgeFixture) testlib.Script{
+		"/safe/":   func(b *hedgeFixture) testlib.Script { return b.silent },
+		"/stream/": func(b *hedgeFixture) testlib.Script { return b.begun },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newHedgeFixture(t, systemclock.New(), 0.2, name, 2)
+			ctx, cancel := context.WithCancel(t.Context())
+			b.arm(begin(b), func(conn net.Conn, r testlib.Received) bool {
+				cancel()
+				return begin(b)(conn, r)
+			})
+			r := b.serveWithin(ctx, name, unlimited)
+			if r.kind != failure.CallerGone || r.starts != 1 {
+				t.Errorf("kind %v, status %d, %d starts", r.kind, r.status, r.starts)
+			}
+			b.awaitClosed(t, 2)
+			b.check(t, 2, "lost")
+		})
+	}
+}
+
+// Guards against a hedged request that its node's shutdown deadline doesn't end, and
+// against one that a begun shutdown interrupts.
+func TestHedgedRequestInShutdown(t *testing.T) {
+	b := newHedgeFixture(t, systemclock.New(), 0.2, "/safe/", 2)
+	shutDown := func() {
+		now := time.Now()
+		b.relay.BeginShutdown(finisher.New(now, now.Add(unlimited), now.Add(2*unlimited)))
+	}
+	b.arm(b.silent, func(conn net.Conn, r testlib.Received) bool {
+		shutDown()
+		return ok(conn, r)
+	})
+	if r := b.serveWithin(t.Context(), "/safe/", unlimited); r.status != 200 {
+		t.Errorf("status %d, %v", r.status, r.kind)
+	}
+	b.check(t, 2, "won")
+
+	b = newHedgeFixture(t, systemclock.New(), 0.2, "/safe/", 2)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	b.arm(b.silent, func(conn net.Conn, r testlib.Received) bool {
+		cancel(relayer.ErrShutdownDeadline)
+		return b.silent(conn, r)
+	})
+	if r := b.serveWithin(ctx, "/safe/", unlimited); r.kind != failure.UpstreamFailed && r.kind != failure.Draining || r.starts != 1 {
+		t.Errorf("kind %v, status %d", r.kind, r.status)
+	}
+	b.awaitClosed(t, 2)
+	b.check(t, 2, "lost")
+}
+
+// Guards against a panic in one of two attempts that ends the process, blocks the node, or
+// leaves an attempt running. The clock panics at each step of a hedged request once.
+func TestPanicInHedgedRequestHarmsNoOther(t *testing.T) {
+	for name, winner := range map[string]int{"first": 1, "second": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			logged, panicked := 0, 0
+			for n := int64(1); ; n++ {
+				clk := &panickingClock{}
+				b := newHedgeFixture(t, clk, 0.2, "/safe/", 2)
+				next := testlib.Script(b.silent)
+				if winner == 2 {
+					next = ok
+				}
+				b.arm(after(200*time.Millisecond, ok), next)
+				clk.left.Store(n)
+				var wg sync.WaitGroup
+				r, failed := &reply{}, false
+				wg.Go(func() {
+					defer func() { failed = recover() != nil }()
+					r = b.serveWithin(t.Context(), "/safe/", 10*time.Second)
+				})
+				wg.Wait()
+				happened := clk.left.Swap(0) <= 0
+				if loads := b.relay.TakeReport().Loads; len(loads) > 0 {
+					t.Errorf("panic %d: loads %v", n, loads)
+				}
+				if !failed && r.starts != 1 {
+					t.Errorf("panic %d: %d starts", n, r.starts)
+				}
+				for _, e := range b.hook.AllEntries() {
+					if e.Data["event"] == "hedgePanic" {
+						logged++
+					}
+				}
+				if failed {
+					panicked++
+				}
+				if !happened {
+					break
+				}
+			}
+			if logged == 0 || panicked == 0 {
+				t.Errorf("%d panics in the second attempt, %d in the first", logged, panicked)
+			}
+		})
+	}
+}
--- a/internal/relayer/race.go
+++ b/internal/relayer/race.go
@@ -151,9 +151,9 @@
 		b = c.runSecond()
 		return nil
 	})
-	joined := false
+	finished := false
 	defer func() {
-		if !joined { // a panic
+		if !finished { // a panic
 			c.claim(u)
 			_ = g.Wait()
 			c.second.drop(&b)
@@ -168,8 +168,9 @@
 		u.settle(&a)
 	}
 	_ = g.Wait() // the attempts return no error
-	joined = true
-	return c.finish(a, b)
+	out := c.finish(a, b)
+	finished = true
+	return out
 }
 
 // runSecond makes the second attempt once it is due.
@@ -241,6 +242,7 @@
 	}
 	s.drop(&b)
 	s.silence.end()
+	u.silence.setHedge("") // counted in u from here on
 	u.sends, u.runs, u.hedge = u.sends+b.sends(), u.runs+b.runs(), result
 	return a
 }
@@ -254,6 +256,7 @@
 	}
 	u.silence.end()
 	*u = *s
+	s.running = false // u is
 	u.sends, u.runs, u.exclude = sends, runs, exclude
 }
 
--- a/pkg/detector/doubt_test.go
+++ b/pkg/detector/doubt_test.go
@@ -29,3 +29,23 @@
 		t.Errorf("reported again: %+v", again)
 	}
 }
+
+// Guards against a second attempt of a request that may have crashed an upstream, and
+// against none for good after a crash of another cause.
+func TestLostRunIsSuspectUntilOneSucceeds(t *testing.T) {
+	d := detector.New(newRand())
+	now := start.Add(time.Second)
+	d.RecordLoss(now, model, 1, start, []detector.Feature{root, deadly})
+	for f, want := range map[detector.Feature]bool{root: true, deadly: true, subject: false} {
+		if d.Suspects(now, []detector.Feature{f, 99}) != want {
+			t.Errorf("feature %v: suspected %t", f, !want)
+		}
+	}
+	d.RecordSuccess(now, model, []detector.Feature{root})
+	if d.Suspects(now, []detector.Feature{root}) || !d.Suspects(now, []detector.Feature{root, deadly}) {
+		t.Error("a success has to clear the parts that it had, and no others")
+	}
+	if d.Suspects(now.Add(time.Hour), []detector.Feature{deadly}) {
+		t.Error("suspected an hour after the crash")
+	}
+}
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -192,7 +192,7 @@
 	if !ok {
 		return 0, false
 	}
-	if now.Sub(l.computedAt) >= recomputeInterval {
+	if l.delay <= 0 || now.Sub(l.computedAt) >= recomputeInterval {
 		l.delay, l.computedAt = h.percentile(now, l), now
 	}
 	if l.delay <= 0 {
