test(relayer): cover what mutations of the hedged requests showed

The silence watch that counts the second attempt, and an event that arrives together with a part of the next one, had no test.

Change: tests for these two, for a single upstream and for an upstream that has started anew. The two lines without effect are gone.

--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -216,10 +216,14 @@
 		"first responds and stalls, and a third attempt is allowed": {
 			path: "/stream/", first: stalling(late), next: (*hedgeFixture).silenceOnce, attempts: 3, status: 200, body: wholeStream, sends: 3, hedge: "lost",
 		},
-		"unsafe request":               {path: "/unsafe/", first: script(after(late, ok)), next: script(ok), status: 200, body: "ok", sends: 1},
-		"stream that can't be resumed": {path: "/once/", first: script(after(late, streaming(0))), next: script(ok), status: 200, body: wholeStream, sends: 1},
-		"one attempt":                  {path: "/safe/", first: script(after(late, ok)), next: script(ok), attempts: 1, status: 200, body: "ok", sends: 1},
-		"reset before the delay":       {path: "/safe/", first: script(resetting), next: script(ok), status: 200, body: "ok", sends: 2},
+		"first responds after more than its patience": {
+			path: "/safe/", first: script(after(900*time.Millisecond, ok)), next: (*hedgeFixture).silence, status: 200, body: "ok", sends: 2, hedge: "lost",
+		},
+		"second stream arrives in pieces": {path: "/stream/", first: (*hedgeFixture).silence, next: script(inPieces), status: 200, body: wholeStream, sends: 2, hedge: "won"},
+		"unsafe request":                  {path: "/unsafe/", first: script(after(late, ok)), next: script(ok), status: 200, body: "ok", sends: 1},
+		"stream that can't be resumed":    {path: "/once/", first: script(after(late, streaming(0))), next: script(ok), status: 200, body: wholeStream, sends: 1},
+		"one attempt":                     {path: "/safe/", first: script(after(late, ok)), next: script(ok), attempts: 1, status: 200, body: "ok", sends: 1},
+		"reset before the delay":          {path: "/safe/", first: script(resetting), next: script(ok), status: 200, body: "ok", sends: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -229,8 +233,7 @@
 			}
 			b.arm(c.first(b), c.next(b))
 			r := b.serveWithin(t.Context(), c.path, unlimited)
-			starts := 1
-			if r.status != c.status || r.kind != c.kind || r.body.String() != c.body || r.starts != starts || r.aborted != c.aborted {
+			if r.status != c.status || r.kind != c.kind || r.body.String() != c.body || r.starts != 1 || r.aborted != c.aborted {
 				t.Errorf("status %d, %v, %d starts, aborted %t, body %q", r.status, r.kind, r.starts, r.aborted, r.body.String())
 			}
 			b.check(t, c.sends, c.hedge)
@@ -246,6 +249,18 @@
 
 func (b *hedgeFixture) silenceOnce() testlib.Script { return onceThen(b.silent, streaming(0))(b) }
 
+// inPieces sends a stream in pieces that end within events.
+func inPieces(conn net.Conn, r testlib.Received) bool {
+	streamHead(conn, r)
+	for s := wholeStream; len(s) > 0; s = s[min(len(s), 22):] {
+		p := s[:min(len(s), 22)] // an event has 16 bytes
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(p), p)
+		time.Sleep(time.Millisecond)
+	}
+	fmt.Fprint(conn, "0\r\n\r\n")
+	return true
+}
+
 // stalling sends three events after the given time and then nothing.
 func stalling(d time.Duration) func(*hedgeFixture) testlib.Script {
 	return func(b *hedgeFixture) testlib.Script {
@@ -315,6 +330,15 @@
 			now := time.Now()
 			b.relay.BeginShutdown(finisher.New(now, now.Add(unlimited), now.Add(2*unlimited)))
 		}},
+		"no other upstream": {0.2, func(b *hedgeFixture) {
+			b.relay.SetUpstreams([]traffic.Upstream{{ID: "u0", StartedMS: 1, Service: "s", Address: b.ups[0].Addr, DataCentre: "a", Slots: 8}}, nil)
+		}},
+		"upstream started anew": {0.2, func(b *hedgeFixture) {
+			same := traffic.Upstream{ID: "u0", StartedMS: 1, Service: "s", Address: b.ups[0].Addr, DataCentre: "a", Slots: 8}
+			again := same
+			again.StartedMS = 2
+			b.relay.SetUpstreams([]traffic.Upstream{same, again}, nil)
+		}},
 		"recent refusal": {0.2, func(b *hedgeFixture) {
 			b.arm(refusing, ok)
 			b.serveWithin(context.Background(), "/safe/", unlimited)
--- a/internal/relayer/race.go
+++ b/internal/relayer/race.go
@@ -199,7 +199,7 @@
 	s.silence.disarm()
 	switch {
 	case b.decides() && c.claim(s):
-	case b.decides() || !c.failSecond():
+	case !c.failSecond():
 		s.drop(&b)
 	case !b.isServerError():
 		s.settle(&b)
@@ -256,7 +256,6 @@
 	}
 	u.silence.end()
 	*u = *s
-	s.running = false // u is
 	u.sends, u.runs, u.exclude = sends, runs, exclude
 }
 
