test(relayer): tie hedged requests to the arrival of the second attempt

Cause: in a run of all tests beside a load of 17, two cases of TestOutcomesOfHedgedRequests failed: the delay learned on the loaded machine exceeded the 250 ms after which the first upstream responded, so that there was no second attempt.

Change: the first upstream responds a time after the second attempt has arrived, the delay is learned before the parallel part, and the objective of 400 ms leaves 1 s until a silent request moves. The checks are as before.

--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -28,14 +28,19 @@
 	*fixture
 	armed  atomic.Bool
 	warmed int
+	second chan struct{} // closed when the first request for next arrives
 	// closed receives a value when a silent upstream's connection ends.
 	closed chan struct{}
 }
 
+// hedgeObjective gives a delay of at least 200 ms and, before the first byte, a patience
+// of 1 s, so that a loaded machine hedges before it moves a request.
+const hedgeObjective = 400 * time.Millisecond
+
 func hedgeCatalog(attempts int) *traffic.Catalog {
 	c := catalog(1, "key")
 	for i := range c.Routes {
-		c.Routes[i].Timeout = unlimited
+		c.Routes[i].Timeout, c.Routes[i].LatencyObjective = unlimited, hedgeObjective
 		if c.Routes[i].Name != "once" {
 			c.Routes[i].MaxAttempts = attempts
 		}
@@ -69,16 +74,31 @@
 }
 
 func (b *hedgeFixture) arm(first, next testlib.Script) {
+	second := make(chan struct{})
+	var once sync.Once
+	b.second = second
 	for _, u := range b.ups {
 		u.SetScript(func(conn net.Conn, r testlib.Received) bool {
 			if b.armed.CompareAndSwap(false, true) {
 				return first(conn, r)
 			}
+			once.Do(func() { close(second) })
 			return next(conn, r)
 		})
 	}
 }
 
+// afterSecond responds the given time after the second attempt has arrived.
+func afterSecond(d time.Duration, s testlib.Script) func(*hedgeFixture) testlib.Script {
+	return func(b *hedgeFixture) testlib.Script {
+		return func(conn net.Conn, r testlib.Received) bool {
+			<-b.second
+			time.Sleep(d)
+			return s(conn, r)
+		}
+	}
+}
+
 // silent sends nothing until its connection is closed.
 func (b *hedgeFixture) silent(conn net.Conn, _ testlib.Received) bool {
 	_, _ = io.Copy(io.Discard, conn)
@@ -133,8 +153,8 @@
 	} {
 		want := map[string]string{"/safe/": "ok", "/stream/": wholeStream}[path]
 		t.Run(path, func(t *testing.T) {
-			t.Parallel()
 			b := newHedgeFixture(t, systemclock.New(), 0.2, path, 2)
+			t.Parallel()
 			for range 4 { // a circuit breaker opens after three failures
 				b.armed.Store(false)
 				b.arm(first(b), responding)
@@ -163,7 +183,7 @@
 // Guards against a lost or doubled answer when the first attempt responds while the second
 // one is on its way, or fails.
 func TestOutcomesOfHedgedRequests(t *testing.T) {
-	const late = 250 * time.Millisecond // the delay is at least 100 ms
+	const late = 100 * time.Millisecond
 	for name, c := range map[string]struct {
 		path        string
 		first, next func(*hedgeFixture) testlib.Script
@@ -175,37 +195,37 @@
 		sends       int
 		hedge       any
 	}{
-		"first responds": {path: "/safe/", first: script(after(late, ok)), next: (*hedgeFixture).silence, status: 200, body: "ok", sends: 2, hedge: "lost"},
+		"first responds": {path: "/safe/", first: afterSecond(late, ok), next: (*hedgeFixture).silence, status: 200, body: "ok", sends: 2, hedge: "lost"},
 		"first stream responds": {
-			path: "/stream/", first: script(after(late, streaming(0))), next: (*hedgeFixture).silence,
+			path: "/stream/", first: afterSecond(late, streaming(0)), next: (*hedgeFixture).silence,
 			status: 200, body: wholeStream, sends: 2, hedge: "lost",
 		},
 		"first is reset, second responds later": {
-			path: "/safe/", first: script(after(late, resetting)), next: script(after(late, ok)), status: 200, body: "ok", sends: 2, hedge: "won",
+			path: "/safe/", first: afterSecond(late, resetting), next: script(after(late, ok)), status: 200, body: "ok", sends: 2, hedge: "won",
 		},
 		"first has a server error, second responds later": {
-			path: "/safe/", first: script(after(late, failing)), next: script(after(late, ok)), status: 200, body: "ok", sends: 2, hedge: "won",
+			path: "/safe/", first: afterSecond(late, failing), next: script(after(late, ok)), status: 200, body: "ok", sends: 2, hedge: "won",
 		},
 		"second is reset, first responds later": {
-			path: "/safe/", first: script(after(late, ok)), next: script(resetting), status: 200, body: "ok", sends: 2, hedge: "lost",
+			path: "/safe/", first: afterSecond(late, ok), next: script(resetting), status: 200, body: "ok", sends: 2, hedge: "lost",
 		},
 		"second is refused, first responds later": {
-			path: "/safe/", first: script(after(late, ok)), next: script(refusing), status: 200, body: "ok", sends: 2, hedge: "lost",
+			path: "/safe/", first: afterSecond(late, ok), next: script(refusing), status: 200, body: "ok", sends: 2, hedge: "lost",
 		},
 		"both are reset": {
-			path: "/safe/", first: script(after(late, resetting)), next: script(resetting), kind: failure.UpstreamFailed, sends: 2, hedge: "lost",
+			path: "/safe/", first: afterSecond(late, resetting), next: script(resetting), kind: failure.UpstreamFailed, sends: 2, hedge: "lost",
 		},
 		"both streams break": {
-			path: "/stream/", first: script(after(late, resetting)), next: script(after(late, unstamped)), kind: failure.UpstreamFailed, sends: 2, hedge: "lost",
+			path: "/stream/", first: afterSecond(late, resetting), next: script(after(late, unstamped)), kind: failure.UpstreamFailed, sends: 2, hedge: "lost",
 		},
 		"both have server errors": {
-			path: "/safe/", first: script(after(late, failing)), next: script(failing), status: 500, body: "bad", sends: 2, hedge: "lost",
+			path: "/safe/", first: afterSecond(late, failing), next: script(failing), status: 500, body: "bad", sends: 2, hedge: "lost",
 		},
 		"first is reset, second has a server error": {
-			path: "/safe/", first: script(after(late, resetting)), next: script(failing), status: 500, body: "bad", sends: 2, hedge: "lost",
+			path: "/safe/", first: afterSecond(late, resetting), next: script(failing), status: 500, body: "bad", sends: 2, hedge: "lost",
 		},
 		"both are reset, and a third attempt is allowed": {
-			path: "/safe/", first: script(after(late, resetting)), next: onceThen(resetting, ok), attempts: 3, status: 200, body: "ok", sends: 3, hedge: "lost",
+			path: "/safe/", first: afterSecond(late, resetting), next: onceThen(resetting, ok), attempts: 3, status: 200, body: "ok", sends: 3, hedge: "lost",
 		},
 		"winner breaks off": {
 			path: "/stream/", first: (*hedgeFixture).silence, next: script(streaming(3)), status: 200, body: wholeStream[:len(wholeStream)/2], aborted: true, sends: 2, hedge: "won",
@@ -217,17 +237,17 @@
 			path: "/stream/", first: stalling(late), next: (*hedgeFixture).silenceOnce, attempts: 3, status: 200, body: wholeStream, sends: 3, hedge: "lost",
 		},
 		"first responds after more than its patience": {
-			path: "/safe/", first: script(after(900*time.Millisecond, ok)), next: (*hedgeFixture).silence, status: 200, body: "ok", sends: 2, hedge: "lost",
+			path: "/safe/", first: afterSecond(1100*time.Millisecond, ok), next: (*hedgeFixture).silence, status: 200, body: "ok", sends: 2, hedge: "lost",
 		},
 		"second stream arrives in pieces": {path: "/stream/", first: (*hedgeFixture).silence, next: script(inPieces), status: 200, body: wholeStream, sends: 2, hedge: "won"},
-		"unsafe request":                  {path: "/unsafe/", first: script(after(late, ok)), next: script(ok), status: 200, body: "ok", sends: 1},
-		"stream that can't be resumed":    {path: "/once/", first: script(after(late, streaming(0))), next: script(ok), status: 200, body: wholeStream, sends: 1},
-		"one attempt":                     {path: "/safe/", first: script(after(late, ok)), next: script(ok), attempts: 1, status: 200, body: "ok", sends: 1},
+		"unsafe request":                  {path: "/unsafe/", first: script(after(hedgeObjective, ok)), next: script(ok), status: 200, body: "ok", sends: 1},
+		"stream that can't be resumed":    {path: "/once/", first: script(after(hedgeObjective, streaming(0))), next: script(ok), status: 200, body: wholeStream, sends: 1},
+		"one attempt":                     {path: "/safe/", first: script(after(hedgeObjective, ok)), next: script(ok), attempts: 1, status: 200, body: "ok", sends: 1},
 		"reset before the delay":          {path: "/safe/", first: script(resetting), next: script(ok), status: 200, body: "ok", sends: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			b := newHedgeFixture(t, systemclock.New(), 0.2, c.path, max(c.attempts, 2))
+			t.Parallel()
 			if c.attempts > 0 {
 				b.fleet.set(hedgeCatalog(c.attempts), b.boot.Elapsed())
 			}
@@ -265,6 +285,7 @@
 func stalling(d time.Duration) func(*hedgeFixture) testlib.Script {
 	return func(b *hedgeFixture) testlib.Script {
 		return func(conn net.Conn, r testlib.Received) bool {
+			<-b.second
 			time.Sleep(d)
 			streamHead(conn, r)
 			for id := 1; id <= 3; id++ {
@@ -293,8 +314,8 @@
 func TestResponsesAtTheSameMomentAreNotMixed(t *testing.T) {
 	for path, want := range map[string]string{"/safe/": "ok", "/stream/": wholeStream} {
 		t.Run(path, func(t *testing.T) {
-			t.Parallel()
 			b := newHedgeFixture(t, systemclock.New(), 0.2, path, 2)
+			t.Parallel()
 			for range 4 {
 				second := make(chan struct{})
 				b.armed.Store(false)
@@ -347,10 +368,10 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			b := newHedgeFixture(t, systemclock.New(), c.share, "/safe/", 2)
+			t.Parallel()
 			c.prepare(b)
-			b.arm(after(300*time.Millisecond, ok), ok)
+			b.arm(after(hedgeObjective, ok), ok)
 			if r := b.serveWithin(t.Context(), "/safe/", unlimited); r.status != 200 {
 				t.Errorf("status %d, %v", r.status, r.kind)
 			}
@@ -369,7 +390,7 @@
 		g.mu.Lock()
 		g.verdict = placer.NoCapacity
 		g.mu.Unlock()
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(hedgeObjective)
 		return ok(conn, r)
 	}, ok)
 	if r := servePrompt(b.fixture); r.status != 200 || len(g.asked) != 2 {
@@ -385,8 +406,8 @@
 		"/stream/": func(b *hedgeFixture) testlib.Script { return b.begun },
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			b := newHedgeFixture(t, systemclock.New(), 0.2, name, 2)
+			t.Parallel()
 			ctx, cancel := context.WithCancel(t.Context())
 			b.arm(begin(b), func(conn net.Conn, r testlib.Received) bool {
 				cancel()
@@ -446,6 +467,11 @@
 				if winner == 2 {
 					next = ok
 				}
+				c := hedgeCatalog(2)
+				for i := range c.Routes {
+					c.Routes[i].LatencyObjective /= 4 // there are many steps
+				}
+				b.fleet.set(c, b.boot.Elapsed())
 				b.arm(after(200*time.Millisecond, ok), next)
 				clk.left.Store(n)
 				var wg sync.WaitGroup
