fix(detector): after a rejection, one node of the fleet runs the request on trial

When a rejection for seconds ended at 295 nodes, several of them ran the deadly request, which came 100 times a second, before they heard that the first of these runs was lost. Each run took an upstream of a small service down: 4 to 6 late sends, where callers' budget allows 3.

Cause: nodes only kept out of each other's way by a random delay of 0 to 15 s. A loss takes up to 0.6 s to reach all nodes of a large fleet, and 295 nodes have more than ten delays within that.

A node that has such a request now claims the trial before it runs it. Claims travel with the evidence (protocol 6, a field at the end of it; aggregators pass them on and flush them). While a node knows of a claim it makes none. Of claims made before the nodes heard of each other the one with the smallest ID prevails. A claim is settled after 1.5 s, which is more than twice the 0.6 s, so two nodes that claim the same trial have both heard of each other by then, whatever the delays. The relayer holds the claiming node's requests for that time if their deadlines allow it, so a request that comes rarely, or to another node each time, gets its trial as well. Others leave the trial to the claimant for 8.5 s in all, which bounds the delay if the claimant fails. A node that hears no other for 3 s tries by itself, after the random delay of before, or at once if it has never heard one. Nodes of the release before ignore claims and try as they did.

The check for several requests at one node is now made together with the record of the send.

A request whose deadline is less than 1.5 s away isn't held; it only gets its trial if another one comes to its node within 2 s after that.

--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -149,10 +149,36 @@
 	}
 }
 
-func TestMessageOfProtocolFour(t *testing.T) {
+// evidenceOfFour has the fields of the evidence of protocols four and five, in their order.
+type evidenceOfFour struct {
+	LostRuns                   []detector.LostRun
+	Suspects, Cleared, Vouched []detector.Feature
+	Poisons                    []detector.Poison
+	Served                     []detector.Service
+}
+
+// protocolFour has the fields of protocols four and five, in their order.
+type protocolFour struct {
+	ProtocolOne
+	Evidence   evidenceOfFour
+	StoreAgeMS int64
+}
+
+func earlierThanClaims(m broadcaster.Message) protocolFour {
+	e := m.Evidence
+	return protocolFour{earlier(m), evidenceOfFour{e.LostRuns, e.Suspects, e.Cleared, e.Vouched, e.Poisons, e.Served}, m.StoreAgeMS}
+}
+
+func protocolFourMessage() broadcaster.Message {
 	m := protocolThreeMessage()
 	m.Evidence.Served = []detector.Service{40, 41}
-	b, err := packer.Pack(&m)
+	return m
+}
+
+func TestMessageOfProtocolFour(t *testing.T) {
+	m := protocolFourMessage()
+	four := earlierThanClaims(m)
+	b, err := packer.Pack(&four)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,3 +191,20 @@
 		t.Errorf("an earlier release reads %+v, error %v", old, err)
 	}
 }
+
+func TestMessageOfProtocolSix(t *testing.T) {
+	m := protocolFourMessage()
+	m.Evidence.Claims = []detector.Claim{{Rejection: 42, ID: 43, AgeMS: 44}}
+	b, err := packer.Pack(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got broadcaster.Message
+	if err := packer.New(testlib.Golden(t, "protocol-6-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old protocolFour
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, earlierThanClaims(m)) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -94,9 +94,9 @@
 }
 
 // flushNewEvidence sends the next message to all nodes of a large fleet if it has more
-// evidence than the last one: each of them may clear a suspect.
+// evidence than the last one: each of them may clear a suspect, or claim the same trial.
 func (s *localState) flushNewEvidence(e detector.Evidence) {
-	size := len(e.Suspects) + len(e.Cleared) + len(e.Poisons)
+	size := len(e.Suspects) + len(e.Cleared) + len(e.Poisons) + len(e.Claims)
 	s.mu.Lock()
 	grown := size > s.sentEvidence
 	s.sentEvidence = size
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -11,9 +11,16 @@
 // pickUpstream selects an upstream and counts the send there. If none is
 // available it retries for a limited time.
 func (u *relay) pickUpstream() (placer.Query, bool) {
-	giveUpAt := u.r.Clock.Now().Add(u.route.LatencyObjective / pickWaitDivisor)
+	patience := u.route.LatencyObjective / pickWaitDivisor
+	giveUpAt := u.r.Clock.Now().Add(patience)
 	for {
-		if k := u.checkSend(); k != failure.None {
+		k := u.checkSend()
+		if k == failure.Quarantined && u.mayAwaitTrial() {
+			clock.Sleep(u.ctx, u.r.Clock, pickInterval)
+			giveUpAt = u.r.Clock.Now().Add(patience)
+			continue
+		}
+		if k != failure.None {
 			u.fail(k)
 			return placer.Query{}, false
 		}
--- a/internal/relayer/poison.go
+++ b/internal/relayer/poison.go
@@ -70,6 +70,16 @@
 	return u.r.detector.Rejects(u.r.Clock.Now(), u.features)
 }
 
+// mayAwaitTrial reports whether the request may be the one that runs first after a rejection, if it
+// waits: the node has claimed that, and the others have yet to hear of it.
+func (u *relay) mayAwaitTrial() bool {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
+	now := u.r.Clock.Now()
+	wait, pending := u.r.detector.UntilTrial(now, u.features)
+	return pending && u.deadline.Sub(now) > wait+minRemaining
+}
+
 // recordLoss records an attempt that its upstream has ended: a crash may be the reason.
 // The relayer's lock must be held.
 func (u *relay) recordLoss(err error) {
@@ -102,11 +112,9 @@
 	return r.detector.Evidence(now)
 }
 
-// MergeEvidence merges what a peer knows of requests that crash upstreams.
+// MergeEvidence merges what a peer knows of requests that crash upstreams. Without any, it tells
+// that the node hears others.
 func (r *Relayer) MergeEvidence(e detector.Evidence) {
-	if e.IsEmpty() {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.detector.Merge(r.Clock.Now(), e)
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -207,7 +207,8 @@
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
 	now := u.r.Clock.Now()
-	if !u.r.placer.MaySend(now, u.choice.Incarnation()) {
+	// Of several requests that wait for the same trial, one is sent.
+	if !u.r.placer.MaySend(now, u.choice.Incarnation()) || u.r.detector.Rejects(now, u.features) {
 		return errNotPermitted
 	}
 	u.r.detector.RecordSend(now, u.features)
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -11,10 +11,6 @@
 	poisonTTL = 10 * time.Minute
 	// provisionalTTL is the same for requests that may have been lost in an outage.
 	provisionalTTL = 15 * time.Second
-	// maxDelay is by how much a node may let such a request run later than others, so that
-	// they don't all try at once, and trialTime how long it waits for the outcome of a run.
-	maxDelay  = 15 * time.Second
-	trialTime = 5 * time.Second
 	// paroleTTL is how long after that a single crash suffices to reject them again.
 	paroleTTL = time.Hour
 	// suspicionTTL is how long a crash is remembered.
@@ -47,8 +43,11 @@
 
 // Detector holds the evidence known to a node. It is not safe for concurrent use.
 type Detector struct {
-	delay      time.Duration // by which rejections are longer than those of other nodes
+	rnd        *rand.Rand
+	delay      time.Duration // before the trial of an isolated node
 	judges     bool
+	heardAt    time.Time              // when the last evidence of a peer arrived
+	claims     map[uint64]claim       // the prevailing claim of each rejection that has ended
 	crashes    []*crash               // by time
 	reportedAt time.Time              // when the last lost run was reported
 	survivors  map[uint32][]time.Time // when upstreams lost runs and went on
@@ -84,7 +83,9 @@
 // New returns a Detector without evidence.
 func New(rnd *rand.Rand) *Detector {
 	return &Detector{
+		rnd:       rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64())),
 		delay:     time.Duration(rnd.Int64N(int64(maxDelay))),
+		claims:    map[uint64]claim{},
 		survivors: map[uint32][]time.Time{},
 		suspects:  map[Feature]time.Time{}, vouched: map[Feature]time.Time{}, cleared: map[Feature]time.Time{},
 		succeeded: map[Feature]struct{}{}, olderSucceeded: map[Feature]struct{}{}, totals: map[Service]runTotals{}, served: map[Service]time.Time{},
@@ -96,26 +97,31 @@
 // decide what is poison; otherwise it relies on the nodes that do.
 func (d *Detector) SetJudge(judges bool) { d.judges = judges }
 
-// Rejects reports whether a request with the given features must not run.
+// Rejects reports whether a request with the given features must not run. Once a rejection has
+// ended, one node runs such a request on trial: this node claims the trial unless another one has.
 func (d *Detector) Rejects(now time.Time, features []Feature) bool {
+	if d.inForce(now, features) {
+		return true
+	}
+	rejected := false
 	for _, p := range d.poisons {
-		if !d.mayTry(now, p) && p.matches(features) {
-			return true
+		if p.matches(features) && !d.claimTrial(now, p) {
+			rejected = true
 		}
 	}
-	return false
+	return rejected
 }
 
-// mayTry reports whether a request that was rejected may run again.
-func (d *Detector) mayTry(now time.Time, p *poison) bool {
-	return !now.Before(p.until.Add(d.delay)) && !now.Before(p.triedUntil)
+// inForce reports whether a rejection of requests with the given features has not ended.
+func (d *Detector) inForce(now time.Time, features []Feature) bool {
+	return slices.ContainsFunc(d.poisons, func(p *poison) bool { return p.rejects(now) && p.matches(features) })
 }
 
 // RecordSend records that a request is sent to an upstream. If it is the first one after a
 // rejection, the others are rejected until its outcome is known.
 func (d *Detector) RecordSend(now time.Time, features []Feature) {
 	for _, p := range d.poisons {
-		if d.mayTry(now, p) && p.matches(features) {
+		if !p.rejects(now) && p.matches(features) {
 			p.triedUntil = now.Add(trialTime)
 		}
 	}
@@ -244,7 +250,7 @@
 		}
 		c.explain(p.features)
 	}
-	if c.explained && !d.Rejects(now, r.features) {
+	if c.explained && !d.inForce(now, r.features) {
 		c.runs[len(c.runs)-1].features = nil
 		return c
 	}
--- a/pkg/detector/evidence.go
+++ b/pkg/detector/evidence.go
@@ -45,6 +45,8 @@
 	Poisons []Poison
 	// Served are services whose requests have succeeded. Nodes report them since protocol 4.
 	Served []Service
+	// Claims announce trials of rejected requests. Nodes report them since protocol 6.
+	Claims []Claim
 }
 
 // WithoutReports returns the evidence that an aggregator passes on to nodes that don't
@@ -54,11 +56,6 @@
 	return e
 }
 
-// IsEmpty reports whether there is no evidence.
-func (e Evidence) IsEmpty() bool {
-	return len(e.LostRuns)+len(e.Suspects)+len(e.Cleared)+len(e.Vouched)+len(e.Poisons)+len(e.Served) == 0
-}
-
 // run is a lost run as the Detector keeps it.
 type run struct {
 	id       uint64  // identifies its reports
@@ -133,6 +130,11 @@
 	return p.matches(r.features) && !slices.Contains(p.features, r.request)
 }
 
+// rejects reports whether the rejection has not ended, or a request runs on trial.
+func (p *poison) rejects(now time.Time) bool {
+	return now.Before(p.until) || now.Before(p.triedUntil)
+}
+
 func (p *poison) matches(features []Feature) bool { return containsAll(features, p.features) }
 
 func containsAll(all, some []Feature) bool {
--- a/pkg/detector/exchange.go
+++ b/pkg/detector/exchange.go
@@ -10,6 +10,7 @@
 	d.expire(now)
 	e := Evidence{
 		Suspects: d.repeatedSuspects(now), Cleared: items(d.clearings), Vouched: items(d.vouchings), Served: items(d.servedLately),
+		Claims: d.reportedClaims(now),
 	}
 	for _, r := range d.lostRuns {
 		e.LostRuns = append(e.LostRuns, LostRun{
@@ -69,6 +70,7 @@
 
 // Merge merges the evidence of a peer.
 func (d *Detector) Merge(now time.Time, e Evidence) {
+	d.heardAt = now
 	for _, l := range e.LostRuns {
 		lostAt := now.Add(-time.Duration(l.AgeMS) * time.Millisecond)
 		sentAt := lostAt.Add(-time.Duration(l.DurationMS) * time.Millisecond)
@@ -97,6 +99,9 @@
 	for _, p := range e.Poisons {
 		d.mergePoison(now, p)
 	}
+	for _, c := range e.Claims {
+		d.mergeClaim(now, c)
+	}
 }
 
 // recordPeerSuccess counts a success at a peer, at the services where runs with the feature
@@ -195,6 +200,7 @@
 			delete(d.survivors, upstream)
 		}
 	}
+	d.expireClaims(now)
 	dropExpired(d.suspects, now)
 	dropExpired(d.vouched, now)
 	dropExpired(d.cleared, now)
--- a/pkg/detector/judge.go
+++ b/pkg/detector/judge.go
@@ -127,7 +127,7 @@
 	}
 	candidates := d.candidates(now, settled)
 	for i, v := range candidates {
-		if d.Rejects(now, v.common) {
+		if d.inForce(now, v.common) {
 			continue
 		}
 		switch {
@@ -174,7 +174,7 @@
 // provisionally.
 func (d *Detector) isKnown(now time.Time, features []Feature) bool {
 	return slices.ContainsFunc(d.poisons, func(p *poison) bool {
-		return !p.provisional && !d.mayTry(now, p) && p.matches(features)
+		return !p.provisional && p.rejects(now) && p.matches(features)
 	})
 }
 
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -94,8 +94,10 @@
 	// ProtocolExpectedOutput is the first protocol with the expected output of a prompt that
 	// needs a placement.
 	ProtocolExpectedOutput = 5
+	// ProtocolClaims is the first protocol with claims for trials of rejected requests.
+	ProtocolClaims = 6
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolExpectedOutput
+	CurrentProtocol = ProtocolClaims
 )
 
 // Leader is the node that sends orders to engines.
