fix(orderer): a campaign that is under way at the signal to stop takes no office

A node in graceful shutdown could become the leader: it logged officeTaken and, if it had been the leader before, kept the office until it ended, although it had to wait longer before its first order than it had left. Engines got no orders meanwhile.

Cause: whether campaigns are stopped was asked before a campaign only, which takes two calls to the store.

It is now asked again before the leader record is written, and, under the lock that StopCampaigning takes as well, when the write has succeeded. A node that wins nevertheless never has a fencing token: it logs officeDeclined and releases the record at once, with what the last leader told of its orders, so that the next leader waits for no longer than it would have.

--- a/internal/orderer/handover.go
+++ b/internal/orderer/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
@@ -96,6 +97,30 @@
 	}
 	o.token = 0
 	o.mu.Unlock()
+	o.releaseUntilDone(ctx, token)
+}
+
+// decline releases a leadership that was won after the campaigns were stopped. Orders of the last
+// office may still be in progress: what the release tells has to include them.
+func (o *Orderer) decline(ctx context.Context, token uint64) {
+	o.log.WithFields(logrus.Fields{"event": "officeDeclined", "fence": token}).Info("won a campaign during the shutdown; releasing the leadership without orders")
+	for o.isSending() {
+		if ctx.Err() != nil {
+			return // the record expires with its lease
+		}
+		clock.Sleep(ctx, o.clk, planInterval)
+	}
+	o.releaseUntilDone(ctx, token)
+}
+
+func (o *Orderer) isSending() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sending > 0
+}
+
+// releaseUntilDone releases the leadership, and tries again until the lease has expired.
+func (o *Orderer) releaseUntilDone(ctx context.Context, token uint64) {
 	for end := o.clk.Now().Add(leaseTTL); ; clock.Sleep(ctx, o.clk, renewRetryDelay) {
 		err := o.release(context.WithoutCancel(ctx), token)
 		if err == nil || errors.Is(err, platform.Conflict) || ctx.Err() != nil || o.clk.Now().After(end) {
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -199,6 +199,8 @@
 // If this node was the last leader, the write is on condition that it still is. Then there is
 // no handover, and the first order only waits until those of the last office have arrived. If the
 // last leader told of its orders, the write is on condition that no other leader came after it.
+//
+// A node that is told to stop campaigning in between releases what it has won, and sends no order.
 func (o *Orderer) campaign(ctx context.Context, released vacancy) bool {
 	sent := o.boot.Elapsed() // the lease runs from the arrival of the call, not from the response
 	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTTL)
@@ -223,6 +225,9 @@
 	if held == 0 && released.told {
 		expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: released.toldAt})
 	}
+	if o.campaignStopped.Load() {
+		return true
+	}
 	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 		// The revision that is returned is that of the last write.
 		Expect: expect, Put: []platform.Put{
@@ -237,23 +242,31 @@
 		return true
 	}
 	o.mu.Lock()
-	o.lease, o.token, o.renewedAt = lease, rev, sent
-	o.suspended = false
 	now := o.boot.Elapsed()
-	if held != 0 {
-		o.ordersFrom = max(o.ordersFrom, lastRenewedAt+maxRenewalAge+orderTimeout)
-	} else {
-		o.history, o.ordered = successor.New(now+inFlight), false
+	o.lease = lease
+	if held == 0 {
+		o.history = successor.New(now + inFlight)
 		if released.told {
 			o.history = released.history
 		}
+	}
+	if o.campaignStopped.Load() {
+		o.mu.Unlock()
+		o.decline(ctx, rev)
+		return true
+	}
+	defer o.mu.Unlock()
+	o.token, o.renewedAt = rev, sent
+	o.suspended = false
+	if held != 0 {
+		o.ordersFrom = max(o.ordersFrom, lastRenewedAt+maxRenewalAge+orderTimeout)
+	} else {
+		o.ordered = false
 		o.ordersFrom = o.history.FirstOrder(now, o.set.Machine, o.set.HandoverGap)
 		o.roller.Reset()
 	}
-	wait := max(0, o.ordersFrom-now)
-	o.mu.Unlock()
 	o.log.WithFields(logrus.Fields{
-		"event": "officeTaken", "fence": rev, "again": held != 0, "told": released.told, "waitMs": wait.Milliseconds(),
+		"event": "officeTaken", "fence": rev, "again": held != 0, "told": released.told, "waitMs": max(0, o.ordersFrom-now).Milliseconds(),
 	}).Info("became the leader; this node sends the orders")
 	return true
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -168,7 +168,11 @@
 
 // StopCampaigning keeps a node that is about to shut down from becoming the
 // leader. A node that is the leader stays so while a roll-out is in progress, until Run ends at most.
-func (o *Orderer) StopCampaigning() { o.campaignStopped.Store(true) }
+func (o *Orderer) StopCampaigning() {
+	o.mu.Lock() // a campaign that ends takes the office before this or not at all
+	defer o.mu.Unlock()
+	o.campaignStopped.Store(true)
+}
 
 // sendOrders carries out the actions that the roller plans.
 func (o *Orderer) sendOrders(ctx context.Context, g *errgroup.Group) error {
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -134,11 +134,12 @@
 	store *testlib.Store
 	ups   *engines
 	gap   time.Duration
+	logs  map[string]*logtest.Hook // of the last start of each node
 }
 
 func newFleet(t *testing.T) *fleet {
 	clk := testlib.NewClock(time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC))
-	f := &fleet{t: t, clk: clk, store: testlib.NewStore(), ups: &engines{clk: clk, done: map[string]int{}}, gap: gap}
+	f := &fleet{t: t, clk: clk, store: testlib.NewStore(), ups: &engines{clk: clk, done: map[string]int{}}, gap: gap, logs: map[string]*logtest.Hook{}}
 	f.store.Set("config", "1")
 	f.store.Set("weights", "2")
 	for i := range 12 {
@@ -159,7 +160,8 @@
 
 // startOn runs a node on a machine.
 func (f *fleet) startOn(machine, name string, st platform.Store) (*observer.Observer, *orderer.Orderer, func()) {
-	log, _ := logtest.NewNullLogger()
+	log, hook := logtest.NewNullLogger()
+	f.logs[name] = hook
 	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
 	obs.SetListener(f.ups)
 	o := orderer.New(orderer.Settings{Node: name, Machine: machine, HandoverGap: f.gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
