--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -150,13 +150,26 @@
 	}
 }
 
+// evidenceOfFour has the fields of the evidence of protocols four and five, in their order.
+type evidenceOfFour struct {
+	LostRuns                   []detector.LostRun
+	Suspects, Cleared, Vouched []detector.Feature
+	Poisons                    []detector.Poison
+	Served                     []detector.Service
+}
+
 // protocolFour has the fields of protocols four and five, in their order.
 type protocolFour struct {
 	ProtocolOne
-	Evidence   detector.Evidence
+	Evidence   evidenceOfFour
 	StoreAgeMS int64
 }
 
+func earlierThanClaims(m broadcaster.Message) protocolFour {
+	e := m.Evidence
+	return protocolFour{earlier(m), evidenceOfFour{e.LostRuns, e.Suspects, e.Cleared, e.Vouched, e.Poisons, e.Served}, m.StoreAgeMS}
+}
+
 func protocolFourMessage() broadcaster.Message {
 	m := protocolThreeMessage()
 	m.Evidence.Served = []detector.Service{40, 41}
@@ -165,7 +178,8 @@
 
 func TestMessageOfProtocolFour(t *testing.T) {
 	m := protocolFourMessage()
-	b, err := packer.Pack(&protocolFour{earlier(m), m.Evidence, m.StoreAgeMS})
+	four := earlierThanClaims(m)
+	b, err := packer.Pack(&four)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,6 +195,7 @@
 
 func TestMessageOfProtocolSix(t *testing.T) {
 	m := protocolFourMessage()
+	m.Evidence.Claims = []detector.Claim{{Rejection: 42, ID: 43, AgeMS: 44}}
 	m.Usage = limiter.Report{Periods: 50, Usage: []limiter.Usage{{Workspace: 42, Period: 43, Admitted: -44, Asked: 45, Requests: 46}}}
 	m.Summarized, m.Shortages = true, []limiter.Shortage{{Workspace: 47, Level: -48.5, Asked: 49.5}}
 	b, err := packer.Pack(&m)
@@ -192,7 +207,7 @@
 		t.Errorf("got %+v, error %v", got, err)
 	}
 	var old protocolFour
-	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, protocolFour{earlier(m), m.Evidence, m.StoreAgeMS}) {
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, earlierThanClaims(m)) {
 		t.Errorf("an earlier release reads %+v, error %v", old, err)
 	}
 }
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -94,8 +94,9 @@
 	// ProtocolExpectedOutput is the first protocol with the expected output of a prompt that
 	// needs a placement.
 	ProtocolExpectedOutput = 5
-	// ProtocolUsage is the first protocol with the usage of limited workspaces, and with
-	// summaries of the workspaces in shortage.
+	// ProtocolUsage is the first protocol with the usage of limited workspaces, with summaries
+	// of the workspaces in shortage and decisions about single requests of theirs, and with
+	// claims for trials of rejected requests.
 	ProtocolUsage = 6
 	// CurrentProtocol is the protocol of this release.
 	CurrentProtocol = ProtocolUsage
