test(limiter): usage of a peer is counted once; an upgrade refuses nothing

Guards against reports that are counted twice or not at all after a loss, a refund or a restart, and against refusals while the aggregators run an earlier release.

--- /dev/null
+++ b/pkg/limiter/limiter_test.go
@@ -0,0 +1,69 @@
+package limiter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
+)
+
+func newNode(f limiter.Fleet) *limiter.Limiter {
+	l := limiter.New(start, rand.New(rand.NewPCG(1, 1)))
+	l.SetLimits(start, []limiter.Limit{{Workspace: "w", Rate: 1000, Burst: 1000}})
+	l.SetFleet(start, f)
+	return l
+}
+
+// Guards against nodes that refuse nearly everything during an upgrade, while the aggregators run a
+// release that sends no summaries.
+func TestNodeAdmitsAllUntilAggregatorsSendSummaries(t *testing.T) {
+	l := newNode(limiter.Fleet{Nodes: 90})
+	for range 100 {
+		if d := l.Allow(start.Add(time.Second), "w", 900); !d.OK {
+			t.Fatalf("refused: %+v", d)
+		}
+	}
+}
+
+// Guards against use that is counted twice or not at all when a report is lost, a charge is
+// returned, the peer restarts, or this node does.
+func TestUsageOfPeerIsCountedOnce(t *testing.T) {
+	const full = 1000
+	now := start.Add(10 * time.Second)
+	l := newNode(limiter.Fleet{Nodes: 2, ReceivesAll: true})
+	id := workspaceID(t)
+	usage := func(period uint32, admitted int64) limiter.Report {
+		return limiter.Report{Periods: period, Usage: []limiter.Usage{{Workspace: id, Period: period, Admitted: admitted, Asked: 900, Requests: 1}}}
+	}
+	for i, c := range []struct {
+		bootID uint64
+		report limiter.Report
+		level  float64
+	}{
+		{1, usage(7, 50_000), full}, // counted before this node started
+		{1, usage(7, 50_300), full - 300},
+		{1, usage(7, 50_300), full - 300}, // repeated
+		{1, usage(7, 50_100), full - 100}, // returned
+		{1, usage(8, 200), full - 300},    // a new period
+		{2, usage(1, 400), full - 700},    // the peer has restarted
+	} {
+		l.MergeUsage(now, "peer", c.bootID, c.report)
+		l.SetFleet(now, limiter.Fleet{Nodes: 2, ReceivesAll: true})
+		if got := l.Allow(now, "w", 0).Level; got != c.level {
+			t.Errorf("report %d: level %v, want %v", i, got, c.level)
+		}
+	}
+}
+
+// workspaceID returns the number of the workspace in reports.
+func workspaceID(t *testing.T) uint32 {
+	t.Helper()
+	l := newNode(limiter.Fleet{Nodes: 1, ReceivesAll: true})
+	l.Allow(start, "w", 1)
+	usage := l.TakeUsage(start).Usage
+	if len(usage) != 1 {
+		t.Fatalf("usage %v", usage)
+	}
+	return usage[0].Workspace
+}
