fix(relayer): the only upstream is tried again after a failed connection

With the node short of processor time, a short request waited for about 9 s and got 503 with "no upstream accepts new work", while its only upstream was well and answered other requests beside it. TestBodiesAndEndlessResponsesStayWithinMemory showed this with -race beside busy processes.

Cause, from the log of the runs: no memory limit refused a short request. Opening the connection to the upstream ran into its time limit of 0.7 s (attemptNotSent, "i/o timeout"), on loopback and because the node's goroutine ran late. The request then left that upstream out for good, waited for another one for an eighth of the latency objective (7.5 s here), and was refused as noUpstream after 8.3 to 10.6 s.

A request that finds no other upstream now tries such an upstream again 0.25 s after the failure. Nothing of it was sent, so kinds of routes don't matter. The wait ends when the first one would have ended, so an upstream that is gone costs callers at most the time of one more connection. Routes whose wait is shorter than 0.25 s (an objective under 2 s) refuse as before.

--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
@@ -13,6 +14,9 @@
 func (u *relay) pickUpstream() (placer.Query, bool) {
 	patience := u.route.LatencyObjective / pickWaitDivisor
 	giveUpAt := u.r.Clock.Now().Add(patience)
+	if !u.redialUntil.IsZero() {
+		giveUpAt = u.redialUntil
+	}
 	for {
 		k := u.checkSend()
 		if k == failure.Quarantined && u.mayAwaitTrial() {
@@ -43,10 +47,35 @@
 			u.fail(failure.NoUpstream)
 			return q, false
 		}
+		u.retryUnreachable(giveUpAt)
 		clock.Sleep(u.ctx, u.r.Clock, pickInterval)
 	}
 }
 
+// redialPause is the time after which an upstream to which no connection could be opened is
+// tried again, if no other is left.
+const redialPause = 250 * time.Millisecond
+
+// unreachable is an upstream to which no connection could be opened.
+type unreachable struct {
+	incarnation string
+	at          time.Time
+}
+
+// retryUnreachable admits the upstreams again that were unreachable a while ago, for a request that
+// finds no other until giveUpAt: a connection also fails if this node was short of processor time.
+func (u *relay) retryUnreachable(giveUpAt time.Time) {
+	now := u.r.Clock.Now()
+	u.unreachable = slices.DeleteFunc(u.unreachable, func(f unreachable) bool {
+		if now.Sub(f.at) < redialPause {
+			return false
+		}
+		u.exclude = slices.DeleteFunc(slices.Clone(u.exclude), func(incarnation string) bool { return incarnation == f.incarnation })
+		u.redialUntil = giveUpAt
+		return true
+	})
+}
+
 // checkSend returns why the request must not be sent now, or failure.None.
 func (u *relay) checkSend() failure.Kind {
 	now := u.r.Clock.Now()
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -68,8 +68,10 @@
 	deadline  time.Time
 
 	exclude           []string
-	sends             int // attempts of which something was sent
-	runs              int // sends that may have been run
+	unreachable       []unreachable // those of exclude to which no connection could be opened
+	redialUntil       time.Time     // set once one of them is tried again
+	sends             int           // attempts of which something was sent
+	runs              int           // sends that may have been run
 	responseStarted   bool
 	lastEventID       string // ID of the last event forwarded that has one
 	resumable         bool   // the last event forwarded has an ID
@@ -302,6 +304,7 @@
 		return true // the check before the next attempt tells why
 	}
 	u.exclude = append(u.exclude, u.choice.Incarnation())
+	u.unreachable = append(u.unreachable, unreachable{incarnation: u.choice.Incarnation(), at: u.r.Clock.Now()})
 	u.logEntry("attemptNotSent").WithError(err).Info("connection to the upstream failed")
 	if len(u.exclude) > maxSends {
 		u.reason = "too many upstreams are unreachable"
