feat(placer): the speed of each engine is learned from responses

Callers at a deployment with engines of 0.6, 1.0 and 1.6 times the nominal speed got late first events and late pauses from the slow ones, which received as many prompts as the fast ones.

pkg/profiler learns the speed of prefill of each engine relative to its pool, and how many of its streams miss their pause objective; the placement divides its costs by the one and adds the risk of the other. The setting learnEngineSpeeds switches it on.

--- a/internal/adviser/golden_test.go
+++ b/internal/adviser/golden_test.go
@@ -120,11 +120,29 @@
 	}
 }
 
-// This release reads its own questions, and earlier ones read them without their last fields.
+// ProtocolTwoQuery is embedded by an exported name, which the decoder requires.
+type ProtocolTwoQuery = protocolTwoQuery
+
+// protocolFiveQuery has the fields of protocol five, in their order.
+type protocolFiveQuery struct {
+	ProtocolTwoQuery
+	ExpectedOutput int
+}
+
+type protocolFiveQuestion struct {
+	Number uint64
+	From   string
+	Query  protocolFiveQuery
+}
+
+func asProtocolFive(q question) protocolFiveQuestion {
+	return protocolFiveQuestion{q.Number, q.From, protocolFiveQuery{asProtocolTwo(q).Query, q.Query.ExpectedOutput}}
+}
+
 func TestQuestionOfProtocolFive(t *testing.T) {
 	q := protocolOneQuestion()
 	q.Query.Unavailable, q.Query.ExpectedOutput = []uint32{11}, 12
-	b, err := packer.Pack(&q)
+	b, err := packer.Pack(asProtocolFive(q))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,6 +150,24 @@
 	if err := packer.New(testlib.Golden(t, "protocol-5-question", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, q) {
 		t.Errorf("got %+v, error %v", got, err)
 	}
+}
+
+// This release reads its own questions, and earlier ones read them without their last fields.
+func TestQuestionOfProtocolSix(t *testing.T) {
+	q := protocolOneQuestion()
+	q.Query.Unavailable, q.Query.ExpectedOutput, q.Query.Objective = []uint32{11}, 12, 13*time.Millisecond
+	b, err := packer.Pack(&q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got question
+	if err := packer.New(testlib.Golden(t, "protocol-6-question", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, q) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var five protocolFiveQuestion
+	if err := packer.New(b).Unpack(&five); err != nil || !reflect.DeepEqual(five, asProtocolFive(q)) {
+		t.Errorf("a release of protocol five reads %+v, error %v", five, err)
+	}
 	var two protocolTwoQuestion
 	if err := packer.New(b).Unpack(&two); err != nil || !reflect.DeepEqual(two, asProtocolTwo(q)) {
 		t.Errorf("a release of protocol two reads %+v, error %v", two, err)
--- a/internal/broadcaster/audience.go
+++ b/internal/broadcaster/audience.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
+	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -80,7 +81,8 @@
 // aggregators. One aggregator adds the totals of the loads.
 func (b *Broadcaster) messageToOthers(fleet *roster.Roster, m *Message) *Message {
 	others := *m
-	others.Loads, others.Placements, others.Tripped, others.Usage = nil, nil, nil, limiter.Report{}
+	others.Loads, others.Placements, others.Tripped = nil, nil, nil
+	others.Usage, others.Samples = limiter.Report{}, placer.Samples{}
 	others.Evidence = m.Evidence.WithoutReports()
 	// A new aggregator that doesn't hear most nodes yet would report that none is silent.
 	if !b.sendsTotals(fleet) || !b.hearsMostNodes(fleet.Nodes()) {
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -120,6 +120,9 @@
 	// receives the reports of all nodes.
 	Summarized bool
 	Shortages  []limiter.Shortage
+	// Samples tell how fast engines are, from the responses since the sender's last message. Nodes have
+	// them since ProtocolUsage.
+	Samples placer.Samples
 }
 
 // Kind is the first byte of a datagram.
--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -10,6 +10,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/profiler"
 )
 
 func protocolOneMessage() broadcaster.Message {
@@ -197,6 +198,10 @@
 	m := protocolFourMessage()
 	m.Evidence.Claims = []detector.Claim{{Rejection: 42, ID: 43, AgeMS: 44}}
 	m.Usage = limiter.Report{Periods: 50, Usage: []limiter.Usage{{Workspace: 42, Period: 43, Admitted: -44, Asked: 45, Requests: 46}}}
+	m.Samples = placer.Samples{
+		FirstEvents: []profiler.Sample{{Upstream: 51, Misses: 52, FirstMS: 53}},
+		Pauses:      []profiler.PauseSample{{Upstream: 54, Output: 55, Late: true}},
+	}
 	m.Summarized, m.Shortages = true, []limiter.Shortage{{Workspace: 47, Level: -48.5, Asked: 49.5}}
 	b, err := packer.Pack(&m)
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,7 +117,8 @@
 		RetryBudget: budgeter.Limits{
 			Ratio: s.RetryRatio, Window: config.Seconds(s.RetryWindowSeconds), Allowance: s.RetryAllowance,
 		},
-		HedgeShare: s.HedgeShare,
+		HedgeShare:        s.HedgeShare,
+		LearnEngineSpeeds: s.LearnEngineSpeeds,
 	}, relayer.Dependencies{
 		Clock: clk, Boot: boot, Log: log, Fleet: obs, Connector: conns, Dialect: translate.Dialect{},
 		Adviser: adv, Granter: grants, CacheDown: cache.Down, Meter: metrics, Memory: memory, Rand: rnd,
--- a/internal/entry/localstate.go
+++ b/internal/entry/localstate.go
@@ -59,7 +59,7 @@
 	s.relay.SetJudge(s.receivesAll())
 	s.relay.SetFleet(s.limitFleet())
 	t := s.relay.TakeReport()
-	m.Report, m.Placements, m.Evidence = t.Report, t.Placements, t.Evidence
+	m.Report, m.Placements, m.Evidence, m.Samples = t.Report, t.Placements, t.Evidence, t.Samples
 	s.fillLimits(m, &t)
 	s.flushNewEvidence(t.Evidence)
 	for _, key := range t.Leaving {
@@ -176,7 +176,7 @@
 	each := s.receivesAll()
 	switch {
 	case each && !m.Aggregated:
-		s.relay.MergeReport(m.From, relayer.TrafficReport{Report: m.Report, Placements: m.Placements})
+		s.relay.MergeReport(m.From, relayer.TrafficReport{Report: m.Report, Placements: m.Placements, Samples: m.Samples})
 	case !each && m.Aggregated:
 		s.relay.MergeReport(fleetTotal, relayer.TrafficReport{Report: placer.Report{Loads: s.subtractOwn(m.Loads)}, Placements: m.Placements})
 	}
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -120,7 +120,7 @@
 
 func (u *relay) placementQuery() placer.Query {
 	q := placer.Query{
-		Service: u.service, Prompt: u.req.Prompt, DataCentre: u.r.settings.DataCentre, Exclude: u.exclude, ExpectedOutput: u.req.ExpectedOutput,
+		Service: u.service, Prompt: u.req.Prompt, DataCentre: u.r.settings.DataCentre, Exclude: u.exclude, ExpectedOutput: u.req.ExpectedOutput, Objective: u.route.LatencyObjective,
 		Pinned: !u.route.Repeatable() || u.route.MaxAttempts < 2 || u.runs > 0,
 	}
 	if q.Prompt != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	VersionCutoff time.Duration
 	// RetryBudget is the fleet-wide retry budget of each service.
 	RetryBudget budgeter.Limits
+	// LearnEngineSpeeds makes the placement learn the speed of each engine.
+	LearnEngineSpeeds bool
 	// HedgeShare is the largest number of hedged attempts of the fleet as a share of the
 	// requests of each service, 0 for none.
 	HedgeShare float64
@@ -89,8 +92,13 @@
 
 // New returns a Relayer without upstreams.
 func New(s Settings, deps Dependencies) *Relayer {
+	pl := placer.New(placer.DefaultCosts(), deps.Rand)
+	if s.LearnEngineSpeeds {
+		pl.LearnSpeeds()
+	}
 	return &Relayer{
-		settings: s, Dependencies: deps, placer: placer.New(placer.DefaultCosts(), deps.Rand), detector: detector.New(deps.Rand), estimator: estimator.New(), limiter: limiter.New(deps.Clock.Now(), deps.Rand), retryBudgets: map[string]*budgeter.Budgeter{},
+		settings: s, Dependencies: deps, placer: pl, detector: detector.New(deps.Rand), estimator: estimator.New(),
+		limiter: limiter.New(deps.Clock.Now(), deps.Rand), retryBudgets: map[string]*budgeter.Budgeter{},
 		hedger: hedger.New(s.HedgeShare, s.RetryBudget.Window),
 		// Question numbers of earlier incarnations of this node are smaller.
 		lastQuestion: uint64(deps.Clock.Now().UnixMicro()), openQuestions: map[uint64]struct{}{},
@@ -120,6 +128,8 @@
 type TrafficReport struct {
 	placer.Report
 	Placements []placer.Placement
+	// Samples tell how fast engines are, from the responses since the last report.
+	Samples placer.Samples
 	// Evidence is what the node knows of requests that crash upstreams.
 	Evidence detector.Evidence
 	// Leaving has the keys of the upstreams that have said since the last report that they
@@ -145,22 +155,33 @@
 	}
 	leaving := r.leaving
 	r.leaving = nil
+	r.logSpeeds()
 	usage, summary, summarized := r.takeUsage(now)
 	return TrafficReport{
 		Usage: usage, Summary: summary, Summarized: summarized,
 		Leaving:    leaving,
 		Report:     placer.Report{Loads: r.placer.LocalLoads(now), Settled: settled, Tripped: r.placer.Tripped(now)},
 		Placements: r.placer.TakePlacements(),
+		Samples:    r.placer.TakeSamples(),
 		Evidence:   r.evidence(now),
 	}
 }
 
+// logSpeeds logs which engines count as faster or slower than before.
+func (r *Relayer) logSpeeds() {
+	for _, c := range r.placer.TakeSpeedChanges() {
+		r.Log.WithFields(logrus.Fields{"event": "engineSpeed", "upstream": c.Incarnation, "speed": math.Round(c.Speed*100) / 100}).
+			Info("speed of the engine relative to its pool has changed")
+	}
+}
+
 // MergeReport merges the traffic report of a peer.
 func (r *Relayer) MergeReport(peer string, t TrafficReport) {
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.placer.MergeReport(now, peer, t.Report)
+	r.placer.MergeSamples(now, t.Samples)
 	for _, pl := range t.Placements {
 		r.placer.AddPlacement(now, pl)
 	}
--- a/internal/relayer/report.go
+++ b/internal/relayer/report.go
@@ -105,7 +105,7 @@
 	}
 	return e.WithFields(logrus.Fields{
 		"kind": k.String(), "reason": u.reason, "sends": u.sends, "runs": u.runs,
-		"firstMs": u.timeToFirstEvent.Milliseconds(), "ms": u.r.Clock.Now().Sub(u.req.Arrived).Milliseconds(),
+		"firstMs": u.timeToFirstEvent.Milliseconds(), "pauseMs": u.longestPause.Milliseconds(), "ms": u.r.Clock.Now().Sub(u.req.Arrived).Milliseconds(),
 	})
 }
 
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -81,6 +81,8 @@
 	firstEventSeen    bool    // the current attempt has returned its first event
 	sentAt            time.Time
 	timeToFirstEvent  time.Duration // from the last send to its first event
+	lastEventAt       time.Time     // when the last events were forwarded
+	longestPause      time.Duration // between two events of the response
 	responseStartedAt time.Time     // when forwarding of the response started
 	// expectedDuration is the latest estimate, during graceful shutdown, of how
 	// long the request takes; 0 if unknown.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -107,6 +107,10 @@
 func (u *relay) writeEvents(x *connector.Exchange, b []byte, events eventSummary) error {
 	now := u.r.Clock.Now()
 	u.recordEvent(now)
+	if u.responseStarted {
+		u.longestPause = max(u.longestPause, now.Sub(u.lastEventAt))
+	}
+	u.lastEventAt = now
 	if !u.responseStarted {
 		u.responseStarted, u.responseStartedAt = true, now
 		u.recorder().RecordFirstToken(u.r.Clock.Now().Sub(u.req.Arrived))
@@ -129,6 +133,9 @@
 		u.firstEventSeen = true
 		u.timeToFirstEvent = now.Sub(u.sentAt)
 		u.r.placer.RecordFirstEvent(u.choice)
+		if u.req.Prompt != nil && u.lastEventID == "" {
+			u.r.placer.SampleFirstEvent(now, u.choice, u.timeToFirstEvent)
+		}
 	}
 }
 
@@ -139,6 +146,9 @@
 		if u.firstEventSeen {
 			u.recordSuccess()
 		}
+		if u.req.Prompt != nil && u.sends == 1 && u.route.PauseObjective > 0 {
+			p.SamplePauses(u.r.Clock.Now(), c, u.longestPause > u.route.PauseObjective)
+		}
 	})
 	if !u.responseStarted {
 		u.w.Begin(x.Status, x.Header, -1)
--- a/pkg/config/entrysettings.go
+++ b/pkg/config/entrysettings.go
@@ -50,6 +50,9 @@
 	// EntrySeconds is how long callers may cache the list of nodes to use
 	// (default 5).
 	EntrySeconds float64 `json:"entrySeconds,omitempty"`
+	// LearnEngineSpeeds makes the placement of prompts learn how fast each engine is, in place of
+	// taking all engines of a pool as equally fast (default false).
+	LearnEngineSpeeds bool `json:"learnEngineSpeeds,omitempty"`
 	// LogLevel is one of debug, info, warning, error (default info).
 	LogLevel string `json:"logLevel,omitempty"`
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/auburnnotch/auburnnotch/pkg/breaker"
+	"github.com/auburnnotch/auburnnotch/pkg/profiler"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -43,6 +44,8 @@
 	Unavailable []uint32
 	// ExpectedOutput is the caller's estimate of the output in tokens, 0 for none.
 	ExpectedOutput int
+	// Objective is the latency objective of the route, 0 if unknown.
+	Objective time.Duration
 }
 
 // VersionCutoff limits how long requests may start on weights older than a
@@ -76,6 +79,7 @@
 	SaveTo       string
 	sourceKey    uint32 // Key of the engine behind Source; 0 if it isn't an engine
 	memoryTokens int    // memory that the request takes at the engine, in tokens
+	output       int    // expected output in tokens
 	pinned       bool
 	id           uint64
 	state        *upstreamState
@@ -108,6 +112,12 @@
 	turnedAwayUntil  time.Time
 	observedVersions map[string]int // weight versions reported in responses, by model
 	memoryTokens     int            // memory of the engine in tokens, 0 if unknown
+	// speed is the speed of the engine relative to its pool.
+	speed float64
+	// toldSpeed is the speed in the last SpeedChange.
+	toldSpeed float64
+	// lateRate is how many streams miss their pause objective there for each token of output.
+	lateRate float64
 }
 
 // waiter is a request without a first event.
@@ -140,8 +150,15 @@
 	// while the registry doesn't list them.
 	turnedAway map[string]time.Time
 	saveRate   saveRate
-	hashes     []uint64      // scratch
-	matches    prefixMatches // scratch
+	// profiler is nil if all engines count as equally fast. samples are the first events
+	// since the last TakeSamples.
+	profiler *profiler.Profiler
+	samples  Samples
+	// speedsAt is when the speeds of the engines were last taken from the profiler.
+	speedsAt     time.Time
+	speedChanges []SpeedChange
+	hashes       []uint64      // scratch
+	matches      prefixMatches // scratch
 }
 
 // peerReport is the last report of a peer, with the advice that the report doesn't
@@ -175,7 +192,7 @@
 		inc := u.Incarnation()
 		s, ok := p.states[inc]
 		if !ok {
-			s = &upstreamState{incarnation: inc, key: Key(inc), leaving: p.left[inc], turnedAwayUntil: p.turnedAway[inc], breaker: breaker.New(), observedVersions: map[string]int{}}
+			s = &upstreamState{speed: 1, toldSpeed: 1, incarnation: inc, key: Key(inc), leaving: p.left[inc], turnedAwayUntil: p.turnedAway[inc], breaker: breaker.New(), observedVersions: map[string]int{}}
 			p.states[inc] = s
 			p.byKey[s.key] = s
 		}
@@ -189,6 +206,7 @@
 		}
 	}
 	p.peerSumsValid = false
+	p.profileEngines()
 }
 
 func (s *upstreamState) version(model string) int {
@@ -210,6 +228,7 @@
 // PickHealthy is Pick without the second try.
 func (p *Placer) PickHealthy(now time.Time, q *Query) (Choice, bool) {
 	p.sumPeers(now)
+	p.refreshSpeeds(now)
 	p.lastResort = false
 	return p.pick(now, q)
 }
@@ -236,10 +255,11 @@
 		if p.memoryFull(s, tokens) {
 			continue
 		}
-		if !q.mayStart(version, delay+float64(misses)/p.costs.TokensPerMS) {
+		prefill := float64(misses) / (p.costs.TokensPerMS * s.speed)
+		if !q.mayStart(version, delay+prefill) {
 			continue
 		}
-		cost := delay + float64(misses)/p.costs.TokensPerMS + p.runningCost(now, s)
+		cost := delay + prefill + p.runningCost(now, s) + q.pauseCost(s.lateRate)
 		cost += float64(q.Prompt.Tokens-int(prefix.own)) * p.costs.EvictMSPerToken
 		if prefix.source != nil {
 			cost += p.costs.FetchMS + prefix.fetched*p.costs.FetchMSPerToken
@@ -266,7 +286,7 @@
 // new prompt: the pending prefill there, or the time that the oldest request has
 // waited so far if that is longer.
 func (p *Placer) queueingDelayMS(now time.Time, s *upstreamState) float64 {
-	prefill := float64(s.local.PrefillTokens+s.peers.PrefillTokens) / p.costs.TokensPerMS
+	prefill := float64(s.local.PrefillTokens+s.peers.PrefillTokens) / (p.costs.TokensPerMS * s.speed)
 	oldest := 0.0
 	if len(s.waiting) > 0 {
 		oldest = float64(now.Sub(s.waiting[0].since)) / float64(time.Millisecond)
@@ -285,7 +305,7 @@
 
 func (p *Placer) runningCost(now time.Time, s *upstreamState) float64 {
 	running := s.local.Running + s.peers.Running
-	cost := p.costs.RunningMS * float64(running)
+	cost := p.costs.RunningMS * float64(running) / s.speed
 	if slots := float64(s.up.Slots) * s.breaker.SlotShare(now); slots > 0 && float64(running) >= slots {
 		cost += noFreeSlotMS
 	}
@@ -345,7 +365,7 @@
 		return c
 	}
 	p.lastID++
-	c.id = p.lastID
+	c.id, c.output = p.lastID, q.expectedOutput()
 	s.waiting = append(s.waiting, waiter{id: c.id, since: now})
 	s.local.PrefillTokens += c.Misses
 	s.local.MemoryTokens += c.memoryTokens
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -95,8 +95,8 @@
 	// needs a placement.
 	ProtocolExpectedOutput = 5
 	// ProtocolUsage is the first protocol with the usage of limited workspaces, with summaries
-	// of the workspaces in shortage and decisions about single requests of theirs, and with
-	// claims for trials of rejected requests.
+	// of the workspaces in shortage and decisions about single requests of theirs, with claims
+	// for trials of rejected requests, and with samples of how fast engines are.
 	ProtocolUsage = 6
 	// CurrentProtocol is the protocol of this release.
 	CurrentProtocol = ProtocolUsage
