--- a/internal/linewriter/linewriter.go
+++ b/internal/linewriter/linewriter.go
@@ -64,7 +64,8 @@
 	return append(buf, line...)
 }
 
-// Run writes the queued lines until ctx is canceled and the queue is empty.
+// Run writes the queued lines until ctx is canceled and the queue is empty. At most one
+// Run of a Writer may be active.
 func (w *Writer) Run(ctx context.Context) error {
 	buf := make([]byte, 0, maxBatchBytes)
 	for {
@@ -84,7 +85,8 @@
 }
 
 // During writes the queued lines while f runs, and those that are left when it returns.
-// It doesn't wait for an output that has stopped accepting them.
+// It doesn't wait for an output that has stopped accepting them: after flushTimeout it
+// returns while Run is still active. It must therefore be called only once.
 func (w *Writer) During(f func() error) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	flushed := make(chan struct{})
