--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -75,7 +75,8 @@
 // threeNodes has the aggregators a and b.
 func threeNodes(protocol int) []traffic.Node {
 	return []traffic.Node{
-		{Name: "a", Peer: "a", MilliCores: 3, Protocol: protocol}, {Name: "b", Peer: "b", MilliCores: 2, Protocol: protocol},
+		{Name: "a", Peer: "a", MilliCores: 3, Protocol: protocol},
+		{Name: "b", Peer: "b", MilliCores: 2, Protocol: protocol},
 		{Name: "c", Peer: "c", MilliCores: 1, Protocol: protocol},
 	}
 }
