fix(limiter): a cost that is not a number breaks no bucket

Cause: Grant takes the cost of a request from a datagram. The cost limits are min and max, which return NaN for NaN, so that it stayed in the sums of the bucket for ever: the fraction was NaN, and every request was refused.

Change: such a cost is charged as nothing.

Result: TestCostThatIsNoNumberLeavesTheBucketIntact failed before with "30 s after a request of cost NaN: {OK:false ... Fraction:NaN}" and passes.

--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -59,8 +59,14 @@
 	usage ownUsage
 }
 
-// charged returns what a request of a cost is charged.
-func (b *bucket) charged(cost float64) float64 { return max(0, min(cost, b.rate*quotaWindow)) }
+// charged returns what a request of a cost is charged, nothing if the cost is not a number: it would
+// stay in all sums of the bucket.
+func (b *bucket) charged(cost float64) float64 {
+	if math.IsNaN(cost) {
+		return 0
+	}
+	return max(0, min(cost, b.rate*quotaWindow))
+}
 
 // advance refills the level.
 func (b *bucket) advance(l *Limiter, t float64) {
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -67,3 +68,17 @@
 	}
 	return usage[0].Workspace
 }
+
+// Guards against a malformed request of a peer after which an aggregator refuses all requests of the
+// workspace.
+func TestCostThatIsNoNumberLeavesTheBucketIntact(t *testing.T) {
+	for _, cost := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e300, 1e300} {
+		now := start.Add(10 * time.Second)
+		l := newNode(limiter.Fleet{Nodes: 1, ReceivesAll: true})
+		l.Grant(now, "w", cost)
+		now = now.Add(30 * time.Second)
+		if d := l.Allow(now, "w", 100); !d.OK || d.Level != 1000 {
+			t.Errorf("30 s after a request of cost %v: %+v", cost, d)
+		}
+	}
+}
