fix(limiter): ignore shortages with values that are not finite

Cause: Follow took level and asked rate from a datagram unchecked. A node refused all requests of the workspace while it followed such a summary, and a node that became an aggregator put the values into its bucket, where an infinite level or NaN stays for ever.

Change: entries with a level that is not finite, or an asked rate that is negative or not finite, are ignored, as if the workspace was not listed.

Result: TestMalformedSummaryIsNotTakenOver failed before, for a level of NaN and -Inf and an asked rate of NaN and Inf with refused requests 30 s after the take-over, and passes.

--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -82,3 +82,30 @@
 		}
 	}
 }
+
+// Guards against a malformed summary that stays in the bucket of a node that becomes an aggregator.
+func TestMalformedSummaryIsNotTakenOver(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	for _, s := range []limiter.Shortage{
+		{Level: nan, Asked: 1},
+		{Level: -inf, Asked: 1},
+		{Level: inf, Asked: 1},
+		{Level: 1, Asked: nan},
+		{Level: 1, Asked: inf},
+		{Level: 1, Asked: -1},
+	} {
+		s.Workspace = workspaceID(t)
+		l := newNode(limiter.Fleet{Nodes: 90, Summarized: true})
+		now := start.Add(time.Second)
+		l.Follow(now, []limiter.Shortage{s})
+		if d := l.Allow(now, "w", 1); !d.OK || d.Fraction != 1 || d.Level != 1000 {
+			t.Errorf("a node that follows %+v: %+v", s, d)
+		}
+		l.SetFleet(now, limiter.Fleet{Nodes: 1, ReceivesAll: true, Summarized: true})
+		now = now.Add(30 * time.Second)
+		l.SetFleet(now, limiter.Fleet{Nodes: 1, ReceivesAll: true, Summarized: true})
+		if d := l.Allow(now, "w", 1); !d.OK || d.Level != 1000 {
+			t.Errorf("30 s after a new aggregator has taken over %+v: %+v", s, d)
+		}
+	}
+}
--- a/pkg/limiter/summary.go
+++ b/pkg/limiter/summary.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -32,6 +33,13 @@
 	Level, Asked float32
 }
 
+// valid reports whether a bucket may take over the values. An infinite one, or one that is not a
+// number, would stay in it for ever.
+func (s *Shortage) valid() bool {
+	level, asked := float64(s.Level), float64(s.Asked)
+	return !math.IsNaN(level) && !math.IsInf(level, 0) && asked >= 0 && !math.IsInf(asked, 1)
+}
+
 // Change tells that a workspace has entered or left shortage.
 type Change struct {
 	Workspace              string
@@ -139,7 +147,7 @@
 	l.summaryAt, l.heard = t, true
 	l.summaries++
 	for _, s := range shortages[:min(len(shortages), maxShortages)] {
-		if b := l.byID[s.Workspace]; b != nil {
+		if b := l.byID[s.Workspace]; b != nil && s.valid() {
 			b.listedIn, b.heardLevel, b.heardAsked = l.summaries, float64(s.Level), float64(s.Asked)
 		}
 	}
