fix(limiter): a wrong counter of a peer blocks a workspace for seconds only

Cause: a bucket subtracts what a peer reports as admitted, without a bound. One wrong counter, or a far too low level taken over from a summary, put the level so far below zero that the rate never made up for it.

--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -22,6 +22,9 @@
 	// a restart. A request costs at most the rate of one: a larger number, probably a wrong
 	// one, would block the workspace for long.
 	quotaWindow = 8.0
+	// maxDebt bounds how far a level may be below zero, in seconds of the rate. Surges reach a few
+	// seconds and a partition less than nodeTTL, so that only a wrong counter of a peer exceeds it.
+	maxDebt = nodeTTL
 	// noiseMargin is the number of standard deviations by which the fast average of what is
 	// asked has to exceed a random fluctuation.
 	noiseMargin = 1.0
@@ -68,10 +71,10 @@
 	return max(0, min(cost, b.rate*quotaWindow))
 }
 
-// advance refills the level.
+// advance refills the level, and bounds it.
 func (b *bucket) advance(l *Limiter, t float64) {
 	refilled := l.refilled(t)
-	b.level = min(b.level+b.rate*(refilled-b.refilled), b.burst*l.share)
+	b.level = max(-maxDebt*b.rate, min(b.level+b.rate*(refilled-b.refilled), b.burst*l.share))
 	b.refilled = refilled
 }
 
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -109,3 +109,27 @@
 		}
 	}
 }
+
+// Guards against a wrong counter of a peer that blocks a workspace for hours.
+func TestWrongUsageOfPeerBlocksForSecondsOnly(t *testing.T) {
+	id := workspaceID(t)
+	for _, admitted := range []int64{math.MaxInt64, math.MinInt64, 1 << 40, -1 << 40} {
+		now := start.Add(10 * time.Second)
+		l := newNode(limiter.Fleet{Nodes: 2, ReceivesAll: true})
+		report := func(admitted int64) limiter.Report {
+			return limiter.Report{Periods: 2, Usage: []limiter.Usage{{Workspace: id, Period: 2, Admitted: admitted, Asked: 1, Requests: 1}}}
+		}
+		l.MergeUsage(now, "peer", 1, limiter.Report{Periods: 1})
+		l.MergeUsage(now, "peer", 1, report(0))
+		l.MergeUsage(now, "peer", 1, report(admitted))
+		for range 400 {
+			now = now.Add(100 * time.Millisecond)
+			l.MergeUsage(now, "peer", 1, report(admitted))
+			l.SetFleet(now, limiter.Fleet{Nodes: 2, ReceivesAll: true})
+			l.Summary(now)
+		}
+		if d := l.Allow(now, "w", 100); !d.OK || d.Level > 1000 {
+			t.Errorf("40 s after a peer has counted %d: %+v", admitted, d)
+		}
+	}
+}
