fix(granter): reject malformed requests and responses

Cause: the values of a grant response were used as they came. A time to return of MaxInt64 ms became -1 ms in the Retry-After of a refusal, and a fraction or a level that is not a number went into the gauge and the log entry. Requests of a negative or infinite cost were decided, and charged with the cost limited to 0 or to 8 s of the rate.

Change: such datagrams count as unreadable. A request without a valid response is decided by the fraction, as without a response.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	answerTimeout = 25 * time.Millisecond
 	// skipDuration is how long an aggregator that didn't answer isn't asked.
 	skipDuration = 500 * time.Millisecond
+	// maxRetryAfterMS is the longest time to return of a valid response. Limiters give 10 s at most.
+	maxRetryAfterMS = 60_000
 )
 
 // Transport sends datagrams to other nodes and dispatches received ones.
@@ -51,6 +54,13 @@
 	Fraction     float64
 }
 
+func (r *request) valid() bool { return r.Cost >= 0 && !math.IsInf(r.Cost, 1) }
+
+func (r *response) valid() bool {
+	return r.Fraction >= 0 && r.Fraction <= 1 && !math.IsNaN(r.Level) && !math.IsInf(r.Level, 0) &&
+		r.RetryAfterMS >= 0 && r.RetryAfterMS <= maxRetryAfterMS
+}
+
 // Granter asks and answers. It is safe for concurrent use.
 type Granter struct {
 	clk       clock.Clock
@@ -133,6 +143,9 @@
 	if err := packer.New(body).Unpack(&r); err != nil {
 		return errors.Annotate(err, "grant request")
 	}
+	if !r.valid() {
+		return errors.NotValidf("grant request of cost %v", r.Cost)
+	}
 	d, ok := g.local.Grant(r.Workspace, r.Cost)
 	return g.transport.Send(from, broadcaster.GrantResponse, &response{
 		Number: r.Number, Decided: ok, OK: d.OK, RetryAfterMS: d.RetryAfter.Milliseconds(), Level: d.Level, Fraction: d.Fraction,
@@ -144,6 +157,9 @@
 	if err := packer.New(body).Unpack(&r); err != nil {
 		return errors.Annotate(err, "grant response")
 	}
+	if !r.valid() {
+		return errors.NotValidf("grant response with retry after %d ms, level %v, fraction %v", r.RetryAfterMS, r.Level, r.Fraction)
+	}
 	g.mu.Lock()
 	answers := g.waiting[r.Number]
 	delete(g.waiting, r.Number)
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"reflect"
 	"sync"
 	"testing"
@@ -125,6 +126,41 @@
 	}
 }
 
+// Guards against requests that are decided, and answered with a time to return, by a malformed
+// response.
+func TestMalformedResponseDoesNotDecide(t *testing.T) {
+	for name, r := range map[string]response{
+		"fraction not a number": {Decided: true, Fraction: math.NaN()},
+		"negative fraction":     {Decided: true, Fraction: -0.5},
+		"fraction above 1":      {Decided: true, OK: true, Fraction: 2},
+		"level not a number":    {Decided: true, OK: true, Level: math.NaN()},
+		"infinite level":        {Decided: true, OK: true, Level: math.Inf(1)},
+		"negative time":         {Decided: true, RetryAfterMS: -1},
+		"time of years":         {Decided: true, RetryAfterMS: math.MaxInt64},
+	} {
+		g, l := newLink(threeNodes(traffic.CurrentProtocol), true)
+		var handleErr error
+		l.handlers["a"][broadcaster.GrantRequest] = func(string, []byte) error {
+			r.Number = 1
+			handleErr = port{l, "a"}.Send("c", broadcaster.GrantResponse, &r)
+			return nil
+		}
+		if d, ok := g.Ask(t.Context(), "w", 1); ok || handleErr == nil {
+			t.Errorf("%s: decided %+v, error %v", name, d, handleErr)
+		}
+	}
+}
+
+// Guards against decisions about, and charges for, requests of a malformed cost.
+func TestMalformedRequestGetsNoAnswer(t *testing.T) {
+	for _, cost := range []float64{math.NaN(), math.Inf(1), -1} {
+		_, l := newLink(threeNodes(traffic.CurrentProtocol), true)
+		if err := (port{l, "c"}).Send("a", broadcaster.GrantRequest, &request{1, "w", cost}); err == nil || l.sent["c"] > 0 {
+			t.Errorf("cost %v: error %v, %d responses", cost, err, l.sent["c"])
+		}
+	}
+}
+
 // Nodes of two releases run side by side during each upgrade.
 func TestMessagesOfProtocolSix(t *testing.T) {
 	q, a := request{1, "w", 2.5}, response{3, true, true, 4, 5.5, 0.5}
