fix(profiler): drop implausible samples

Cause: the sums of a pool took samples of peers of any size. A sample of 2^40 tokens outweighed all others for minutes, so that all engines of the pool counted as equally fast, and its late pauses as none.

Change: samples of more than 4 million tokens or 600 s are dropped.

--- a/pkg/profiler/profiler.go
+++ b/pkg/profiler/profiler.go
@@ -32,6 +32,9 @@
 	// minPrefillShare is the smallest expected prefill of a sample that tells the speed of its
 	// engine, relative to the fixed part of the time.
 	minPrefillShare = 0.3
+	// maxTokens and maxFirstMS bound the values of a sample. Larger ones are of a malformed message;
+	// the squares of such values would outweigh all others for many time constants.
+	maxTokens, maxFirstMS = 1 << 22, 600_000
 )
 
 // Sample is the first event of one response to a prompt that was sent to an engine with a
@@ -128,19 +131,19 @@
 	}
 }
 
-// Record adds a sample. Samples of unknown engines are dropped.
+// Record adds a sample. Samples of unknown engines, and implausible ones, are dropped.
 func (p *Profiler) Record(now time.Time, s Sample) {
 	name, ok := p.service[s.Upstream]
-	if !ok || s.FirstMS <= 0 || s.Misses < 0 {
+	if !ok || s.FirstMS <= 0 || s.FirstMS > maxFirstMS || s.Misses < 0 || s.Misses > maxTokens {
 		return
 	}
 	p.pool(name).record(now, s)
 }
 
-// RecordPauses adds a sample. Samples of unknown engines are dropped.
+// RecordPauses adds a sample. Samples of unknown engines, and implausible ones, are dropped.
 func (p *Profiler) RecordPauses(now time.Time, s PauseSample) {
 	name, ok := p.service[s.Upstream]
-	if !ok || s.Output <= 0 {
+	if !ok || s.Output <= 0 || s.Output > maxTokens {
 		return
 	}
 	pl := p.pool(name)
--- a/pkg/profiler/profiler_test.go
+++ b/pkg/profiler/profiler_test.go
@@ -127,3 +127,36 @@
 		t.Errorf("rates for 300 tokens are %.3f, %.3f and %.3f for an engine without samples", slow*300, fast*300, unknown*300)
 	}
 }
+
+// Guards against a malformed sample of a peer that makes the speeds and the pauses of a pool
+// meaningless for minutes.
+func TestImplausibleSamplesAreDropped(t *testing.T) {
+	speeds := []float64{0.5, 1, 2, 0.5, 1, 2, 0.5, 1, 2}
+	for _, s := range []profiler.Sample{
+		{Misses: math.MaxInt, FirstMS: 1},
+		{Misses: 1, FirstMS: math.MaxInt},
+		{Misses: math.MaxInt, FirstMS: math.MaxInt},
+		{Misses: math.MinInt, FirstMS: 1},
+		{Misses: 1, FirstMS: math.MinInt},
+		{Misses: 1 << 40, FirstMS: 100},
+	} {
+		p := profiler.New()
+		p.SetEngines(map[uint32]string{0: "pool"})
+		p.Record(start, s)
+		now := play(p, speeds, start, 20*time.Second)
+		p.Record(now, s)
+		now = play(p, speeds, now, time.Second)
+		if slow, fast := p.Speed(now, 0), p.Speed(now, 2); !(slow < 0.8 && fast > 1.25) {
+			t.Errorf("after %+v: speeds %v and %v of a slow and a fast engine", s, slow, fast)
+		}
+	}
+	for _, output := range []int{math.MaxInt, math.MinInt, 1 << 40} {
+		p := profiler.New()
+		p.SetEngines(map[uint32]string{1: "pool"})
+		p.RecordPauses(start, profiler.PauseSample{Upstream: 1, Output: output})
+		p.RecordPauses(start, profiler.PauseSample{Upstream: 1, Output: 100, Late: true})
+		if rate := p.LateRate(start, 1); rate < 0.001 {
+			t.Errorf("after a sample with an output of %d: rate %v", output, rate)
+		}
+	}
+}
