fix(relayer): comments are no events in the samples of engines

Cause: the time to the first event and the pauses of a stream counted comments as events. An engine that stalls may go on sending comments, and so counted as fast, and its pauses as in time.

Change: samples are taken from events that are not comments. What is logged and what the load report counts is as before.

--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -65,25 +65,31 @@
 	service   string
 	deadline  time.Time
 
-	exclude           []string
-	unreachable       []unreachable // those of exclude to which no connection could be opened
-	redialUntil       time.Time     // set once one of them is tried again
-	sends             int           // attempts of which something was sent
-	runs              int           // sends that may have been run
-	responseStarted   bool
-	lastEventID       string // ID of the last event forwarded that has one
-	resumable         bool   // the last event forwarded has an ID
-	choice            placer.Choice
-	running           bool    // the request counts as running at the chosen upstream
-	kept              *answer // failure of an upstream, for the case that no retry has an answer
-	advised           bool    // the choice follows the advice of the placement coordinator
-	adviser           string  // node that answered the last question, if any
-	firstEventSeen    bool    // the current attempt has returned its first event
-	sentAt            time.Time
-	timeToFirstEvent  time.Duration // from the last send to its first event
-	lastEventAt       time.Time     // when the last events were forwarded
-	longestPause      time.Duration // between two events of the response
-	responseStartedAt time.Time     // when forwarding of the response started
+	exclude          []string
+	unreachable      []unreachable // those of exclude to which no connection could be opened
+	redialUntil      time.Time     // set once one of them is tried again
+	sends            int           // attempts of which something was sent
+	runs             int           // sends that may have been run
+	responseStarted  bool
+	lastEventID      string // ID of the last event forwarded that has one
+	resumable        bool   // the last event forwarded has an ID
+	choice           placer.Choice
+	running          bool    // the request counts as running at the chosen upstream
+	kept             *answer // failure of an upstream, for the case that no retry has an answer
+	advised          bool    // the choice follows the advice of the placement coordinator
+	adviser          string  // node that answered the last question, if any
+	firstEventSeen   bool    // the current attempt has returned its first event
+	sentAt           time.Time
+	timeToFirstEvent time.Duration // from the last send to its first event
+	lastEventAt      time.Time     // when the last events were forwarded
+	longestPause     time.Duration // between two events of the response
+	// firstEventSampled is set once the current attempt has returned an event that isn't a comment.
+	firstEventSampled bool
+	// enginePausedSince is when the engine sent its last event that isn't a comment, and
+	// longestEnginePause the longest pause between two of them.
+	enginePausedSince  time.Time
+	longestEnginePause time.Duration
+	responseStartedAt  time.Time // when forwarding of the response started
 	// expectedDuration is the latest estimate, during graceful shutdown, of how
 	// long the request takes; 0 if unknown.
 	expectedDuration time.Duration
@@ -135,7 +141,7 @@
 	if !ok {
 		return false
 	}
-	u.firstEventSeen = false
+	u.firstEventSeen, u.firstEventSampled = false, false
 	u.silence = newSilenceWatch(u.ctx, u.r.Clock)
 	defer func() { u.silence.end() }() // of the hedged attempt if that has won
 	x, outcome, err := u.open(&q)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -106,7 +106,13 @@
 // writeEvents forwards complete events to the caller.
 func (u *relay) writeEvents(x *connector.Exchange, b []byte, events eventSummary) error {
 	now := u.r.Clock.Now()
-	u.recordEvent(now)
+	u.recordEvent(now, events.any)
+	if events.any {
+		if !u.enginePausedSince.IsZero() {
+			u.longestEnginePause = max(u.longestEnginePause, now.Sub(u.enginePausedSince))
+		}
+		u.enginePausedSince = now
+	}
 	if u.responseStarted {
 		u.longestPause = max(u.longestPause, now.Sub(u.lastEventAt))
 	}
@@ -124,8 +130,8 @@
 	return u.w.Write(b)
 }
 
-// recordEvent records that events have arrived.
-func (u *relay) recordEvent(now time.Time) {
+// recordEvent records that events have arrived, or only comments unless isEvent is set.
+func (u *relay) recordEvent(now time.Time, isEvent bool) {
 	u.r.mu.Lock()
 	defer u.r.mu.Unlock()
 	u.r.placer.RecordActivity(now, u.choice)
@@ -133,8 +139,11 @@
 		u.firstEventSeen = true
 		u.timeToFirstEvent = now.Sub(u.sentAt)
 		u.r.placer.RecordFirstEvent(u.choice)
+	}
+	if isEvent && !u.firstEventSampled {
+		u.firstEventSampled = true
 		if u.req.Prompt != nil && u.lastEventID == "" {
-			u.r.placer.SampleFirstEvent(now, u.choice, u.timeToFirstEvent)
+			u.r.placer.SampleFirstEvent(now, u.choice, now.Sub(u.sentAt))
 		}
 	}
 }
@@ -147,7 +156,7 @@
 			u.recordSuccess()
 		}
 		if u.req.Prompt != nil && u.sends == 1 && u.route.PauseObjective > 0 {
-			p.SamplePauses(u.r.Clock.Now(), c, u.longestPause > u.route.PauseObjective)
+			p.SamplePauses(u.r.Clock.Now(), c, u.longestEnginePause > u.route.PauseObjective)
 		}
 	})
 	if !u.responseStarted {
