fix(relayer): a slow caller does not make its engine count as stalling

Cause: the pause between two events included the time in which the first was written to the caller. While a caller reads slowly, the node reads nothing of the engine, so that the stream counted as one with a late pause.

Change: that time is left out of the pauses that are sampled. The pause in the log is as before.

Result: TestSamplesTellOfTheEngine/slow_caller failed before ("late pause true; want at least 0s, false") and passes.

--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -85,8 +85,9 @@
 	longestPause     time.Duration // between two events of the response
 	// firstEventSampled is set once the current attempt has returned an event that isn't a comment.
 	firstEventSampled bool
-	// enginePausedSince is when the engine sent its last event that isn't a comment, and
-	// longestEnginePause the longest pause between two of them.
+	// enginePausedSince is when the engine sent its last event that isn't a comment, later by the
+	// time that the caller took for what was forwarded since. longestEnginePause is the longest
+	// pause between two of them, without that time.
 	enginePausedSince  time.Time
 	longestEnginePause time.Duration
 	responseStartedAt  time.Time // when forwarding of the response started
--- a/internal/relayer/samples_test.go
+++ b/internal/relayer/samples_test.go
@@ -68,7 +68,8 @@
 	}
 }
 
-// Guards against comments of a stalled engine that count as events.
+// Guards against engines that count as slow since their callers read slowly, and against
+// comments of a stalled engine that count as events.
 func TestSamplesTellOfTheEngine(t *testing.T) {
 	const long = 2 * pauseObjective
 	for name, c := range map[string]struct {
@@ -80,6 +81,7 @@
 		"fast":                      {0, stream(0, false), false, 0},
 		"slow engine":               {0, stream(long, false), true, long},
 		"slow engine with comments": {0, stream(long, true), true, long},
+		"slow caller":               {long, stream(pauseObjective/4, false), false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -127,7 +127,11 @@
 	}
 	u.silence.pause()
 	defer u.silence.resume()
-	return u.w.Write(b)
+	err := u.w.Write(b)
+	if !u.enginePausedSince.IsZero() { // a caller that reads slowly says nothing of the engine
+		u.enginePausedSince = u.enginePausedSince.Add(u.r.Clock.Now().Sub(now))
+	}
+	return err
 }
 
 // recordEvent records that events have arrived, or only comments unless isEvent is set.
