test(limiter): the largest full mesh, and two aggregators that decide

In a full mesh all nodes decide by buckets that lag behind each other, which was simulated with 5 nodes only, of at most 16. After a lost answer, some nodes ask the second aggregator while others ask the first one, which was not simulated. Both cases stay within every window.

--- a/pkg/limiter/fleet_test.go
+++ b/pkg/limiter/fleet_test.go
@@ -88,6 +88,8 @@
 	bootID      uint64
 	// silent is set if aggregators answer no grant requests.
 	silent bool
+	// split is set if each second node asks the second aggregator.
+	split bool
 }
 
 func newFleet(seed uint64, nodes int, tenants ...*tenant) *fleet {
@@ -203,7 +205,7 @@
 		return n.Allow(at, workspace, cost).OK
 	}
 	aggregator := f.nodes[f.aggregators[0]]
-	if aggregator.dead {
+	if aggregator.dead || f.split && n.bootID%2 == 0 {
 		aggregator = f.nodes[f.aggregators[1]]
 	}
 	if f.arrives(n, aggregator) {
@@ -488,3 +490,30 @@
 		}
 	}
 }
+
+// Guards against admitting more than the limit in the largest full mesh, in which all nodes decide
+// by buckets that lag behind each other.
+func TestSurgesStayWithinEveryWindowOfTheLargestMesh(t *testing.T) {
+	for seed := range uint64(seeds) {
+		for _, place := range []func(time.Duration, *rand.Rand, int) int{anyNode, movingNode} {
+			f := newFleet(seed, 16, tenants(surges(9), place)...)
+			f.advance(60 * time.Second)
+			for _, w := range f.tenants {
+				w.checkWindows(t, start)
+			}
+		}
+	}
+}
+
+// Load: a surge while a part of the nodes asks the second aggregator, since the first one didn't
+// answer them. Guards against two aggregators that each admit the whole rate.
+func TestTwoDecidingAggregatorsStayWithinEveryWindow(t *testing.T) {
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, 90, tenants(surges(9), anyNode)...)
+		f.split = true
+		f.advance(60 * time.Second)
+		for _, w := range f.tenants {
+			w.checkWindows(t, start)
+		}
+	}
+}
