fix(granter): skip an aggregator that cannot decide

Cause: a node that has just become an aggregator answers for up to 2 s that it does not know the use of the limits. Each request waited for that answer, and the other aggregator, which knows, was not asked.

Change: such an answer counts like none: that aggregator is not asked for 500 ms.

Result: TestAggregatorWithoutKnowledgeIsSkipped failed before ("false, after 2 requests to the node without knowledge") and passes.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -23,7 +23,7 @@
 	// answerTimeout is the timeout for an answer: a round trip between data centres takes 2 to
 	// 3 ms, and a small VM may have to wait for its processor.
 	answerTimeout = 25 * time.Millisecond
-	// skipDuration is how long an aggregator that didn't answer isn't asked.
+	// skipDuration is how long an aggregator that didn't answer, or couldn't decide, isn't asked.
 	skipDuration = 500 * time.Millisecond
 	// maxRetryAfterMS is the longest time to return of a valid response. Limiters give 10 s at most.
 	maxRetryAfterMS = 60_000
@@ -98,7 +98,7 @@
 	return limiter.Decision{}, false
 }
 
-// mayAsk reports whether a node understands requests and has answered lately.
+// mayAsk reports whether a node understands requests and hasn't failed to decide lately.
 func (g *Granter) mayAsk(n *traffic.Node) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -123,8 +123,12 @@
 	}
 	select {
 	case r := <-answers:
+		if !r.Decided {
+			g.skip(node.Name)
+			return d, false
+		}
 		d = limiter.Decision{OK: r.OK, RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, Level: r.Level, Fraction: r.Fraction}
-		return d, r.Decided
+		return d, true
 	case <-g.clk.After(answerTimeout):
 		g.skip(node.Name)
 	case <-ctx.Done():
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -126,6 +126,25 @@
 	}
 }
 
+// Guards against requests that wait in vain for an aggregator that has just started, while the other
+// one could decide.
+func TestAggregatorWithoutKnowledgeIsSkipped(t *testing.T) {
+	g, l := newLink(threeNodes(traffic.CurrentProtocol), true)
+	l.handlers["a"][broadcaster.GrantRequest] = func(_ string, body []byte) error {
+		var r request
+		if err := packer.New(body).Unpack(&r); err != nil {
+			return err
+		}
+		return port{l, "a"}.Send("c", broadcaster.GrantResponse, &response{Number: r.Number})
+	}
+	if _, ok := g.Ask(t.Context(), "w", 1); ok {
+		t.Error("a node without knowledge has decided")
+	}
+	if d, ok := g.Ask(t.Context(), "w", 1); !ok || !d.OK || l.sent["a"] != 1 {
+		t.Errorf("decision %+v, %v, after %d requests to the node without knowledge", d, ok, l.sent["a"])
+	}
+}
+
 // Guards against requests that are decided, and answered with a time to return, by a malformed
 // response.
 func TestMalformedResponseDoesNotDecide(t *testing.T) {
