fix(broadcaster): a new aggregator takes no old usage for new

Cause: until the second aggregator knows of a new one, it sends that one messages without its usage of limits, which also lacked the number of its latest period. The new aggregator took all periods of it for new ones, and charged at its next report what it had admitted since the workspace became active: hours of work, so that all requests of the workspace were refused.

Change: messages without the usage have the number of the latest period.

Result: TestMessagesWithoutUsageTellItsPeriod failed before ("a message with the period, without usage unless to an aggregator did not happen") and passes. TestUsageBeforeTheFirstReportIsNotCounted covers the receiver, and passed before.

--- a/internal/broadcaster/audience.go
+++ b/internal/broadcaster/audience.go
@@ -82,7 +82,8 @@
 func (b *Broadcaster) messageToOthers(fleet *roster.Roster, m *Message) *Message {
 	others := *m
 	others.Loads, others.Placements, others.Tripped = nil, nil, nil
-	others.Usage, others.Samples = limiter.Report{}, placer.Samples{}
+	// A receiver that has just become an aggregator must not take the usage so far for new.
+	others.Usage, others.Samples = limiter.Report{Periods: m.Usage.Periods}, placer.Samples{}
 	others.Evidence = m.Evidence.WithoutReports()
 	// A new aggregator that doesn't hear most nodes yet would report that none is silent.
 	if !b.sendsTotals(fleet) || !b.hearsMostNodes(fleet.Nodes()) {
--- a/internal/broadcaster/broadcaster_test.go
+++ b/internal/broadcaster/broadcaster_test.go
@@ -20,6 +20,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
@@ -32,7 +33,8 @@
 	received map[string]*broadcaster.Message
 	total    *broadcaster.Message
 	upgraded map[uint32]bool
-	evidence detector.Evidence // sent to the peers
+	evidence detector.Evidence // sent to the peers, like usage
+	usage    limiter.Report
 }
 
 func (l *recorder) Fill(m *broadcaster.Message) {
@@ -40,7 +42,7 @@
 	defer l.mu.Unlock()
 	m.Loads = []placer.Load{{Upstream: 7, Running: 1, PrefillTokens: 100}}
 	m.ConfigVersion, m.ProofAgeMS = 3, 40
-	m.Evidence = l.evidence
+	m.Evidence, m.Usage = l.evidence, l.usage
 }
 
 func (l *recorder) Receive(m *broadcaster.Message) {
@@ -176,6 +178,32 @@
 	}
 }
 
+// Guards against a new aggregator that counts the whole use of limits of another one since its start.
+// Until that one knows of it, it is sent messages without the usage, which must tell which of the
+// usage is old.
+func TestMessagesWithoutUsageTellItsPeriod(t *testing.T) {
+	const n, period = 20, 7 // too many for a full mesh
+	_, locals := start(t, n)
+	usage := limiter.Report{Periods: period, Usage: []limiter.Usage{{Workspace: 1, Period: period, Admitted: 1e9, Asked: 1e9, Requests: 1e5}}}
+	for _, l := range locals {
+		l.mu.Lock()
+		l.usage = usage
+		l.mu.Unlock()
+	}
+	for _, l := range locals {
+		eventually(t, "a message with the period, without usage unless to an aggregator", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			for _, m := range l.received {
+				if m.Usage.Periods == period && (len(m.Usage.Usage) == 0 || len(l.received) == n-1) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 // A registered node that sends nothing is reported as silent. A node that
 // receives nothing is cut off itself and reports none.
 func TestSilentNodesAreReported(t *testing.T) {
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -69,6 +69,19 @@
 	return usage[0].Workspace
 }
 
+// Guards against counting the whole use of an aggregator since its start: a new one first hears it
+// by messages without the usage.
+func TestUsageBeforeTheFirstReportIsNotCounted(t *testing.T) {
+	now := start.Add(10 * time.Second)
+	l := newNode(limiter.Fleet{Nodes: 2, ReceivesAll: true})
+	l.MergeUsage(now, "peer", 1, limiter.Report{Periods: 7})
+	l.MergeUsage(now, "peer", 1, limiter.Report{Periods: 7, Usage: []limiter.Usage{{Workspace: workspaceID(t), Period: 7, Admitted: 1e9, Asked: 1e9, Requests: 1e5}}})
+	l.SetFleet(now, limiter.Fleet{Nodes: 2, ReceivesAll: true})
+	if d := l.Allow(now, "w", 0); d.Level != 1000 {
+		t.Errorf("level %v", d.Level)
+	}
+}
+
 // Guards against a malformed request of a peer after which an aggregator refuses all requests of the
 // workspace.
 func TestCostThatIsNoNumberLeavesTheBucketIntact(t *testing.T) {
