fix(limiter): a node that becomes an aggregator again charges nothing twice

Cause: a node that was an aggregator kept the counters of its peers for 30 s. Made an aggregator again, it took over the levels of the last summary, and then charged what each peer had admitted since its counters, which those levels include already: up to 30 s of the rate.

Change: such a node forgets the counters, and counts only what is added to the first report of each peer.

Result: TestUsageWhileNotAggregatorIsNotCounted failed before ("level -300", the bound, for 300) and passes; the other tests of the package pass unchanged.

--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -154,6 +154,9 @@
 	takeover := f.ReceivesAll && !l.fleet.ReceivesAll
 	l.fleet = f
 	l.refill, l.refillAt = l.refilled(t), max(t, l.refillAt)
+	if takeover {
+		clear(l.peers) // the levels that are taken over include what these have used meanwhile
+	}
 	heard := 1
 	for name, p := range l.peers {
 		switch age := t - p.heardAt; {
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -146,3 +146,30 @@
 		}
 	}
 }
+
+// Guards against use that is charged twice by a node that becomes an aggregator again: by the level
+// that it takes over, and by the report of a peer that it last heard as an aggregator.
+func TestUsageWhileNotAggregatorIsNotCounted(t *testing.T) {
+	report := func(admitted int64) limiter.Report {
+		return limiter.Report{Periods: 1, Usage: []limiter.Usage{{Workspace: workspaceID(t), Period: 1, Admitted: admitted, Asked: uint64(admitted), Requests: 1}}}
+	}
+	aggregator, other := limiter.Fleet{Nodes: 2, ReceivesAll: true, Summarized: true}, limiter.Fleet{Nodes: 2, Summarized: true}
+	now := start.Add(10 * time.Second)
+	l := newNode(aggregator)
+	l.SetLimits(start, []limiter.Limit{{Workspace: "w", Rate: 10, Burst: 1000}})
+	l.MergeUsage(now, "peer", 1, report(100))
+	l.SetFleet(now, aggregator)
+	l.SetFleet(now, other)
+	now = now.Add(10 * time.Second)
+	l.SetFleet(now, other)
+	l.Follow(now, nil)
+	l.SetFleet(now, aggregator)
+	l.MergeUsage(now, "peer", 1, report(9000))
+	l.SetFleet(now, aggregator)
+	l.MergeUsage(now, "peer", 1, report(9200))
+	const refill = 20
+	now = now.Add(2 * time.Second) // until it relies on the level
+	if d := l.Allow(now, "w", 0); d.Level < 500-200 || d.Level > 500-200+refill {
+		t.Errorf("level %v, want half of the burst less 200 and a refill of at most %d", d.Level, refill)
+	}
+}
