fix(placer): bound the samples of one message

Cause: nodes send at most 64 samples of each kind in a message, but a receiver took any number. One malformed message with thousands of samples outweighed those of all nodes.

Change: only the first 64 of each kind are taken.

Result: TestSamplesOfOneMessageAreBounded failed before ("100 of 100 prompts go to the slow engine of the samples") and passes.

--- a/pkg/placer/speed.go
+++ b/pkg/placer/speed.go
@@ -14,7 +14,7 @@
 	// maxSampledDelayMS is the queueing delay above which a first event tells more of the
 	// queue than of the engine.
 	maxSampledDelayMS = 60
-	// maxSamples bounds the samples that are queued for the peers.
+	// maxSamples bounds the samples of each kind in a message to the peers.
 	maxSamples = 64
 )
 
@@ -116,15 +116,15 @@
 	return out
 }
 
-// MergeSamples adds the samples of a peer.
+// MergeSamples adds the samples of a message of a peer, which has at most maxSamples of each kind.
 func (p *Placer) MergeSamples(now time.Time, samples Samples) {
 	if p.profiler == nil {
 		return
 	}
-	for _, s := range samples.FirstEvents {
+	for _, s := range samples.FirstEvents[:min(len(samples.FirstEvents), maxSamples)] {
 		p.profiler.Record(now, s)
 	}
-	for _, s := range samples.Pauses {
+	for _, s := range samples.Pauses[:min(len(samples.Pauses), maxSamples)] {
 		p.profiler.RecordPauses(now, s)
 	}
 }
