--- a/internal/soak/soaker/node.go
+++ b/internal/soak/soaker/node.go
@@ -59,6 +59,7 @@
 		DirectoryListen: listenAddr(portDirectory), PeerListen: listenAddr(portPeers), Store: n.storeProxy.Addr(), MemoryMB: 128,
 		RevokeMS: float64(revokeBound.Milliseconds()), GraceSeconds: gracePeriod.Seconds(), OrderGapMS: float64(handoverGap.Milliseconds()),
 		WeightsMS: float64(versionCutoff.Milliseconds()), EntrySeconds: entryTTL.Seconds(), RetryAllowance: 50,
+		LearnEngineSpeeds: true, HedgeShare: s.hedgeShare(),
 	}
 	b, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
@@ -71,6 +72,15 @@
 	return n, nil
 }
 
+// hedgeShare returns the share of hedged requests: seeds that end in 9 have them.
+func (s *Soaker) hedgeShare() float64 {
+	const hedgingSeed, share = 9, 0.1
+	if s.settings.Seed%10 == hedgingSeed {
+		return share
+	}
+	return 0
+}
+
 func (n *node) start() error {
 	incarnation, err := n.process.Start()
 	n.incarnation.Store(int64(incarnation))
