fix(observer): a node that may lack the name of an isolated workspace uses other cache scopes

What callers saw: nothing.

Cause: the list of names in the store doesn't say up to which configuration it is complete. A node that started after the removal and before the write, that skipped the configuration (by the watch of a reader, or one too large for a datagram), or whose predecessors all ended first took the list for complete and used the shared scope of the time before the isolation. Names for which there was no room were dropped.

Change: a record of the epoch and of the configuration up to which the names are complete, written with each configuration. Nodes follow the configurations without a gap (watch, history beside a read, one field in the changes from store readers). A node that may lack a name calls the shared scope after the workspaces that use it, which needs no history. Scopes have new names, so that nothing that nodes of earlier releases leave is found.

Ruled out: names in messages between nodes (the store has them); a new scope whenever a configuration is new (all parts cold); always the workspaces' names (cold with each one that comes or goes).

TestNothingIsWrittenWithoutNeed demanded no write without isolated workspaces; completeness needs one for each configuration, and the test demands that number. TestDroppedNamesAreLogged became TestEpochBeginsIfThereIsNoRoom: nothing is dropped any more. The golden test of changes packs protocol 1's own fields; protocol 7 has files of its own.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,7 +157,7 @@
 		return nil, errors.Trace(err)
 	}
 	kept := rejectionkeeper.New(clk, log, st, obs, relay, isAggregator)
-	isolations := isolationkeeper.New(clk, log, st, obs, isAggregator)
+	isolations := isolationkeeper.New(clk, log, st, obs, func() (int, bool) { return state.roster().Rank(s.Name), isAggregator() })
 	sup, err := supervisor.New(lines, reloader.New(log), obs, bcast, cache, ord, kept, isolations, in, registrar.New(clk, log, st, obs, self))
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/feeder/feeder_test.go
+++ b/internal/feeder/feeder_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/vmihailenco/msgpack/v5"
@@ -31,7 +32,8 @@
 const maxDatagramBytes = 65507 // of UDP over IPv4
 
 // decode decodes "up/ID" with "ready" or "draining", "ops/config" with a version and
-// padding, and "ops/weights" with a version.
+// padding, "ops/weights" with a version, "epoch" with the revision of a configuration, and
+// "node/NAME".
 func decode(it platform.Item) (traffic.StoreRecord, error) {
 	value := string(it.Value)
 	switch {
@@ -43,6 +45,11 @@
 		version, _, _ := strings.Cut(value, " ")
 		n, err := strconv.ParseUint(version, 10, 64)
 		return &traffic.Catalog{Version: n}, errors.Trace(err)
+	case it.Key == "epoch":
+		n, err := strconv.ParseUint(value, 10, 64)
+		return &traffic.CacheEpoch{ID: 1, Config: n, NamesHash: xxhash.Sum64String(""), Revision: it.Revision}, errors.Trace(err)
+	case strings.HasPrefix(it.Key, "node/"):
+		return &traffic.Node{Name: it.Key[5:], Protocol: traffic.CurrentProtocol}, nil
 	case it.Key == "ops/weights":
 		n, err := strconv.Atoi(value)
 		return &traffic.Weights{Model: "m", Version: n}, errors.Trace(err)
--- a/internal/feeder/golden_test.go
+++ b/internal/feeder/golden_test.go
@@ -23,7 +23,12 @@
 	c := observer.Changes{Since: 1, To: 2, Hash: 3, Gap: true, OperatorsOmitted: true, Items: []platform.Item{
 		{Key: "k", Value: []byte("v"), Revision: 2, Created: 1}, {Key: "l", Value: []byte{}, Revision: 2, Removed: true},
 	}}
-	if b, err = packer.Pack(&c); err != nil {
+	// The fields of that protocol.
+	if b, err = packer.Pack(&struct {
+		Since, To, Hash       uint64
+		Gap, OperatorsOmitted bool
+		Items                 []platform.Item
+	}{c.Since, c.To, c.Hash, c.Gap, c.OperatorsOmitted, c.Items}); err != nil {
 		t.Fatal(err)
 	}
 	var gotChanges observer.Changes
@@ -38,3 +43,15 @@
 		t.Errorf("decompressed %+v, error %v", got, err)
 	}
 }
+
+func TestChangesOfProtocolSeven(t *testing.T) {
+	c := observer.Changes{Since: 1, To: 2, Hash: 3, Items: []platform.Item{{Key: "k", Value: []byte("v"), Revision: 2, Created: 1}}, CompleteTo: 1 << 40}
+	b, err := packer.Pack(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got observer.Changes
+	if err := packer.New(testlib.Golden(t, "protocol-7-changes", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, c) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+}
--- a/internal/isolationkeeper/keeper_test.go
+++ b/internal/isolationkeeper/keeper_test.go
@@ -84,7 +84,7 @@
 	f.log = hook
 	obs = observer.New(f.clk, f.clk, log, f.store, translate.Layout())
 	obs.SetListener(listener{})
-	k := isolationkeeper.New(f.clk, log, f.store, obs, func() bool { return isWriter })
+	k := isolationkeeper.New(f.clk, log, f.store, obs, func() (int, bool) { return 0, isWriter })
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var g errgroup.Group
 	g.Go(func() error { return obs.Run(ctx) })
@@ -131,6 +131,7 @@
 			f.configure("a", "b")
 			writer, stopWriter := f.start(true)
 			reader, stopReader := f.start(false)
+			f.settle(writer, reader)
 			before := scope(writer)
 			f.store.refuses.Store(refuses)
 			f.configure("a!", "b")
@@ -169,9 +170,10 @@
 	f := newFleet(t)
 	f.configure("a", "b")
 	missing, stop := f.start(false)
+	writer, _ := f.start(true)
+	f.settle(writer, missing)
 	stop()
 	before := scope(missing)
-	writer, _ := f.start(true)
 	f.configure("a!", "b")
 	f.settle(writer)
 	f.configure("b")
@@ -185,38 +187,102 @@
 	}
 }
 
-// Guards against a node that uses old parts for good, since it started before the name was
-// written: it learns of the name once that is in the store.
-func TestNodeThatStartedBeforeTheRecordLearnsOfIt(t *testing.T) {
+// never fails the test if a node that has the newest configuration uses the scope until ok holds.
+func (f *fleet) never(scopeBefore string, o *observer.Observer, what string, ok func() bool) {
+	f.t.Helper()
+	f.until(what, func() bool {
+		if o.View().Matcher.Catalog().Version == f.version && scope(o) == scopeBefore {
+			f.t.Fatalf("shared scope %q, as before the isolation", scopeBefore)
+		}
+		return ok()
+	})
+}
+
+// Guards against WALL: the store accepted no writes while a workspace was isolated, and a node
+// that started after its removal let others find its parts until it had read the name.
+func TestNodeThatStartsBeforeTheNameIsStoredFindsNoParts(t *testing.T) {
 	f := newFleet(t)
-	f.configure("a!", "b")
-	f.store.refuses.Store(true)
+	f.configure("a", "b")
 	writer, _ := f.start(true)
+	f.settle(writer)
+	before := scope(writer)
+	f.store.refuses.Store(true)
+	f.configure("a!", "b")
+	f.settle(writer)
 	f.configure("b")
 	f.settle(writer)
 	late, _ := f.start(false)
+	end := f.clk.Now().Add(10 * time.Second)
+	f.never(before, late, "ten seconds", func() bool { return f.clk.Now().After(end) })
+	f.store.refuses.Store(false)
+	f.never(before, late, "the name", func() bool { return scope(late) == scope(writer) })
+}
+
+// Guards against WALL: a node that skipped the configuration which isolated a workspace, beside a
+// store that has forgotten it and accepts no writes, let others find its parts.
+func TestNodeThatCannotReadWhatItMissedFindsNoParts(t *testing.T) {
+	f := newFleet(t)
+	f.configure("a", "b")
+	missing, stop := f.start(false)
+	writer, _ := f.start(true)
+	f.settle(writer, missing)
+	stop()
+	before := scope(missing)
+	f.store.refuses.Store(true)
+	f.configure("a!", "b")
+	f.settle(writer)
+	f.configure("b")
+	f.store.Compact()
+	g, ctx := errgroup.WithContext(t.Context())
+	ctx, cancel := context.WithCancel(ctx)
+	g.Go(func() error { return missing.Run(ctx) })
+	t.Cleanup(func() { cancel(); _ = g.Wait() })
+	f.until("the configuration", func() bool { return missing.View().Matcher.Catalog().Version == f.version })
+	end := f.clk.Now().Add(10 * time.Second)
+	f.never(before, missing, "ten seconds", func() bool { return f.clk.Now().After(end) })
 	f.store.refuses.Store(false)
-	f.until("the name", func() bool { return scope(late) == scope(writer) && scope(late) != "" })
+	f.never(before, missing, "the name", func() bool { return scope(missing) == scope(writer) })
 }
 
-// Guards against calls of the store that are paid for nothing: there is nothing to write
-// without isolated workspaces, and one write is enough for a set of them.
+// Guards against WALL: all nodes that had seen a workspace isolated ended before one of them could
+// write its name, and those that started since let others find its parts for good.
+func TestIsolationThatNoNodeRemembersStartsNewScopes(t *testing.T) {
+	f := newFleet(t)
+	f.configure("a", "b")
+	writer, stop := f.start(true)
+	f.settle(writer)
+	before := scope(writer)
+	f.store.refuses.Store(true)
+	f.configure("a!", "b")
+	f.settle(writer)
+	stop()
+	f.store.refuses.Store(false)
+	f.configure("b")
+	late, _ := f.start(true)
+	end := f.clk.Now().Add(10 * time.Second)
+	f.never(before, late, "ten seconds", func() bool { return f.clk.Now().After(end) })
+	another, _ := f.start(false)
+	if got := scope(another); got != scope(late) {
+		t.Errorf("shared scopes %q and %q of two nodes", scope(late), got)
+	}
+}
+
+// Guards against calls of the store that are paid for nothing: one write is enough for each
+// configuration, and none is needed between.
 func TestNothingIsWrittenWithoutNeed(t *testing.T) {
 	f := newFleet(t)
 	f.configure("a", "b")
 	writer, _ := f.start(true)
 	reader, _ := f.start(false)
-	f.configure("a")
 	f.settle(writer, reader)
-	if n := f.store.writes.Load(); n != 0 || scope(writer) != "" {
-		t.Errorf("%d writes, shared scope %q without isolated workspaces", n, scope(writer))
-	}
-	for _, workspaces := range [][]string{{"a", "x!", "y!"}, {"a", "x!"}, {"x", "y"}, {"y!"}, {"a"}} {
+	f.settle(writer, reader)
+	for i, workspaces := range [][]string{{"a"}, {"a"}, {"a", "x!", "y!"}, {"a", "x!"}, {"x", "y"}, {"y!"}, {"a"}} {
 		f.configure(workspaces...)
 		f.settle(writer, reader)
-	}
-	if n := f.store.writes.Load(); n != 1 {
-		t.Errorf("%d writes for two names, want 1", n)
+		f.settle(writer, reader)
+		if n := f.store.writes.Load(); n != int32(i+2) {
+			t.Errorf("%d writes for %d configurations", n, i+2)
+		}
 	}
 }
 
@@ -225,6 +291,11 @@
 	for name, damage := range map[string]func(*testlib.Store){
 		"removed":    func(s *testlib.Store) { s.Delete(isolationkeeper.Key) },
 		"unreadable": func(s *testlib.Store) { s.Set(isolationkeeper.Key, "\xc0") },
+		"both removed": func(s *testlib.Store) {
+			s.Delete(isolationkeeper.Key)
+			s.Delete(isolationkeeper.EpochKey)
+		},
+		"epoch unreadable": func(s *testlib.Store) { s.Set(isolationkeeper.EpochKey, "\xc0") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
@@ -240,32 +311,57 @@
 			if r, err := isolationkeeper.Decode(it); err != nil || !slices.Equal(r.Names, []string{"a"}) || scope(writer) != isolated {
 				t.Errorf("restored %+v, error %v, shared scope %q, want %q", r, err, scope(writer), isolated)
 			}
+			if late, _ := f.start(false); scope(late) != isolated {
+				t.Errorf("shared scope %q of a node that started since, want %q", scope(late), isolated)
+			}
 		})
 	}
 }
 
-// Guards against a name that is dropped without notice.
-func TestDroppedNamesAreLogged(t *testing.T) {
+// Guards against WALL: names were dropped for lack of room, and others found the parts of these
+// workspaces. A new epoch begins in place of that, and is logged.
+func TestEpochBeginsIfThereIsNoRoom(t *testing.T) {
 	f := newFleet(t)
-	var names []string
+	names := []string{"aa"}
+	f.configure("aa", "b")
+	writer, _ := f.start(true)
+	f.settle(writer)
+	scopes := []string{scope(writer)}
 	for i := range 256 {
 		names = append(names, string(rune('a'+i/26))+string(rune('a'+i%26))+"!")
 	}
-	f.configure(names...)
-	writer, _ := f.start(true)
-	f.settle(writer)
-	for _, workspaces := range [][]string{{"new!"}, {"b"}} {
+	for _, workspaces := range [][]string{names[1:], {"new!"}, {"b"}} {
 		f.configure(workspaces...)
 		f.settle(writer)
+		if got := scope(writer); slices.Contains(scopes, got) {
+			t.Errorf("shared scope %q again after %v", got, scopes)
+		}
+		scopes = append(scopes, scope(writer))
 	}
-	var dropped []any
+	begun := 0
 	for _, e := range f.log.AllEntries() {
-		if e.Data["event"] == "isolationsDropped" && e.Level == logrus.WarnLevel {
-			dropped = append(dropped, e.Data["workspaces"])
+		if e.Data["event"] == "cacheEpochBegun" && e.Level == logrus.WarnLevel {
+			begun++
 		}
 	}
-	if len(dropped) != 1 || !slices.Equal(dropped[0].([]string), []string{"aa"}) {
-		t.Errorf("logged %v as dropped, want aa once", dropped)
+	if it, _ := f.store.Item(isolationkeeper.Key); begun != 2 || it.Revision > 0 {
+		t.Errorf("%d epochs begun, want 2 with that of the start; list %q", begun, it.Value)
+	}
+}
+
+type storedEpoch struct{ ID, Config, NamesHash uint64 }
+
+func TestCacheEpochOfProtocolSeven(t *testing.T) {
+	value, err := packer.Pack(&storedEpoch{1, 1 << 40, 1<<64 - 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := isolationkeeper.DecodeEpoch(platform.Item{Value: testlib.Golden(t, "protocol-7-cache-epoch", value), Revision: 9})
+	if want := (traffic.CacheEpoch{ID: 1, Config: 1 << 40, NamesHash: 1<<64 - 1, Revision: 9}); err != nil || *got != want {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	if got, err = isolationkeeper.DecodeEpoch(platform.Item{Value: []byte{0xc0}, Revision: 9}); err == nil || *got != (traffic.CacheEpoch{Revision: 9}) {
+		t.Errorf("decoded %+v, error %v", got, err)
 	}
 }
 
--- a/internal/observer/feed.go
+++ b/internal/observer/feed.go
@@ -21,6 +21,9 @@
 	// configDelay is how long a node waits for a store reader to send a new
 	// configuration until it reads the store. Several requests fit into it.
 	configDelay = 700 * time.Millisecond
+	// completionInterval is the time after which a node requests changes if it doesn't know
+	// all isolated workspaces.
+	completionInterval = time.Second
 	// routineInterval is the time after which a node requests changes that the hash
 	// doesn't cover, such as the weights that an engine reports.
 	routineInterval = 5 * time.Second
@@ -53,6 +56,10 @@
 	OperatorsOmitted bool
 	// Items are the changed and the removed keys.
 	Items []platform.Item
+	// CompleteTo is the revision up to which all names of workspaces that configurations have
+	// isolated are in the store's list or isolated in the sender's configuration; 0 if that
+	// isn't so at any. Since ProtocolCompleteness.
+	CompleteTo uint64
 }
 
 // feed is a node's state of following the store by way of a store reader.
@@ -141,7 +148,8 @@
 // ReceiveDigest handles the digest of a store reader. If it differs from the local
 // snapshot, the changes are requested from the reader, or the store is read.
 func (o *Observer) ReceiveDigest(reader string, d Digest) {
-	since, request := o.checkDigest(d)
+	node, _ := o.snapshot.Load().Roster.Find(reader)
+	since, request := o.checkDigest(d, node.Protocol >= traffic.ProtocolCompleteness)
 	if request && (o.changeSource == nil || !o.changeSource(reader, since)) {
 		o.mu.Lock()
 		o.feed.gap = true
@@ -151,8 +159,9 @@
 }
 
 // checkDigest records a digest and reports whether to request the changes after the
-// revision since.
-func (o *Observer) checkDigest(d Digest) (since uint64, request bool) {
+// revision since. tellsCompleteness is set if the sender can tell up to where it knows all
+// isolated workspaces.
+func (o *Observer) checkDigest(d Digest, tellsCompleteness bool) (since uint64, request bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clk.Now()
@@ -174,7 +183,8 @@
 	}
 	if d.Hash == o.hash && !behind {
 		f.agreedAt, f.disagrees = now, false
-		if d.Revision == o.revision || now.Sub(f.syncedAt) < routineInterval {
+		incomplete := tellsCompleteness && !o.isolated.Complete() && now.Sub(f.requestedAt) >= completionInterval
+		if !incomplete && (d.Revision == o.revision || now.Sub(f.syncedAt) < routineInterval) {
 			return 0, false
 		}
 	} else if d.Hash != o.hash {
@@ -221,7 +231,7 @@
 func (o *Observer) ChangesSince(since uint64) Changes {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := Changes{Since: since, To: o.revision, Hash: o.hash}
+	c := Changes{Since: since, To: o.revision, Hash: o.hash, CompleteTo: o.isolated.Recorded()}
 	if o.lastRead.IsZero() || since < o.feed.horizon {
 		c.Gap = true
 		return c
@@ -240,7 +250,7 @@
 	size := 0
 	for i, it := range c.Items {
 		if size > maxChangesBytes && it.Revision != c.Items[i-1].Revision {
-			c.Items, c.To, c.Hash = c.Items[:i], c.Items[i-1].Revision, 0
+			c.Items, c.To, c.Hash, c.CompleteTo = c.Items[:i], c.Items[i-1].Revision, 0, 0
 			break
 		}
 		size += len(it.Key) + len(it.Value) + itemOverheadBytes
@@ -256,7 +266,9 @@
 			items = append(items, it)
 		}
 	}
-	c.OperatorsOmitted = len(items) < len(c.Items)
+	if c.OperatorsOmitted = len(items) < len(c.Items); c.OperatorsOmitted {
+		c.CompleteTo = 0
+	}
 	c.Items = items
 	return c
 }
@@ -302,6 +314,7 @@
 	}
 	o.revision = max(o.revision, c.To)
 	o.feed.syncedAt = now
+	o.applyCompleteness(c)
 	o.publish()
 	if c.Hash == o.hash {
 		o.feed.agreedAt, o.feed.disagrees = now, false
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -1,7 +1,6 @@
 package observer
 
 import (
-	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
+	"github.com/auburnnotch/auburnnotch/pkg/recorder"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -82,10 +82,11 @@
 
 func (o *Observer) setCatalog(c *traffic.Catalog, it platform.Item) {
 	if o.catalog != nil && c.Version <= o.catalog.Version {
+		o.isolated = o.isolated.WithSuperseded(c.Workspaces)
 		return
 	}
 	o.catalog = c
-	o.isolated = o.isolated.WithWorkspaces(c.Workspaces)
+	o.isolated = o.isolated.WithWorkspaces(it.Revision, c.Workspaces)
 	o.log.WithFields(logrus.Fields{
 		"event": "configTaken", "config": c.Version, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
 	}).Info("applied a new configuration")
@@ -105,7 +106,7 @@
 // publish makes the current state available to the other services.
 func (o *Observer) publish() {
 	s := &Snapshot{Loaded: !o.lastRead.IsZero()}
-	record := &traffic.Isolations{Unreadable: true}
+	record, epoch := &traffic.Isolations{Unreadable: true}, &traffic.CacheEpoch{}
 	for _, k := range o.items {
 		switch f := k.record.(type) {
 		case *traffic.Upstream:
@@ -120,14 +121,12 @@
 			s.Rejections = *f
 		case *traffic.Isolations:
 			record = f
+		case *traffic.CacheEpoch:
+			epoch = f
 		}
 	}
-	if record.Unreadable {
-		o.isolated = o.isolated.WithoutRecord()
-	} else {
-		o.isolated = o.isolated.WithRecord(record.Names)
-	}
-	s.Isolations, s.IsolationsRevision = o.isolated, record.Revision
+	o.isolated = o.isolated.WithStored(recorder.Stored{Names: record.Names, Readable: !record.Unreadable, Epoch: *epoch})
+	s.Isolations, s.IsolationsRevision, s.EpochRevision, s.AsOfRevision = o.isolated, record.Revision, epoch.Revision, o.revision
 	for model, versions := range o.weights {
 		s.Weights = append(s.Weights, traffic.Weights{Model: model, Version: newestVersion(versions)})
 	}
@@ -164,15 +163,15 @@
 // matcher returns the index of the configuration, which is that of the latest view if
 // nothing has changed.
 func (o *Observer) matcher() *matcher.Matcher {
-	past := o.isolated.Past()
+	h := o.isolated.History()
 	old := o.view.Load()
 	switch {
 	case old == nil || old.Matcher.Catalog() != o.catalog:
-		o.past = past
-		return matcher.New(o.catalog).WithPast(past)
-	case !slices.Equal(past, o.past):
-		o.past = past
-		return old.Matcher.WithPast(past)
+		o.history = h
+		return matcher.New(o.catalog).WithHistory(h)
+	case !h.Equal(o.history):
+		o.history = h
+		return old.Matcher.WithHistory(h)
 	}
 	return old.Matcher
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -18,6 +18,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
 	"github.com/auburnnotch/auburnnotch/pkg/recorder"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
+	"github.com/auburnnotch/auburnnotch/pkg/scoper"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -91,10 +92,10 @@
 	Announcements []traffic.Announcements
 	// Rejections is what the fleet rejects, as stored.
 	Rejections traffic.Rejections
-	// Isolations are the names of isolated workspaces that the node knows, and the revision
-	// of their record in the store.
-	Isolations         recorder.Recorder
-	IsolationsRevision uint64
+	// Isolations are the names of isolated workspaces that the node knows. The revisions are
+	// those of their list and of the cache epoch in the store, and of the store as last read.
+	Isolations                                      recorder.Recorder
+	IsolationsRevision, EpochRevision, AsOfRevision uint64
 	// Roster assigns the fleet-wide roles to Nodes.
 	Roster *roster.Roster
 	// Loaded is true once the store has been read.
@@ -124,7 +125,7 @@
 	items     map[string]knownItem
 	catalog   *traffic.Catalog
 	isolated  recorder.Recorder
-	past      []string // isolated workspaces that the latest view takes into account
+	history   scoper.History // that the latest view takes into account
 	weights   map[string][]relayer.ModelVersion
 	revision  uint64    // store revision at the last read
 	lastRead  time.Time // zero before the first read
@@ -248,6 +249,7 @@
 	if err != nil {
 		return err
 	}
+	o.readSuperseded(ctx, r.items)
 	o.applyRead(r, sent, stale)
 	return nil
 }
@@ -261,6 +263,7 @@
 	if err != nil {
 		return err
 	}
+	o.readSuperseded(ctx, r.items)
 	o.applyChanges(r.items)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -331,6 +334,7 @@
 		o.proof = o.proof.WithProof(o.catalog.Version, sent)
 	}
 	o.publish()
+	o.isolated = o.isolated.WithHistory(o.configRevision(), r.first) // no configuration came after it
 }
 
 // endOutage ends an outage of the store, if there was one. Upstreams that are missing
@@ -372,9 +376,7 @@
 func (o *Observer) watch(ctx context.Context) error {
 	var after uint64
 	for ctx.Err() == nil {
-		o.mu.Lock()
-		after = max(after, o.revision)
-		o.mu.Unlock()
+		after = o.watchFrom(after)
 		if !o.needsWatch() {
 			clock.Sleep(ctx, o.clk, waitStep)
 			continue
@@ -386,8 +388,8 @@
 		p, err := o.store.Watch(ctx, platform.LineConfig, o.layout.OperatorPrefix, after, watchTimeout)
 		switch {
 		case err == nil:
+			o.applyWatch(p, after)
 			after = max(after, p.Revision)
-			o.applyChanges(p.Items)
 			if len(p.Items) > 0 && o.isStoreReader() && o.announce != nil {
 				o.announce()
 			}
@@ -403,6 +405,20 @@
 	return nil
 }
 
+// watchFrom returns the revision after which to watch, if the last watch ended at after. A read
+// may be ahead of it, but doesn't show the configurations between.
+func (o *Observer) watchFrom(after uint64) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case o.isolated.Complete():
+		return max(after, o.isolated.CompleteTo())
+	case after == 0:
+		return o.revision
+	}
+	return after
+}
+
 // needsWatch reports whether this node watches the store. A node that receives
 // digests learns from them that there is a new configuration.
 func (o *Observer) needsWatch() bool {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -27,6 +27,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/finisher"
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
+	"github.com/auburnnotch/auburnnotch/pkg/scoper"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -109,7 +110,7 @@
 func (f *fleet) set(c *traffic.Catalog, provenAt time.Duration, pastIsolated ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view = &relayer.View{Matcher: matcher.New(c).WithPast(pastIsolated), Nodes: 1}
+	f.view = &relayer.View{Matcher: matcher.New(c).WithHistory(scoper.History{Epoch: 1, Past: pastIsolated, Complete: true}), Nodes: 1}
 	f.proof = prover.New().WithProof(c.Version, provenAt)
 }
 
--- a/internal/testlib/store.go
+++ b/internal/testlib/store.go
@@ -24,6 +24,9 @@
 	watchCalls int
 	// stalePages are the pages that stale calls of Range return, nil for current ones.
 	stalePages *platform.Page
+	// history has the writes after the revision compacted, oldest first.
+	history   []platform.Item
+	compacted uint64
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -96,6 +99,33 @@
 	it.Key, it.Value, it.Revision = key, value, s.revision
 	s.items[key] = it
 	s.keyLeases[key] = lease
+	s.history = append(s.history, it)
+}
+
+// Compact makes the store forget its history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+}
+
+// changes returns the writes of keys with prefix after a revision.
+func (s *Store) changes(prefix string, after uint64) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.err != nil:
+		return platform.Page{}, s.err
+	case after < s.compacted:
+		return platform.Page{}, platform.Compacted
+	}
+	p := platform.Page{Revision: s.revision}
+	for _, it := range s.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			p.Items = append(p.Items, it)
+		}
+	}
+	return p, nil
 }
 
 // Range implements platform.Store.
@@ -127,12 +157,15 @@
 	return p
 }
 
-// Watch implements platform.Store. It reports no changes: it blocks until ctx
-// ends and then returns platform.Unavailable.
-func (s *Store) Watch(ctx context.Context, _ platform.Line, _ string, _ uint64, _ time.Duration) (platform.Page, error) {
+// Watch implements platform.Store. Without a wait, it returns the changes so far. Else it reports
+// none: it blocks until ctx ends and then returns platform.Unavailable.
+func (s *Store) Watch(ctx context.Context, _ platform.Line, prefix string, after uint64, wait time.Duration) (platform.Page, error) {
 	s.mu.Lock()
 	s.watchCalls++
 	s.mu.Unlock()
+	if wait <= 0 {
+		return s.changes(prefix, after)
+	}
 	<-ctx.Done()
 	return platform.Page{}, platform.Unavailable
 }
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -28,7 +28,7 @@
 		catalog: c, routesByHost: map[string][]*traffic.Route{},
 		servicesByName:  make(map[string]*traffic.Service, len(c.Services)),
 		workspacesByKey: map[string]*traffic.Workspace{},
-		scopes:          scoper.New(c.Workspaces, nil),
+		scopes:          scoper.New(c.Workspaces, scoper.History{}),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -55,11 +55,11 @@
 	return m
 }
 
-// WithPast returns a Matcher of the same catalog whose cache scopes take into account the
-// names of workspaces that were isolated in earlier configurations.
-func (m *Matcher) WithPast(names []string) *Matcher {
+// WithHistory returns a Matcher of the same catalog whose cache scopes take into account what
+// is known of earlier configurations.
+func (m *Matcher) WithHistory(h scoper.History) *Matcher {
 	with := *m
-	with.scopes = scoper.New(m.catalog.Workspaces, names)
+	with.scopes = scoper.New(m.catalog.Workspaces, h)
 	return &with
 }
 
--- a/pkg/scoper/scoper.go
+++ b/pkg/scoper/scoper.go
@@ -13,27 +13,64 @@
 )
 
 const (
-	// ownPrefix and sharedPrefix keep the scope of an isolated workspace apart from the
-	// shared ones, whatever its name is.
-	ownPrefix    = "="
-	sharedPrefix = "~"
+	// ownPrefix, sharedPrefix and membersPrefix keep the scope of an isolated workspace
+	// apart from the shared ones, whatever its name is, and both kinds of these from each
+	// other.
+	ownPrefix     = "="
+	sharedPrefix  = "~"
+	membersPrefix = "^"
 	// digestBytes is the length of the digest in the name of a shared scope.
 	digestBytes = 8
 )
 
+// History is what a node knows of the configurations before the one in force.
+type History struct {
+	// Epoch is the ID of the epoch for which Past is kept.
+	Epoch uint64
+	// Past are the names of workspaces that were isolated during the epoch.
+	Past []string
+	// Complete is set if Past lacks no name that the configuration in force doesn't isolate.
+	Complete bool
+}
+
+// Equal reports whether h and other are the same.
+func (h History) Equal(other History) bool {
+	return h.Epoch == other.Epoch && h.Complete == other.Complete && slices.Equal(h.Past, other.Past)
+}
+
 // Scoper returns the cache scopes of one configuration. It is an immutable value.
 type Scoper struct{ shared string }
 
-// New returns the Scoper of a configuration with the given workspaces. past are names of
-// workspaces that were isolated in earlier configurations.
+// New returns the Scoper of a configuration with the given workspaces.
 //
-// The shared scope is named after the set of isolated workspaces, so that it holds no
-// part of theirs: whoever uses a scope isn't in its set. That holds for nodes that learn of
-// a change at different times. Past names stay in the set until the configuration lists
-// them as shared; otherwise, once an isolated workspace is removed, others would find what
-// it had shared before its isolation.
-func New(workspaces []traffic.Workspace, past []string) Scoper {
-	var isolated []string
+// The shared scope is named after the workspaces that were isolated during the epoch and
+// aren't listed as shared, so that it holds no part of theirs: whoever uses a scope isn't in
+// its set. That holds for nodes that learn of a change at different times.
+//
+// If the history isn't complete, the shared scope is named after the workspaces that use it.
+// That needs no history, but each workspace that is added or removed makes shared parts cold.
+func New(workspaces []traffic.Workspace, h History) Scoper {
+	if !h.Complete {
+		return Scoper{shared: membersPrefix + digest(0, sharing(workspaces))}
+	}
+	return Scoper{shared: sharedPrefix + digest(h.Epoch, excluded(workspaces, h.Past))}
+}
+
+// sharing returns the names of the workspaces that aren't isolated.
+func sharing(workspaces []traffic.Workspace) []string {
+	var names []string
+	for i := range workspaces {
+		if !workspaces[i].Isolated {
+			names = append(names, workspaces[i].Name)
+		}
+	}
+	return names
+}
+
+// excluded returns the names of the workspaces that are isolated, and those in past that
+// aren't listed.
+func excluded(workspaces []traffic.Workspace, past []string) []string {
+	var names []string
 	listed := make(map[string]bool, len(past))
 	for _, name := range past {
 		listed[name] = false
@@ -41,7 +78,7 @@
 	for i := range workspaces {
 		name := workspaces[i].Name
 		if workspaces[i].Isolated {
-			isolated = append(isolated, name)
+			names = append(names, name)
 		}
 		if _, ok := listed[name]; ok {
 			listed[name] = true
@@ -49,18 +86,20 @@
 	}
 	for name, ok := range listed {
 		if !ok {
-			isolated = append(isolated, name)
+			names = append(names, name)
 		}
 	}
-	if len(isolated) == 0 {
-		return Scoper{}
-	}
-	slices.Sort(isolated)
+	return names
+}
+
+func digest(epoch uint64, names []string) string {
+	slices.Sort(names)
 	h := sha256.New()
-	for _, name := range slices.Compact(isolated) {
-		_, _ = io.WriteString(h, strconv.Quote(name)) // a hash returns no error
+	_, _ = io.WriteString(h, strconv.FormatUint(epoch, 10)) // a hash returns no error
+	for _, name := range slices.Compact(names) {
+		_, _ = io.WriteString(h, strconv.Quote(name))
 	}
-	return Scoper{shared: sharedPrefix + hex.EncodeToString(h.Sum(nil)[:digestBytes])}
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
 
 // Scope returns the cache scope of a workspace, or of a request without one if w is nil.
--- a/pkg/traffic/storerecord.go
+++ b/pkg/traffic/storerecord.go
@@ -2,7 +2,7 @@
 
 // StoreRecord is the decoded value of one key of the platform's store: a *Catalog,
 // an *Upstream, a *Weights, a *Node, a *Leader, an *Announcements, a *Rejections
-// or an *Isolations.
+// an *Isolations or a *CacheEpoch.
 type StoreRecord interface{ storeRecord() }
 
 func (*Catalog) storeRecord()       {}
@@ -13,3 +13,4 @@
 func (*Announcements) storeRecord() {}
 func (*Rejections) storeRecord()    {}
 func (*Isolations) storeRecord()    {}
+func (*CacheEpoch) storeRecord()    {}
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -98,8 +98,11 @@
 	// of the workspaces in shortage and decisions about single requests of theirs, with claims
 	// for trials of rejected requests, and with samples of how fast engines are.
 	ProtocolUsage = 6
+	// ProtocolCompleteness is the first protocol with the revision up to which the sender of
+	// changes knows all isolated workspaces.
+	ProtocolCompleteness = 7
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolUsage
+	CurrentProtocol = ProtocolCompleteness
 )
 
 // Leader is the node that sends orders to engines.
