fix(relayer): requests without a key use no shared parts on a node that is out of touch

What callers saw: nothing. On a node cut off from the store and its peers, prompts of public routes went on to use what a workspace had left in the shared scope after it had been isolated, without end (WALL).

Cause: the proof that the configuration is recent was asked for keys only, and a scope depends on the configuration just as a key does.

Change: without that proof, prompts without a workspace have a scope in which no workspace makes parts. They are still served.

Ruled out: to refuse them (public routes are served in outages of the store on purpose); a scope of its own for all of them always (with a proof they may share).

Result: internal/relayer TestRequestsWithoutKeyUseNoSharedPartsWithoutProof, red before with the salt of the workspaces. TestSecondAttemptUsesScopeOfNewConfiguration was green before: hedged attempts take the configuration anew.

--- a/internal/relayer/admit.go
+++ b/internal/relayer/admit.go
@@ -93,7 +93,7 @@
 		}
 		return failure.UnknownRoute
 	}
-	u.route, u.workspace = route, nil
+	u.route, u.workspace, u.proven = route, nil, proof.Fresh(now, u.r.settings.MaxProofAge)
 	if u.route.Public || !m.RequiresKey() {
 		return failure.None
 	}
@@ -101,7 +101,7 @@
 	switch {
 	case u.workspace == nil && proof.Fresh(now, maxDenialProofAge):
 		return failure.Unauthorized
-	case u.workspace == nil, !proof.Fresh(now, u.r.settings.MaxProofAge):
+	case u.workspace == nil, !u.proven:
 		return failure.ConfigStale
 	}
 	return failure.None
--- a/internal/relayer/run.go
+++ b/internal/relayer/run.go
@@ -62,6 +62,7 @@
 	route     *traffic.Route
 	features  []detector.Feature
 	workspace *traffic.Workspace
+	proven    bool // the configuration was proved to be recent when workspace was set
 	service   string
 	deadline  time.Time
 
--- a/internal/relayer/scope.go
+++ b/internal/relayer/scope.go
@@ -11,7 +11,13 @@
 	return u.workspace.Name
 }
 
-func (u *relay) cacheScope() string { return u.view.Matcher.CacheScope(u.workspace) }
+func (u *relay) cacheScope() string {
+	m := u.view.Matcher
+	if u.workspace == nil && m.RequiresKey() && !u.proven {
+		return m.UnprovenCacheScope()
+	}
+	return m.CacheScope(u.workspace)
+}
 
 // cacheSalt returns the salt that separates cached parts of different models,
 // versions and cache scopes. An isolated workspace has a cache scope of its own.
--- a/internal/relayer/scope_test.go
+++ b/internal/relayer/scope_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/relayer"
+	"github.com/auburnnotch/auburnnotch/internal/systemclock"
+	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -107,6 +110,56 @@
 	}
 }
 
+// Guards against WALL: on a node out of touch, for which a workspace is still shared, requests of
+// a public route, which need no proof of the configuration, went on to use what that workspace left.
+func TestRequestsWithoutKeyUseNoSharedPartsWithoutProof(t *testing.T) {
+	b := newFixture(t, streaming(0))
+	b.fleet.set(isolation(1, false), b.boot.Elapsed())
+	shared, _ := b.servePrompt(t, "keyA")
+	public := isolation(2, false)
+	for i := range public.Routes {
+		public.Routes[i].Public = true
+	}
+	b.fleet.set(public, b.boot.Elapsed())
+	if got, _ := b.servePrompt(t, ""); got != shared {
+		t.Errorf("salt %q with a proof, want %q as workspaces", got, shared)
+	}
+	b.boot.Step(maxProofAge + time.Millisecond)
+	if got, _ := b.servePrompt(t, ""); got == shared {
+		t.Errorf("salt %q as workspaces without a proof", got)
+	}
+}
+
+// Guards against WALL: a second attempt beside a slow one was sent with the salt of the configuration
+// before, though a workspace had been isolated meanwhile.
+func TestSecondAttemptUsesScopeOfNewConfiguration(t *testing.T) {
+	b := newHedgeFixture(t, systemclock.New(), 0.2, "/stream/", 2)
+	config := func(version uint64, isolated bool) *traffic.Catalog {
+		c := hedgeCatalog(2)
+		c.Version, c.Workspaces = version, append(c.Workspaces, traffic.Workspace{Name: "a", Isolated: isolated})
+		return c
+	}
+	b.fleet.set(config(2, false), b.boot.Elapsed())
+	salts := make(chan string, 2)
+	b.arm(func(conn net.Conn, r testlib.Received) bool {
+		b.fleet.set(config(3, true), b.boot.Elapsed())
+		salts <- r.Header.Get("Salt")
+		return b.silent(conn, r)
+	}, func(conn net.Conn, r testlib.Received) bool {
+		salts <- r.Header.Get("Salt")
+		return streaming(0)(conn, r)
+	})
+	r := &reply{}
+	b.relay.Serve(t.Context(), &relayer.Request{
+		ID: "id", Method: "POST", Target: "/stream/", Path: "/stream/", Host: "h", Key: "key", Timeout: unlimited, Arrived: time.Now(),
+		Prompt: &traffic.Prompt{Model: "m", Tokens: 10, MaxOutput: 5, Parts: []traffic.Part{{ID: "p", Tokens: 10}}},
+	}, r)
+	b.awaitClosed(t, 1)
+	if first, second := <-salts, <-salts; r.status != 200 || first == second {
+		t.Errorf("status %d, salts %q and %q", r.status, first, second)
+	}
+}
+
 // Guards against STALE: parts made on weights of an unknown version were saved in the cache
 // store and fetched from it under one salt, whatever version an upstream had.
 func TestPartsOfUnknownVersionAreNotShared(t *testing.T) {
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -96,6 +96,10 @@
 // workspace.
 func (m *Matcher) CacheScope(w *traffic.Workspace) string { return m.scopes.Scope(w) }
 
+// UnprovenCacheScope returns the cache scope of prompts without a workspace on a node whose
+// configuration may be out of date.
+func (m *Matcher) UnprovenCacheScope() string { return m.scopes.Unproven() }
+
 // RequiresKey reports whether requests need an API key: they do if the catalog
 // has workspaces.
 func (m *Matcher) RequiresKey() bool { return len(m.catalog.Workspaces) > 0 }
--- a/pkg/scoper/scoper.go
+++ b/pkg/scoper/scoper.go
@@ -19,6 +19,8 @@
 	ownPrefix     = "="
 	sharedPrefix  = "~"
 	membersPrefix = "^"
+	// unprovenScope is used by requests without a workspace only.
+	unprovenScope = "-"
 	// digestBytes is the length of the digest in the name of a shared scope.
 	digestBytes = 8
 )
@@ -109,3 +111,7 @@
 	}
 	return s.shared
 }
+
+// Unproven returns the cache scope of requests without a workspace on a node whose configuration
+// may be out of date. A workspace that is isolated by now has made no part in it.
+func (s Scoper) Unproven() string { return unprovenScope }
