perf(scoper): the shared scope is named after its workspaces until one is added or removed

Cause: named the shared scope after the epoch, and after the workspaces that use it only on nodes that may have missed a name.

Change: as long as the workspaces are those of the epoch's beginning, the scope has the name that needs no history, on all nodes. The epoch's record has a digest of them, which is emptied once they change. The history is read after a configuration has been applied, no longer before: a slow call held it up for 1.2 s.

Why it is safe: a scope that is named after the workspaces which use it has never had others.

Ruled out: to keep the epoch's name across a restart (an unseen configuration may have isolated a workspace); to begin an epoch under the name of the other scope (a workspace added in it, isolated and removed unseen would be found).

Changed test: TestRemovedIsolatedWorkspaceLeavesNoPartToOthers expected the scope of the time before when the workspace returns as shared. Now it expects one that stays the same beside a further workspace.

--- a/internal/isolationkeeper/keeper.go
+++ b/internal/isolationkeeper/keeper.go
@@ -37,7 +37,10 @@
 )
 
 // storedEpoch is a cache epoch as it is encoded. Later releases add fields at the end.
-type storedEpoch struct{ ID, Config, NamesHash uint64 }
+type storedEpoch struct {
+	ID, Config, NamesHash uint64
+	Members               string
+}
 
 // DecodeEpoch decodes the stored cache epoch. With an error, it returns only its revision, so that
 // it can be replaced.
@@ -50,7 +53,7 @@
 	if e.ID == 0 || e.Config == 0 {
 		return unreadable, errors.NotValidf("cache epoch %d of configuration %d", e.ID, e.Config)
 	}
-	return &traffic.CacheEpoch{ID: e.ID, Config: e.Config, NamesHash: e.NamesHash, Revision: it.Revision}, nil
+	return &traffic.CacheEpoch{ID: e.ID, Config: e.Config, NamesHash: e.NamesHash, Members: e.Members, Revision: it.Revision}, nil
 }
 
 // storedWorkspace is a name as it is encoded. Later releases add fields at the end.
@@ -176,7 +179,7 @@
 // commit writes the list of names and the epoch unless one of them has changed.
 func (k *Keeper) commit(ctx context.Context, s *observer.Snapshot, next *recorder.Stored) error {
 	e := next.Epoch
-	epoch, err := packer.Pack(&storedEpoch{ID: e.ID, Config: e.Config, NamesHash: e.NamesHash})
+	epoch, err := packer.Pack(&storedEpoch{ID: e.ID, Config: e.Config, NamesHash: e.NamesHash, Members: e.Members})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/isolationkeeper/keeper_test.go
+++ b/internal/isolationkeeper/keeper_test.go
@@ -152,8 +152,11 @@
 			}
 			f.configure("b", "a")
 			f.settle(writer)
-			if got := scope(writer); got != before {
-				t.Errorf("shared scope after the workspace returned to it is %q, want %q", got, before)
+			returned := scope(writer)
+			f.configure("b", "a", "c")
+			f.settle(writer)
+			if got := scope(writer); got != returned || got == isolated {
+				t.Errorf("shared scope after the workspace returned is %q, and %q beside another one", returned, got)
 			}
 			f.configure("b")
 			f.settle(writer)
@@ -349,15 +352,18 @@
 	}
 }
 
-type storedEpoch struct{ ID, Config, NamesHash uint64 }
+type storedEpoch struct {
+	ID, Config, NamesHash uint64
+	Members               string
+}
 
 func TestCacheEpochOfProtocolSeven(t *testing.T) {
-	value, err := packer.Pack(&storedEpoch{1, 1 << 40, 1<<64 - 1})
+	value, err := packer.Pack(&storedEpoch{1, 1 << 40, 1<<64 - 1, "0a1b"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := isolationkeeper.DecodeEpoch(platform.Item{Value: testlib.Golden(t, "protocol-7-cache-epoch", value), Revision: 9})
-	if want := (traffic.CacheEpoch{ID: 1, Config: 1 << 40, NamesHash: 1<<64 - 1, Revision: 9}); err != nil || *got != want {
+	if want := (traffic.CacheEpoch{ID: 1, Config: 1 << 40, NamesHash: 1<<64 - 1, Members: "0a1b", Revision: 9}); err != nil || *got != want {
 		t.Errorf("got %+v, error %v", got, err)
 	}
 	if got, err = isolationkeeper.DecodeEpoch(platform.Item{Value: []byte{0xc0}, Revision: 9}); err == nil || *got != (traffic.CacheEpoch{Revision: 9}) {
--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -165,13 +165,21 @@
 func (o *Observer) matcher() *matcher.Matcher {
 	h := o.isolated.History()
 	old := o.view.Load()
+	var m *matcher.Matcher
 	switch {
 	case old == nil || old.Matcher.Catalog() != o.catalog:
-		o.history = h
-		return matcher.New(o.catalog).WithHistory(h)
-	case !h.Equal(o.history):
-		o.history = h
-		return old.Matcher.WithHistory(h)
-	}
-	return old.Matcher
+		m = matcher.New(o.catalog)
+	case h.Equal(o.history):
+		return old.Matcher
+	default:
+		m = old.Matcher
+	}
+	o.history = h
+	m = m.WithHistory(h)
+	if scope := m.CacheScope(nil); old == nil || scope != old.Matcher.CacheScope(nil) {
+		o.log.WithFields(logrus.Fields{
+			"event": "cacheScopeChanged", "scope": scope, "config": o.catalog.Version, "epoch": h.Epoch, "namesKnown": h.Complete,
+		}).Info("workspaces that aren't isolated share cached parts in another scope")
+	}
+	return m
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -140,6 +140,7 @@
 	feed          feed
 	trigger       chan struct{}
 	unchecked     chan queuedConfig // the latest configuration, until it is checked
+	missed        chan struct{}     // configurations may have been superseded unseen
 	isStoreReader func() bool
 	pace          func() roster.Pace
 	changeSource  ChangeSource
@@ -150,7 +151,7 @@
 func New(clk clock.Clock, boot clock.BootClock, log logrus.FieldLogger, s platform.Store, l Layout) *Observer {
 	o := &Observer{
 		clk: clk, boot: boot, log: log, store: s, layout: l, items: map[string]knownItem{}, weights: map[string][]relayer.ModelVersion{},
-		feed: newFeed(), trigger: make(chan struct{}, 1), unchecked: make(chan queuedConfig, 1), isStoreReader: func() bool { return true },
+		feed: newFeed(), trigger: make(chan struct{}, 1), unchecked: make(chan queuedConfig, 1), missed: make(chan struct{}, 1), isStoreReader: func() bool { return true },
 		pace: func() roster.Pace { return roster.New(nil).Pace("") },
 	}
 	o.snapshot.Store(&Snapshot{Roster: roster.New(nil)})
@@ -204,6 +205,7 @@
 	g.Go(func() error { return o.poll(ctx) })
 	g.Go(func() error { return o.watch(ctx) })
 	g.Go(func() error { o.checkConfigs(ctx); return nil })
+	g.Go(func() error { o.catchUp(ctx); return nil })
 	return g.Wait()
 }
 
@@ -249,7 +251,6 @@
 	if err != nil {
 		return err
 	}
-	o.readSuperseded(ctx, r.items)
 	o.applyRead(r, sent, stale)
 	return nil
 }
@@ -263,7 +264,6 @@
 	if err != nil {
 		return err
 	}
-	o.readSuperseded(ctx, r.items)
 	o.applyChanges(r.items)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -271,6 +271,7 @@
 	if o.catalog == nil {
 		return nil
 	}
+	o.noticeMissed()
 	o.proof = o.proof.WithProof(o.catalog.Version, sent)
 	o.feed.wantedConfig = min(o.feed.wantedConfig, o.catalog.Version)
 	return nil
@@ -335,6 +336,7 @@
 	}
 	o.publish()
 	o.isolated = o.isolated.WithHistory(o.configRevision(), r.first) // no configuration came after it
+	o.noticeMissed()
 }
 
 // endOutage ends an outage of the store, if there was one. Upstreams that are missing
--- a/internal/observer/superseded.go
+++ b/internal/observer/superseded.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"strings"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/platform"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -12,55 +16,73 @@
 // one between it and the one that the node had before must not be forgotten, so the store's
 // history is read as well.
 
+// historyRetryDelay is the delay after a failed read of the history.
+const historyRetryDelay = 500 * time.Millisecond
+
 // configRevision returns the revision of the configuration in force, 0 without one. o.mu must
 // be held.
 func (o *Observer) configRevision() uint64 {
-	_, k := o.configItem()
-	return k.revision
+	for _, k := range o.items {
+		if _, ok := k.record.(*traffic.Catalog); ok {
+			return k.revision
+		}
+	}
+	return 0
 }
 
-func (o *Observer) configItem() (key string, k knownItem) {
-	for key, k := range o.items {
-		if _, ok := k.record.(*traffic.Catalog); ok {
-			return key, k
+// catchUp reads the store's history whenever configurations may have been superseded before the node
+// has seen them, until ctx ends. It holds up no other read.
+func (o *Observer) catchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.missed:
+		}
+		for ctx.Err() == nil && !o.readHistory(ctx) {
+			clock.Sleep(ctx, o.clk, historyRetryDelay)
 		}
 	}
-	return "", knownItem{}
 }
 
-// readSuperseded reads the configurations that were superseded before the node has seen them, if items
-// has a newer one. An error is no problem: the node then doesn't know all names, which the next
-// read may change.
-func (o *Observer) readSuperseded(ctx context.Context, items []platform.Item) {
-	since, missing := o.supersededSince(items)
+// readHistory reads the changes since the node last knew all isolated workspaces. It returns false
+// if another try may tell them.
+func (o *Observer) readHistory(ctx context.Context) bool {
+	since, missing := o.missedSince()
 	if !missing {
-		return
+		return true
 	}
 	p, err := o.store.Watch(ctx, platform.LineFleet, o.layout.OperatorPrefix, since, 0)
 	if err != nil {
 		o.log.WithError(err).WithField("event", "historyUnread").Info("failed to read which configurations were superseded")
-		return
+		return errors.Is(err, platform.Compacted)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.applyHistory(p, since)
+	o.publish()
+	return true
 }
 
-// supersededSince returns the revision up to which the node has seen all configurations, and whether
+// missedSince returns the revision up to which the node has seen all configurations, and whether
 // some after it may be missing.
-func (o *Observer) supersededSince(items []platform.Item) (since uint64, missing bool) {
+func (o *Observer) missedSince() (since uint64, missing bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if since = o.isolated.CompleteTo(); since == 0 {
-		return 0, false
+	since = o.isolated.CompleteTo()
+	return since, since > 0 && !o.isolated.Complete()
+}
+
+// noticeMissed wakes catchUp if a read may have missed configurations. Nodes that follow a store reader
+// learn from it what they have missed. o.mu must be held.
+func (o *Observer) noticeMissed() {
+	if o.isolated.CompleteTo() == 0 || o.isolated.Complete() {
+		return
 	}
-	config, _ := o.configItem()
-	for _, it := range items {
-		if it.Key == config && it.Revision > since {
-			return since, true
-		}
+	select {
+	case o.missed <- struct{}{}:
+	default:
 	}
-	return since, false
 }
 
 // applyHistory records the workspaces that the configurations in p isolated. p has all changes
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -35,6 +35,7 @@
 	// record, oldest first.
 	unstored []string
 	config   uint64 // the configuration in force
+	members  string // digest of the workspaces that it doesn't isolate
 	// completeTo is the position up to which the node knows all names of the epoch, 0 if
 	// some may be missing at any.
 	completeTo uint64
@@ -52,7 +53,7 @@
 // workspaces.
 func (r Recorder) WithWorkspaces(config uint64, workspaces []traffic.Workspace) Recorder {
 	before := r.isolated
-	r.config, r.isolated = config, isolatedNames(workspaces)
+	r.config, r.isolated, r.members = config, isolatedNames(workspaces), scoper.Members(workspaces)
 	unstored := without(r.unstored, r.isolated)
 	return r.withUnstored(append(unstored, without(without(before, r.isolated), r.stored)...))
 }
@@ -83,7 +84,7 @@
 // epoch that the store has lost, to write them again.
 func (r Recorder) WithStored(s Stored) Recorder {
 	if s.Epoch.ID == 0 {
-		s.Epoch.ID = r.epoch.ID // the record is lost
+		s.Epoch.ID, s.Epoch.Members = r.epoch.ID, r.epoch.Members // the record is lost
 	}
 	if s.Epoch.ID != r.epoch.ID {
 		r.stored, r.unstored, r.completeTo = nil, nil, 0
@@ -149,7 +150,7 @@
 	if len(r.unstored) > 0 {
 		past = slices.Concat(r.stored, r.unstored)
 	}
-	return scoper.History{Epoch: r.epoch.ID, Past: past, Complete: r.Complete()}
+	return scoper.History{Epoch: r.epoch.ID, Past: past, Complete: r.Complete(), Members: r.epoch.Members}
 }
 
 // Next returns what the store should hold, and whether that differs from what it has. Nothing
@@ -168,10 +169,13 @@
 	if !recorded && r.epoch.Config > r.config {
 		return Stored{}, false // the writer of the record knows more
 	}
-	next = Stored{Names: r.names(past), Readable: true, Epoch: traffic.CacheEpoch{ID: r.epoch.ID, Config: r.config}}
+	next = Stored{Names: r.names(past), Readable: true, Epoch: traffic.CacheEpoch{ID: r.epoch.ID, Config: r.config, Members: r.epoch.Members}}
 	if recorded {
 		next.Epoch.Config = max(r.epoch.Config, r.config)
 	}
+	if next.Epoch.Config == r.config && r.members != next.Epoch.Members {
+		next.Epoch.Members = ""
+	}
 	next.Epoch.NamesHash = hash(next.Names)
 	return next, !recorded || next.Epoch.Config != r.epoch.Config || !slices.Equal(next.Names, r.stored)
 }
@@ -185,7 +189,7 @@
 		r.stored, r.unstored, past = nil, nil, nil
 	}
 	names := r.names(past)
-	return Stored{Names: names, Readable: true, Epoch: traffic.CacheEpoch{ID: id, Config: r.config, NamesHash: hash(names)}}
+	return Stored{Names: names, Readable: true, Epoch: traffic.CacheEpoch{ID: id, Config: r.config, NamesHash: hash(names), Members: r.members}}
 }
 
 // names returns the names to record: those in past, and of the isolated ones as many as there
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -35,7 +35,8 @@
 func recorded(config uint64, names ...string) recorder.Stored {
 	var r recorder.Recorder
 	s := r.WithWorkspaces(config, isolated(names...)).NextEpoch(epoch)
-	return recorder.Stored{Names: names, Readable: true, Epoch: traffic.CacheEpoch{ID: epoch, Config: config, NamesHash: s.Epoch.NamesHash}}
+	s.Names = names
+	return s
 }
 
 // started returns the Recorder of a node that started with the configuration at 10, which isolates
@@ -132,6 +133,20 @@
 	}
 }
 
+// Guards against shared parts that are cold once more when the workspaces are again those of the
+// beginning of the epoch.
+func TestMembersOfEpochStayChanged(t *testing.T) {
+	r := started(nil, nil)
+	before := r.History().Members
+	added := append(isolated(), traffic.Workspace{Name: "new"})
+	next, _ := r.WithWorkspaces(20, added).WithHistory(10, 20).Next(newEpoch)
+	r = r.WithWorkspaces(20, added).WithHistory(10, 20).WithStored(next).WithWorkspaces(30, isolated()).WithHistory(20, 30)
+	again, _ := r.Next(newEpoch)
+	if before == "" || next.Epoch.Members != "" || again.Epoch.Members != "" {
+		t.Errorf("members %q, then %q and %q", before, next.Epoch.Members, again.Epoch.Members)
+	}
+}
+
 // Guards against a node that is behind and takes back what another one has recorded.
 func TestRecordOfLaterConfigurationStays(t *testing.T) {
 	r := started(nil, nil).WithSuperseded(isolated("b")).WithStored(recorded(20))
--- a/pkg/scoper/scoper.go
+++ b/pkg/scoper/scoper.go
@@ -33,31 +33,39 @@
 	Past []string
 	// Complete is set if Past lacks no name that the configuration in force doesn't isolate.
 	Complete bool
+	// Members is the digest of the workspaces that have shared parts since the epoch began;
+	// empty if these have changed.
+	Members string
 }
 
 // Equal reports whether h and other are the same.
 func (h History) Equal(other History) bool {
-	return h.Epoch == other.Epoch && h.Complete == other.Complete && slices.Equal(h.Past, other.Past)
+	return h.Epoch == other.Epoch && h.Complete == other.Complete && h.Members == other.Members && slices.Equal(h.Past, other.Past)
 }
 
 // Scoper returns the cache scopes of one configuration. It is an immutable value.
 type Scoper struct{ shared string }
 
-// New returns the Scoper of a configuration with the given workspaces.
+// New returns the Scoper of a configuration with the given workspaces. There are two names for the
+// shared scope, neither of which holds a part of a workspace that is isolated while it is used:
 //
-// The shared scope is named after the workspaces that were isolated during the epoch and
-// aren't listed as shared, so that it holds no part of theirs: whoever uses a scope isn't in
-// its set. That holds for nodes that learn of a change at different times.
+//   - One has the workspaces that use the scope. It needs no history, but each workspace that
+//     is added or removed makes all shared parts cold. It serves until that happens in an
+//     epoch, and whenever the history isn't complete.
+//   - The other has the epoch and the workspaces that were isolated in it and aren't listed as
+//     shared. A workspace in that set never uses the scope.
 //
-// If the history isn't complete, the shared scope is named after the workspaces that use it.
-// That needs no history, but each workspace that is added or removed makes shared parts cold.
+// Both hold for nodes that learn of a change at different times.
 func New(workspaces []traffic.Workspace, h History) Scoper {
-	if !h.Complete {
-		return Scoper{shared: membersPrefix + digest(0, sharing(workspaces))}
+	if members := Members(workspaces); !h.Complete || h.Members == members {
+		return Scoper{shared: membersPrefix + members}
 	}
 	return Scoper{shared: sharedPrefix + digest(h.Epoch, excluded(workspaces, h.Past))}
 }
 
+// Members returns the digest of the workspaces that aren't isolated.
+func Members(workspaces []traffic.Workspace) string { return digest(0, sharing(workspaces)) }
+
 // sharing returns the names of the workspaces that aren't isolated.
 func sharing(workspaces []traffic.Workspace) []string {
 	var names []string
--- a/pkg/scoper/scoper_test.go
+++ b/pkg/scoper/scoper_test.go
@@ -242,6 +242,8 @@
 		"removed one that returns as shared":   {none.Scope(nil), scoper.New([]traffic.Workspace{shared, {Name: "a"}}, known("a")).Scope(nil), true},
 		"workspace named like a shared scope":  {one.Scope(nil), one.Scope(&traffic.Workspace{Name: one.Scope(nil), Isolated: true}), false},
 		"another epoch":                        {none.Scope(nil), scoper.New([]traffic.Workspace{shared}, scoper.History{Epoch: 2, Complete: true}).Scope(nil), false},
+		"no workspace has changed":             {incomplete.Scope(nil), scoper.New([]traffic.Workspace{shared}, scoper.History{Epoch: 1, Complete: true, Members: scoper.Members([]traffic.Workspace{shared})}).Scope(nil), true},
+		"a workspace has changed":              {none.Scope(nil), scoper.New([]traffic.Workspace{shared}, scoper.History{Epoch: 1, Complete: true, Members: scoper.Members(nil)}).Scope(nil), true},
 		"names may be missing":                 {none.Scope(nil), incomplete.Scope(nil), false},
 		"names may be missing, another member": {incomplete.Scope(nil), scoper.New([]traffic.Workspace{shared, {Name: "a"}}, scoper.History{}).Scope(nil), false},
 		"names may be missing, an isolated":    {incomplete.Scope(nil), scoper.New([]traffic.Workspace{shared, own("a")}, scoper.History{}).Scope(nil), true},
--- a/pkg/traffic/isolation.go
+++ b/pkg/traffic/isolation.go
@@ -18,6 +18,9 @@
 	Config uint64
 	// NamesHash is the hash of that list.
 	NamesHash uint64
+	// Members is the digest of the workspaces that aren't isolated, empty if these have
+	// changed since the epoch began.
+	Members string
 	// Revision is that of the record, 0 if there is none.
 	Revision uint64
 }
