test(soak): an isolated workspace is removed at once, unseen, or before all nodes restart

Seeds that end in 18, 38, 58, 78 and 98 isolate a workspace that has left parts in the shared scope and remove it 0 to 0.6 s later: either the store is down for all nodes meanwhile, so that none sees the isolation, or all nodes are killed, or both. The removal on seeds 10, 30 and so on waits until the isolation is in force, which the product before needed.

--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -156,8 +156,15 @@
 	}
 	// WallChanged isolates a workspace, or ends its isolation.
 	WallChanged struct{ Workspace int }
-	// WallRemoved isolates a workspace and removes it, with its keys, once that is in force.
-	WallRemoved struct{ Workspace int }
+	// WallRemoved isolates a workspace and removes it, with its keys: once that is in force, or,
+	// where After is set, that much later. Nodes that are killed restart between; where Unseen is set,
+	// no node can read the store between.
+	WallRemoved struct {
+		Workspace int
+		After     time.Duration
+		Killed    []int
+		Unseen    bool
+	}
 	// Reload sends SIGHUP to a node.
 	Reload struct{ Node int }
 	// LimitsChanged replaces what callers may send, and how long they may stay idle.
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -64,6 +64,10 @@
 	minWalls = 3
 	// removalSpan is the time in which a workspace becomes isolated that is then removed.
 	removalSpan = time.Second
+	// maxHastyTime is the longest time for which a workspace is isolated that is removed at
+	// once, and hastyDelay the time in which it leaves parts before.
+	maxHastyTime = 600 * time.Millisecond
+	hastyDelay   = 3 * time.Second
 	// minChangeGap and changeGapSpread bound the time between two changes in a series.
 	minChangeGap, changeGapSpread = 50 * time.Millisecond, 400 * time.Millisecond
 	// maxIdleSpread and maxBodySpread limit the random parts of limits for callers.
@@ -98,6 +102,9 @@
 	// removals draws the isolated workspace that is removed. It is nil for nineteen seeds of
 	// twenty.
 	removals *rand.Rand
+	// hasty draws an isolated workspace that is removed at once. It is nil for nineteen seeds of
+	// twenty.
+	hasty *rand.Rand
 	// changes draws a series of changes and large bodies. It is nil for eight seeds of ten.
 	changes *rand.Rand
 	// surges draws a Surge. It is nil for nineteen seeds of twenty.
@@ -118,6 +125,9 @@
 	if seed%20 == 10 {
 		p.removals = source(0x50ac)
 	}
+	if seed%20 == 18 {
+		p.hasty = source(0x50ad)
+	}
 	switch seed % 10 {
 	case 6:
 		p.walls = source(0x50a8)
@@ -174,6 +184,9 @@
 		at := startupTime + time.Duration(p.removals.Int64N(int64(removalSpan)))
 		out = append(out, Step{At: at, Fault: WallRemoved{Workspace: 1 + 2*p.removals.IntN(p.opts.Keys/2)}})
 	}
+	if p.hasty != nil {
+		out = append(out, p.drawHastyRemoval())
+	}
 	if p.lone != nil {
 		at := startupTime + time.Duration(p.lone.Int64N(int64(poisonStartSpan)))
 		out = append(out, Step{At: at, Fault: LonePoison{Route: p.lone.IntN(p.opts.PlainRoutes), For: p.opts.Length - at}})
@@ -194,6 +207,17 @@
 	return out
 }
 
+// drawHastyRemoval draws an isolated workspace that some nodes never see, or don't remember.
+func (p *Planner) drawHastyRemoval() Step {
+	f := WallRemoved{Workspace: 1 + 2*p.hasty.IntN(p.opts.Keys/2), After: 1 + time.Duration(p.hasty.Int64N(int64(maxHastyTime)))}
+	if f.Unseen = p.hasty.IntN(2) == 0; !f.Unseen || p.hasty.IntN(3) == 0 {
+		for i := range p.opts.Nodes {
+			f.Killed = append(f.Killed, i)
+		}
+	}
+	return Step{At: startupTime + hastyDelay + time.Duration(p.hasty.Int64N(int64(removalSpan))), Fault: f}
+}
+
 // drawSurge draws a surge of 6 to 9 times the ordinary demand, of which the limit is 1.8 times.
 func (p *Planner) drawSurge() Step {
 	rate := float64(30 + p.surges.IntN(30))
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -115,7 +115,7 @@
 		s.mu.Unlock()
 		s.reconfigure()
 	case planner.WallRemoved:
-		s.runAsync(func() { s.removeIsolated(ctx, f.Workspace) })
+		s.runAsync(func() { s.removeIsolated(ctx, f) })
 	case planner.Reload:
 		s.reload(s.nodes[f.Node])
 	case planner.LimitsChanged, planner.TimeLimitsChanged, planner.WorkspaceChanged, planner.RoutesAdded:
@@ -189,19 +189,27 @@
 	s.mu.Unlock()
 }
 
-// removeIsolated isolates a workspace, and removes it from the configuration once every
-// node that can read the store has had time to take the isolation. Its key is revoked with
-// it. If half of the keys are revoked already, the workspace stays.
-func (s *Soaker) removeIsolated(ctx context.Context, i int) {
+// unseenMargin covers the two writes of a workspace that no node sees isolated.
+const unseenMargin = 200 * time.Millisecond
+
+// removeIsolated isolates a workspace and removes it from the configuration, as f says. Its key is
+// revoked with it. If half of the keys are revoked already, the workspace stays.
+func (s *Soaker) removeIsolated(ctx context.Context, f planner.WallRemoved) {
+	i := f.Workspace
+	if f.Unseen {
+		s.injectStoreFault(ctx, planner.All, metastore.Faults{Down: true}, f.After+unseenMargin)
+	}
 	s.mu.Lock()
 	s.wallChanged[i] = i%2 != 0 // isolated
 	s.mu.Unlock()
 	s.reconfigure()
 	isolated := s.clk.Now()
-	for !s.storeUndisturbedSince(s.clk.Now().Add(-Bounds().Settle)) || s.clk.Now().Sub(isolated) < Bounds().Settle {
-		if !clock.Sleep(ctx, s.clk, pollInterval) {
-			return
-		}
+	switch {
+	case f.After == 0 && !s.awaitInForce(ctx, isolated), f.After > 0 && !clock.Sleep(ctx, s.clk, f.After):
+		return
+	}
+	for _, n := range f.Killed {
+		s.runAsync(func() { s.killNode(ctx, s.nodes[n], 0) })
 	}
 	s.revokeKey(key(i))
 	s.mu.Lock()
@@ -213,6 +221,17 @@
 		Info("isolated workspace removed from the configuration")
 }
 
+// awaitInForce waits until every node that can read the store has had time to take a configuration
+// written at a time. It returns false if ctx ends first.
+func (s *Soaker) awaitInForce(ctx context.Context, written time.Time) bool {
+	for !s.storeUndisturbedSince(s.clk.Now().Add(-Bounds().Settle)) || s.clk.Now().Sub(written) < Bounds().Settle {
+		if !clock.Sleep(ctx, s.clk, pollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // storeUndisturbedSince reports whether all nodes could use the store since a time.
 func (s *Soaker) storeUndisturbedSince(from time.Time) bool {
 	s.mu.Lock()
