--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/auburnnotch/auburnnotch/internal/closer"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/config"
@@ -28,16 +30,25 @@
 func TestLateHeaderIsAnswered(t *testing.T) {
 	f := newFixture(t, config.Limits{HeaderSeconds: 0.2}, answer)
 	const begun = "POST /v1/services/orders/stock HTTP/1.1\r\nHost: h\r\n"
-	resp, body := testlib.SendParts(t, f.addr, 500*time.Millisecond, begun, "Content-Length: 0\r\n\r\n")
+	var line *logrus.Entry
+	resp, body := testlib.SendPartsAfter(t, f.addr, func() {
+		// In a process that was paused, the rest may otherwise be there before the time limit is noticed.
+		await(t, "the log line of the late header", func() bool {
+			for _, e := range f.lines.AllEntries() {
+				if e.Data["event"] == "headerUnread" {
+					line = e
+				}
+			}
+			return line != nil
+		})
+		time.Sleep(300 * time.Millisecond)
+	}, begun, "Content-Length: 0\r\n\r\n")
 	if resp == nil || resp.StatusCode != http.StatusRequestTimeout || !resp.Close || !strings.Contains(body, `"kind":"requestTimeout"`) {
 		t.Errorf("response %v, %q", resp, body)
 	}
-	for _, e := range f.lines.AllEntries() {
-		if e.Data["event"] == "headerUnread" && e.Data["bytes"] == len(begun) && fmt.Sprint(e.Data["error"]) == closer.ErrHeaderLate.Error() {
-			return
-		}
+	if line.Data["bytes"] != len(begun) || fmt.Sprint(line.Data["error"]) != closer.ErrHeaderLate.Error() {
+		t.Errorf("line of the late header: %v", line.Data)
 	}
-	t.Error("no log line of the late header")
 }
 
 // Guards against requests without an answer: the refusal of a long body was lost since the
--- a/internal/testlib/parts.go
+++ b/internal/testlib/parts.go
@@ -16,16 +16,23 @@
 // pause between them. It returns the response and its body; nil if
 // there is no whole response.
 func SendParts(t testing.TB, addr string, pause time.Duration, parts ...string) (*http.Response, string) {
+	t.Helper()
+	return SendPartsAfter(t, addr, func() { time.Sleep(pause) }, parts...)
+}
+
+// SendPartsAfter is SendParts for a test that waits for an event between the parts, which may take
+// longer if the process is paused.
+func SendPartsAfter(t testing.TB, addr string, wait func(), parts ...string) (*http.Response, string) {
 	t.Helper()
 	conn, err := net.Dial("tcp4", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 	for i, p := range parts {
 		if i > 0 {
-			time.Sleep(pause)
+			wait()
 		}
 		if p == CloseSending {
 			_ = conn.(*net.TCPConn).CloseWrite()
@@ -62,14 +69,18 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(time.Duration(pieces)*pause + 10*time.Second))
+	// Each step has a time limit of its own: the process may be paused in any of them.
+	extendDeadline := func() { _ = conn.SetDeadline(time.Now().Add(20 * time.Second)) }
+	extendDeadline()
 	_, _ = io.WriteString(conn, head)
 	for range pieces {
+		extendDeadline()
 		if _, err := conn.Write(make([]byte, pieceBytes)); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(pause)
 	}
+	extendDeadline()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
