refactor(recorder): RecordedTo in place of Recorded; the keeper's tests share the resumed node

RecordedTo is a position, as CompleteTo is; beside it stood isRecorded, which is something else. The warning of a new epoch says why it begins.

--- a/internal/isolationkeeper/keeper.go
+++ b/internal/isolationkeeper/keeper.go
@@ -138,7 +138,7 @@
 	log := k.log.WithFields(logrus.Fields{"names": len(next.Names), "epoch": next.Epoch.ID, "config": next.Epoch.Config})
 	switch {
 	case err == nil && next.Epoch.ID == newID:
-		log.WithField("event", "cacheEpochBegun").Warn("began a new cache epoch; prompts find no parts that were cached before it")
+		log.WithField("event", "cacheEpochBegun").Warn("began a new cache epoch, since it isn't known which workspaces were isolated, or they are too many to keep")
 	case err == nil:
 		log.WithField("event", "isolationsStored").Info("stored the names of isolated workspaces")
 	case errors.Is(err, platform.Conflict): // another node has written first
--- a/internal/isolationkeeper/keeper_test.go
+++ b/internal/isolationkeeper/keeper_test.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// resume lets a node that was stopped go on with what it knew, until it has the configuration.
+func (f *fleet) resume(o *observer.Observer) {
+	f.t.Helper()
+	g, ctx := errgroup.WithContext(f.t.Context())
+	ctx, cancel := context.WithCancel(ctx)
+	g.Go(func() error { return o.Run(ctx) })
+	f.t.Cleanup(func() { cancel(); _ = g.Wait() })
+	f.until("the configuration", func() bool { return o.View().Matcher.Catalog().Version == f.version })
+}
+
 func scope(o *observer.Observer) string { return o.View().Matcher.CacheScope(nil) }
 
 // Guards against WALL: a workspace that was isolated is removed, and the others find what
@@ -180,11 +190,7 @@
 	f.configure("a!", "b")
 	f.settle(writer)
 	f.configure("b")
-	g, ctx := errgroup.WithContext(t.Context())
-	ctx, cancel := context.WithCancel(ctx)
-	g.Go(func() error { return missing.Run(ctx) }) // goes on with what it knew
-	t.Cleanup(func() { cancel(); _ = g.Wait() })
-	f.until("the configuration", func() bool { return missing.View().Matcher.Catalog().Version == f.version })
+	f.resume(missing)
 	if got := scope(missing); got == before {
 		t.Errorf("shared scope %q, as before the isolation", got)
 	}
@@ -236,11 +242,7 @@
 	f.settle(writer)
 	f.configure("b")
 	f.store.Compact()
-	g, ctx := errgroup.WithContext(t.Context())
-	ctx, cancel := context.WithCancel(ctx)
-	g.Go(func() error { return missing.Run(ctx) })
-	t.Cleanup(func() { cancel(); _ = g.Wait() })
-	f.until("the configuration", func() bool { return missing.View().Matcher.Catalog().Version == f.version })
+	f.resume(missing)
 	end := f.clk.Now().Add(10 * time.Second)
 	f.never(before, missing, "ten seconds", func() bool { return f.clk.Now().After(end) })
 	f.store.refuses.Store(false)
--- a/internal/observer/feed.go
+++ b/internal/observer/feed.go
@@ -231,7 +231,7 @@
 func (o *Observer) ChangesSince(since uint64) Changes {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := Changes{Since: since, To: o.revision, Hash: o.hash, CompleteTo: o.isolated.Recorded()}
+	c := Changes{Since: since, To: o.revision, Hash: o.hash, CompleteTo: o.isolated.RecordedTo()}
 	if o.lastRead.IsZero() || since < o.feed.horizon {
 		c.Gap = true
 		return c
--- a/internal/observer/superseded.go
+++ b/internal/observer/superseded.go
@@ -109,12 +109,7 @@
 // applyWatch applies the result of a watch after a revision.
 func (o *Observer) applyWatch(p platform.Page, after uint64) {
 	o.mu.Lock()
-	complete := o.isolated.Complete()
 	o.applyHistory(p, after)
-	changed := o.isolated.Complete() != complete
-	if changed && len(p.Items) == 0 {
-		o.publish()
-	}
 	o.mu.Unlock()
 	o.applyChanges(p.Items)
 }
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -132,9 +132,9 @@
 // missing at any.
 func (r Recorder) CompleteTo() uint64 { return r.completeTo }
 
-// Recorded returns the position up to which all names are in the record or isolated by the
+// RecordedTo returns the position up to which all names are in the record or isolated by the
 // configuration in force; 0 if that isn't so at any.
-func (r Recorder) Recorded() uint64 {
+func (r Recorder) RecordedTo() uint64 {
 	if len(r.unstored) > 0 || !r.Complete() {
 		return 0
 	}
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -161,7 +161,7 @@
 }
 
 // Guards against a node whose peers rely on names that it alone knows.
-func TestRecordedIsWithoutUnstoredNames(t *testing.T) {
+func TestRecordedToIsWithoutUnstoredNames(t *testing.T) {
 	for name, c := range map[string]struct {
 		r    recorder.Recorder
 		want uint64
@@ -171,7 +171,7 @@
 		"not complete":   {started(nil, nil).WithWorkspaces(20, isolated()), 0},
 		"stored, listed": {started([]string{"a", "b"}, []string{"a"}), 10},
 	} {
-		if got := c.r.Recorded(); got != c.want {
+		if got := c.r.RecordedTo(); got != c.want {
 			t.Errorf("%s: recorded up to %d, want %d", name, got, c.want)
 		}
 	}
--- a/pkg/scoper/scoper_test.go
+++ b/pkg/scoper/scoper_test.go
@@ -89,8 +89,8 @@
 	if from.read > to.read {
 		to.names, to.read, to.asOf = to.names.WithStored(m.storedAt(from)), from.read, from.asOf
 	}
-	if position(to.version) <= from.names.Recorded() && to.read <= from.read {
-		to.names = to.names.WithCompleteTo(from.names.Recorded())
+	if position(to.version) <= from.names.RecordedTo() && to.read <= from.read {
+		to.names = to.names.WithCompleteTo(from.names.RecordedTo())
 	}
 }
 
