fix(observer): a node that lacks a configuration doesn't count its isolated workspaces as known

A configuration that is too large for a datagram isn't in what a store reader sends. A node that asked again before it had read it from the store took over the reader's statement that all names are known, which refers to the configuration that it lacked. If it then read one after that, a workspace that was isolated only in the one between could be missing.

Change: the statement counts once the node has read what was omitted.

Test: internal/feeder TestNodeWithoutTheConfigurationKnowsNotAll, red before (knows all up to 1 << 40).

--- a/internal/feeder/completeness_test.go
+++ b/internal/feeder/completeness_test.go
@@ -85,3 +85,19 @@
 		}
 	})
 }
+
+// Guards against WALL: a node that hasn't got a configuration, since it is too large for a datagram, counted
+// the workspaces that it isolates as known.
+func TestNodeWithoutTheConfigurationKnowsNotAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRecordedFleet(t, 4)
+		const later = 1 << 40
+		obs := f.obs[2]
+		d, _ := f.obs[0].Digest()
+		obs.ReceiveChanges("n0", observer.Changes{Since: d.Revision, To: d.Revision + 1, Hash: d.Hash, OperatorsOmitted: true})
+		obs.ReceiveChanges("n0", observer.Changes{Since: d.Revision + 1, To: d.Revision + 1, Hash: d.Hash, CompleteTo: later})
+		if got := obs.Snapshot().Isolations.CompleteTo(); got >= later {
+			t.Errorf("knows all up to %d", got)
+		}
+	})
+}
--- a/internal/observer/superseded.go
+++ b/internal/observer/superseded.go
@@ -123,8 +123,8 @@
 			epoch = e.Revision
 		}
 	}
-	// The sender has the same configuration and the same epoch.
-	if c.CompleteTo > 0 && o.configRevision() <= c.CompleteTo && epoch <= c.To {
+	// The sender has the same configuration, unless it was too large to be sent, and the same epoch.
+	if c.CompleteTo > 0 && !o.feed.operatorsOmitted && o.configRevision() <= c.CompleteTo && epoch <= c.To {
 		o.isolated = o.isolated.WithCompleteTo(c.CompleteTo)
 	}
 }
