test(isolationkeeper): the tests of missed isolations begin where the history matters

Since the shared scope is named after its workspaces until these change, so that a removed workspace changed the name whether the history was right or not. The tests now add a workspace first (share).

--- a/internal/isolationkeeper/keeper_test.go
+++ b/internal/isolationkeeper/keeper_test.go
@@ -129,6 +129,21 @@
 	f.until("the configuration", func() bool { return o.View().Matcher.Catalog().Version == f.version })
 }
 
+// share adds a workspace, so that the shared scope is no longer named after the workspaces that use
+// it, lets a and b leave parts in it, and returns it.
+func (f *fleet) share(nodes ...*observer.Observer) string {
+	f.t.Helper()
+	f.settle(nodes...)
+	f.configure("a", "b", "c")
+	f.settle(nodes...)
+	for _, o := range nodes {
+		if h := o.Snapshot().Isolations.History(); !h.Complete || h.Members != "" {
+			f.t.Fatalf("history %+v beside an added workspace", h)
+		}
+	}
+	return scope(nodes[0])
+}
+
 func scope(o *observer.Observer) string { return o.View().Matcher.CacheScope(nil) }
 
 // Guards against WALL: a workspace that was isolated is removed, and the others find what
@@ -141,13 +156,12 @@
 			f.configure("a", "b")
 			writer, stopWriter := f.start(true)
 			reader, stopReader := f.start(false)
-			f.settle(writer, reader)
-			before := scope(writer)
+			before := f.share(writer, reader)
 			f.store.refuses.Store(refuses)
-			f.configure("a!", "b")
+			f.configure("a!", "b", "c")
 			f.settle(writer, reader)
 			isolated := scope(writer)
-			f.configure("b")
+			f.configure("b", "c")
 			f.settle(writer, reader)
 			if got := []string{scope(writer), scope(reader)}; isolated == before || got[0] != isolated || got[1] != isolated {
 				t.Errorf("shared scope %q before the isolation, %q during it, then %q", before, isolated, got)
@@ -160,15 +174,12 @@
 			if got := scope(writer); got != isolated {
 				t.Errorf("shared scope of a node that started since is %q, want %q", got, isolated)
 			}
-			f.configure("b", "a")
-			f.settle(writer)
-			returned := scope(writer)
-			f.configure("b", "a", "c")
+			f.configure("b", "c", "a")
 			f.settle(writer)
-			if got := scope(writer); got != returned || got == isolated {
-				t.Errorf("shared scope after the workspace returned is %q, and %q beside another one", returned, got)
+			if got := scope(writer); got != before {
+				t.Errorf("shared scope after the workspace returned to it is %q, want %q", got, before)
 			}
-			f.configure("b")
+			f.configure("b", "c")
 			f.settle(writer)
 			if got := scope(writer); got != isolated {
 				t.Errorf("shared scope after the workspace was removed again is %q, want %q", got, isolated)
@@ -178,21 +189,23 @@
 }
 
 // Guards against a node that takes the configuration after the next one without the one
-// between them: it learns of the isolated workspace from the store.
+// between them: it learns of the isolated workspace from the store's list, or from its history.
 func TestNodeThatMissedTheIsolationLearnsOfIt(t *testing.T) {
-	f := newFleet(t)
-	f.configure("a", "b")
-	missing, stop := f.start(false)
-	writer, _ := f.start(true)
-	f.settle(writer, missing)
-	stop()
-	before := scope(missing)
-	f.configure("a!", "b")
-	f.settle(writer)
-	f.configure("b")
-	f.resume(missing)
-	if got := scope(missing); got == before {
-		t.Errorf("shared scope %q, as before the isolation", got)
+	for name, refuses := range map[string]bool{"list": false, "history": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure("a", "b")
+			missing, stop := f.start(false)
+			writer, _ := f.start(true)
+			before := f.share(missing, writer)
+			stop()
+			f.store.refuses.Store(refuses)
+			f.configure("a!", "b", "c")
+			f.settle(writer)
+			f.configure("b", "c")
+			f.resume(missing)
+			f.never(before, missing, "the name", func() bool { return scope(missing) == scope(writer) })
+		})
 	}
 }
 
@@ -213,12 +226,11 @@
 	f := newFleet(t)
 	f.configure("a", "b")
 	writer, _ := f.start(true)
-	f.settle(writer)
-	before := scope(writer)
+	before := f.share(writer)
 	f.store.refuses.Store(true)
-	f.configure("a!", "b")
+	f.configure("a!", "b", "c")
 	f.settle(writer)
-	f.configure("b")
+	f.configure("b", "c")
 	f.settle(writer)
 	late, _ := f.start(false)
 	end := f.clk.Now().Add(10 * time.Second)
@@ -234,13 +246,12 @@
 	f.configure("a", "b")
 	missing, stop := f.start(false)
 	writer, _ := f.start(true)
-	f.settle(writer, missing)
+	before := f.share(missing, writer)
 	stop()
-	before := scope(missing)
 	f.store.refuses.Store(true)
-	f.configure("a!", "b")
+	f.configure("a!", "b", "c")
 	f.settle(writer)
-	f.configure("b")
+	f.configure("b", "c")
 	f.store.Compact()
 	f.resume(missing)
 	end := f.clk.Now().Add(10 * time.Second)
@@ -255,14 +266,13 @@
 	f := newFleet(t)
 	f.configure("a", "b")
 	writer, stop := f.start(true)
-	f.settle(writer)
-	before := scope(writer)
+	before := f.share(writer)
 	f.store.refuses.Store(true)
-	f.configure("a!", "b")
+	f.configure("a!", "b", "c")
 	f.settle(writer)
 	stop()
 	f.store.refuses.Store(false)
-	f.configure("b")
+	f.configure("b", "c")
 	late, _ := f.start(true)
 	end := f.clk.Now().Add(10 * time.Second)
 	f.never(before, late, "ten seconds", func() bool { return f.clk.Now().After(end) })
--- a/internal/observer/superseded_test.go
+++ b/internal/observer/superseded_test.go
@@ -16,6 +16,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/observer"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/scoper"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -82,7 +83,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = b.obs.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	b.until("the record", func() bool { return b.obs.Snapshot().Isolations.Complete() })
+	b.until("the record", func() bool { return b.obs.View() != nil && b.obs.Snapshot().Isolations.Complete() })
 	return b, store
 }
 
@@ -101,9 +102,14 @@
 			b.store.Set("ops/config", "3 b")
 			b.until("the configuration", func() bool { return b.configVersion() == 3 })
 			b.until("the history", func() bool { return b.obs.Snapshot().Isolations.Complete() })
-			if h := b.obs.Snapshot().Isolations.History(); !slices.Equal(h.Past, []string{"a"}) || b.obs.View().Matcher.CacheScope(nil) == before {
-				t.Errorf("history %+v, shared scope %q", h, b.obs.View().Matcher.CacheScope(nil))
+			h := b.obs.Snapshot().Isolations.History()
+			if !slices.Equal(h.Past, []string{"a"}) {
+				t.Errorf("history %+v", h)
 			}
+			b.until("the scope of the history", func() bool {
+				got := b.obs.View().Matcher.CacheScope(nil)
+				return got != before && got == scoper.New([]traffic.Workspace{{Name: "b"}}, h).Scope(nil)
+			})
 		})
 	}
 }
