--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -26,6 +26,7 @@
 type fixture struct {
 	addr  string
 	up    *testlib.Upstream
+	store *kvstore.Store
 	log   *logrus.Logger
 	lines *logtest.Hook
 	stop  func() // ends the node gracefully
@@ -41,7 +42,8 @@
 // newFixture starts a node. script answers all requests but those for load reports.
 func newFixture(t *testing.T, limits config.Limits, script testlib.Script) *fixture {
 	t.Helper()
-	platform := httptest.NewServer(kvstore.New(systemclock.New()))
+	store := kvstore.New(systemclock.New())
+	platform := httptest.NewServer(store)
 	up := testlib.NewUpstream(t, func(conn net.Conn, r testlib.Received) bool {
 		if r.URL.Path == "/load" {
 			_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 54\r\n\r\n" + load))
@@ -67,7 +69,7 @@
 			t.Error(err)
 		}
 	})
-	f := &fixture{addr: s.Listen, up: up, log: log, lines: lines, stop: func() { cancel(); running.Wait() }}
+	f := &fixture{addr: s.Listen, up: up, store: store, log: log, lines: lines, stop: func() { cancel(); running.Wait() }}
 	t.Cleanup(func() {
 		f.stop()
 		platform.CloseClientConnections()
