fix(relayer): send no request whose caller has disconnected

Callers saw nothing; upstreams got and ran requests that nobody waited for any more (GONE).

Cause: the end of a caller's connection is noticed only by a goroutine of net/http that begins to read at the end of the request's body. A request that is read late, or waited for memory, is sent before that goroutine has run, and the permission to send asked the context alone.

Change: closer.Disconnected peeks at the caller's socket without waiting. The relayer asks it before each choice of an upstream and in the permission right before each write: first attempts, retries, second attempts, each after the wait for a connection or for the placement coordinator.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -132,7 +132,7 @@
 	if k == nil {
 		return
 	}
-	if tcp, ok := k.Conn.(*net.TCPConn); ok {
+	if tcp, ok := k.socket.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
 }
@@ -152,7 +152,7 @@
 		}
 		return nil, err // unwrapped, since net/http distinguishes kinds of errors
 	}
-	k := &conn{Conn: nc, closer: l.closer, since: l.closer.clk.Now()}
+	k := &conn{Conn: nc, socket: socketOf(nc), closer: l.closer, since: l.closer.clk.Now()}
 	l.closer.mu.Lock()
 	l.closer.conns[k] = struct{}{}
 	l.closer.mu.Unlock()
--- a/internal/closer/conn.go
+++ b/internal/closer/conn.go
@@ -23,6 +23,7 @@
 // conn is a tracked connection.
 type conn struct {
 	net.Conn
+	socket net.Conn // Conn, or what it wraps
 	closer *Closer
 
 	mu     sync.Mutex
@@ -145,7 +146,7 @@
 // CloseWrite closes the sending side, as net/http does before it closes a connection of which
 // it hasn't read everything.
 func (k *conn) CloseWrite() error {
-	if c, ok := k.Conn.(interface{ CloseWrite() error }); ok {
+	if c, ok := k.socket.(interface{ CloseWrite() error }); ok {
 		return errors.Trace(c.CloseWrite())
 	}
 	return nil
--- a/internal/relayer/ending.go
+++ b/internal/relayer/ending.go
@@ -13,7 +13,9 @@
 
 // callerGone reports whether the caller has closed its connection. The context also ends
 // at the deadline and at the node's shutdown deadline, of which the caller has to be told.
-func (u *relay) callerGone() bool { return errors.Is(context.Cause(u.ctx), context.Canceled) }
+func (u *relay) callerGone() bool {
+	return errors.Is(context.Cause(u.ctx), context.Canceled) || u.req.Disconnected != nil && u.req.Disconnected()
+}
 
 // endedBy returns who or what ended an attempt that failed with err, for the log.
 func (u *relay) endedBy(err error) string {
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -43,6 +43,9 @@
 	// LastEventID is the ID of the event after which a stream resumes; empty
 	// for a new stream.
 	LastEventID string
+	// Disconnected reports whether the caller has closed its connection. The request's context may
+	// end later than that. It may be nil.
+	Disconnected func() bool
 	// charge is what was charged to the workspace's limit for this attempt of the caller; nil
 	// if nothing was.
 	charge *charge
