fix(front): run no request whose caller has left before its first attempt

On serve, a request that may run once was sent although its caller had left while its claim was being written, and one that waited for memory was sent before the server's reader had seen the close (GONE).

Cause: route skipped the check for requests that aren't repeatable, since a request under way has to finish for the sake of the ledger; but one that is routed hasn't run. The other checks asked the context alone, and could not reach the socket behind netutil.LimitListener.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -96,6 +96,11 @@
 		r.handle(dispatcher.Refused{Attempt: r.send.Attempt})
 		return
 	}
+	if r.callerGone() { // while the request waited for permission to run
+		r.endRun(scheduler.Result{Refused: true})
+		r.handleRefusal()
+		return
+	}
 	ctx := r.ctx
 	if !r.job.repeatable {
 		ctx = context.WithoutCancel(ctx)
@@ -116,11 +121,11 @@
 
 // handleRefusal ends an attempt that the upstream did not run.
 func (r *runner) handleRefusal() {
-	if r.ctx.Err() != nil && r.job.repeatable {
+	if r.job.repeatable && r.callerGone() {
 		r.handle(dispatcher.CallerGone{})
 		return
 	}
-	r.handle(dispatcher.Refused{Attempt: r.send.Attempt})
+	r.handle(dispatcher.Refused{Attempt: r.send.Attempt}) // before it is routed again, the caller is checked
 }
 
 // handleBroken ends an attempt that may have run and whose response is missing,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,7 +80,7 @@
 	return &Front{
 		clk: deps.Clock, log: deps.Log, meter: deps.Meter, memory: deps.Memory, config: deps.Config, members: deps.Members, sched: deps.Scheduler, isolator: deps.Isolator,
 		ledger: deps.Ledger, upstreams: deps.Upstreams, hinter: deps.Hinter, selector: deps.Selector, drainer: deps.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
-		listener: netutil.LimitListener(ln, s.Limits.Connections),
+		listener: netutil.LimitListener(closer.Expose(ln), s.Limits.Connections),
 	}, nil
 }
 
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburnnotch/auburnnotch/internal/catalog"
+	"github.com/auburnnotch/auburnnotch/internal/closer"
 	"github.com/auburnnotch/auburnnotch/internal/hinter"
 	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
@@ -161,6 +162,9 @@
 	}
 }
 
+// callerGone reports whether the caller has closed its connection.
+func (r *runner) callerGone() bool { return r.ctx.Err() != nil || closer.Disconnected(r.ctx) }
+
 func (r *runner) enqueue() {
 	j := r.job
 	ctx, cancel := context.WithDeadline(r.ctx, j.deadline)
@@ -171,7 +175,7 @@
 		Rate: float64(j.workspace.TokensPerSecond), Burst: float64(j.workspace.BurstTokens),
 	})
 	switch {
-	case r.ctx.Err() != nil:
+	case r.callerGone():
 		r.handle(dispatcher.CallerGone{})
 	case err != nil:
 		r.handle(dispatcher.Tick{})
@@ -200,7 +204,7 @@
 }
 
 func (r *runner) claim() {
-	if r.ctx.Err() != nil {
+	if r.callerGone() {
 		r.handle(dispatcher.CallerGone{})
 		return
 	}
@@ -211,7 +215,7 @@
 }
 
 func (r *runner) route(a dispatcher.Route) {
-	if r.ctx.Err() != nil && r.job.repeatable {
+	if r.callerGone() { // a request that runs at most once hasn't run, since it would not be routed again
 		r.handle(dispatcher.CallerGone{})
 		return
 	}
