fix(relayer): keep to the rates that upstreams name, all nodes together

Upstreams in need got as many requests as before they had said how many a second they take (LIMIT).

Cause: Server-Limit was read nowhere.

A second limiter.Limiter has a bucket for each such upstream, and the first aggregator decides about each request to it, over the granter; a node that no aggregator answers uses its part of the rate. First attempts, retries and second attempts ask in the same place, once an upstream is chosen. Without room the node leaves the upstream out for the time that the bucket needs: the request goes elsewhere, or is refused at once if there is no other.

Ruled out: a part of the rate on each node alone (with 91 nodes and 1 request a second, a node could send one in 91 s); each node deciding on its own counters of all (each takes the same room until the next report).

--- a/internal/broadcaster/audience.go
+++ b/internal/broadcaster/audience.go
@@ -84,6 +84,7 @@
 	others.Loads, others.Placements, others.Tripped = nil, nil, nil
 	// A receiver that has just become an aggregator must not take the usage so far for new.
 	others.Usage, others.Samples = limiter.Report{Periods: m.Usage.Periods}, placer.Samples{}
+	others.UpstreamUsage = limiter.Report{Periods: m.UpstreamUsage.Periods}
 	others.Evidence = m.Evidence.WithoutReports()
 	// A new aggregator that doesn't hear most nodes yet would report that none is silent.
 	if !b.sendsTotals(fleet) || !b.hearsMostNodes(fleet.Nodes()) {
--- a/internal/broadcaster/broadcaster.go
+++ b/internal/broadcaster/broadcaster.go
@@ -17,6 +17,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/detector"
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -123,6 +124,11 @@
 	// Samples tell how fast engines are, from the responses since the sender's last message. Nodes have
 	// them since ProtocolUsage.
 	Samples placer.Samples
+	// UpstreamRates are the latest changes of the rates to which upstreams limit their requests,
+	// and UpstreamUsage what the sender has used of them. Nodes have both since
+	// ProtocolUpstreamRates.
+	UpstreamRates []ratetracker.Statement
+	UpstreamUsage limiter.Report
 }
 
 // Kind is the first byte of a datagram.
--- a/internal/broadcaster/golden_test.go
+++ b/internal/broadcaster/golden_test.go
@@ -11,6 +11,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/profiler"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 )
 
 func protocolOneMessage() broadcaster.Message {
@@ -194,7 +195,7 @@
 	}
 }
 
-func TestMessageOfProtocolSix(t *testing.T) {
+func protocolSixMessage() broadcaster.Message {
 	m := protocolFourMessage()
 	m.Evidence.Claims = []detector.Claim{{Rejection: 42, ID: 43, AgeMS: 44}}
 	m.Usage = limiter.Report{Periods: 50, Usage: []limiter.Usage{{Workspace: 42, Period: 43, Admitted: -44, Asked: 45, Requests: 46}}}
@@ -203,7 +204,28 @@
 		Pauses:      []profiler.PauseSample{{Upstream: 54, Output: 55, Late: true}},
 	}
 	m.Summarized, m.Shortages = true, []limiter.Shortage{{Workspace: 47, Level: -48.5, Asked: 49.5}}
-	b, err := packer.Pack(&m)
+	return m
+}
+
+// protocolSix has the fields of protocols six and seven, in their order.
+type protocolSix struct {
+	ProtocolOne
+	Evidence   detector.Evidence
+	StoreAgeMS int64
+	Usage      limiter.Report
+	Summarized bool
+	Shortages  []limiter.Shortage
+	Samples    placer.Samples
+}
+
+func earlierThanRates(m broadcaster.Message) protocolSix {
+	return protocolSix{earlier(m), m.Evidence, m.StoreAgeMS, m.Usage, m.Summarized, m.Shortages, m.Samples}
+}
+
+func TestMessageOfProtocolSix(t *testing.T) {
+	m := protocolSixMessage()
+	six := earlierThanRates(m)
+	b, err := packer.Pack(&six)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -216,3 +238,21 @@
 		t.Errorf("an earlier release reads %+v, error %v", old, err)
 	}
 }
+
+func TestMessageOfProtocolEight(t *testing.T) {
+	m := protocolSixMessage()
+	m.UpstreamRates = []ratetracker.Statement{{Upstream: 56, Rate: 57.5, AgeMS: 58}}
+	m.UpstreamUsage = limiter.Report{Periods: 59, Usage: []limiter.Usage{{Workspace: 60, Period: 61, Admitted: 62, Asked: 63, Requests: 64}}}
+	b, err := packer.Pack(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got broadcaster.Message
+	if err := packer.New(testlib.Golden(t, "protocol-8-message", b)).Unpack(&got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old protocolSix
+	if err := packer.New(b).Unpack(&old); err != nil || !reflect.DeepEqual(old, earlierThanRates(m)) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -22,7 +22,7 @@
 // fleet the workspaces in shortage. Both aggregators send them, so that the loss of one goes
 // unnoticed. In a small fleet only nodes that have just started need them.
 func (s *localState) fillLimits(m *broadcaster.Message, t *relayer.TrafficReport) {
-	m.Usage = t.Usage
+	m.Usage, m.UpstreamUsage, m.UpstreamRates = t.Usage, t.UpstreamUsage, t.UpstreamRates
 	fullMesh := s.roster().FullMesh()
 	if !t.Summarized || fullMesh && !t.Summary.NewPeer {
 		return
@@ -38,7 +38,9 @@
 func (s *localState) mergeLimits(m *broadcaster.Message) {
 	if s.receivesAll() && !m.Aggregated {
 		s.relay.MergeUsage(m.From, m.BootID, m.Usage)
+		s.relay.MergeUpstreamUsage(m.From, m.BootID, m.UpstreamUsage)
 	}
+	s.relay.MergeUpstreamRates(m.UpstreamRates)
 	if m.Summarized {
 		s.relay.FollowLimits(m.Shortages)
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -1,6 +1,6 @@
-// Package granter asks a node that knows the use of the limits of workspaces whether a request is
-// admitted, and answers such questions on that node. It is asked only for workspaces that ask for
-// more than their limit.
+// Package granter asks a node that knows the use of limits whether a request is admitted, and
+// answers such questions on that node. It is asked for workspaces that ask for more than their
+// limit, and for upstreams that limit the rate of their requests.
 package granter
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/packer"
 	"github.com/auburnnotch/auburnnotch/pkg/clock"
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -38,12 +39,17 @@
 // Decider decides about the requests of other nodes. ok is false if it can't.
 type Decider interface {
 	Grant(workspace string, cost float64) (d limiter.Decision, ok bool)
+	// GrantUpstream decides about a request to an upstream that limits its requests.
+	GrantUpstream(s ratetracker.Statement) (d limiter.Decision, ok bool)
 }
 
 type request struct {
 	Number    uint64
 	Workspace string
 	Cost      float64
+	// Statement is what the upstream has said, if the request is for one. Nodes have it since
+	// ProtocolUpstreamRates.
+	Statement ratetracker.Statement
 }
 
 type response struct {
@@ -92,7 +98,25 @@
 	aggregators := g.roster().Aggregators()
 	for i := range aggregators {
 		if g.mayAsk(&aggregators[i]) {
-			return g.askNode(ctx, &aggregators[i], workspace, cost)
+			return g.askNode(ctx, &aggregators[i], request{Workspace: workspace, Cost: cost})
+		}
+	}
+	return limiter.Decision{}, false
+}
+
+// AskUpstream returns the decision about a request to an upstream that limits its requests. All
+// nodes ask the same aggregator while it answers, and it asks itself. ok is false if none
+// answers in time.
+func (g *Granter) AskUpstream(ctx context.Context, s ratetracker.Statement) (d limiter.Decision, ok bool) {
+	aggregators := g.roster().Aggregators()
+	for i := range aggregators {
+		switch n := &aggregators[i]; {
+		case n.Name == g.self:
+			if d, ok = g.local.GrantUpstream(s); ok {
+				return d, true
+			}
+		case n.Protocol >= traffic.ProtocolUpstreamRates && g.mayAsk(n):
+			return g.askNode(ctx, n, request{Statement: s})
 		}
 	}
 	return limiter.Decision{}, false
@@ -105,11 +129,12 @@
 	return n.Name != g.self && n.Protocol >= traffic.ProtocolUsage && !g.clk.Now().Before(g.skipUntil[n.Name])
 }
 
-func (g *Granter) askNode(ctx context.Context, node *traffic.Node, workspace string, cost float64) (d limiter.Decision, ok bool) {
+func (g *Granter) askNode(ctx context.Context, node *traffic.Node, q request) (d limiter.Decision, ok bool) {
 	answers := make(chan response, 1)
 	g.mu.Lock()
 	g.last++
 	number := g.last
+	q.Number = number
 	g.waiting[number] = answers
 	g.mu.Unlock()
 	defer func() {
@@ -117,7 +142,7 @@
 		defer g.mu.Unlock()
 		delete(g.waiting, number)
 	}()
-	if err := g.transport.Send(node.Peer, broadcaster.GrantRequest, &request{Number: number, Workspace: workspace, Cost: cost}); err != nil {
+	if err := g.transport.Send(node.Peer, broadcaster.GrantRequest, &q); err != nil {
 		g.skip(node.Name)
 		return d, false
 	}
@@ -150,7 +175,13 @@
 	if !r.valid() {
 		return errors.NotValidf("grant request of cost %v", r.Cost)
 	}
-	d, ok := g.local.Grant(r.Workspace, r.Cost)
+	var d limiter.Decision
+	var ok bool
+	if r.Statement.Upstream != 0 {
+		d, ok = g.local.GrantUpstream(r.Statement)
+	} else {
+		d, ok = g.local.Grant(r.Workspace, r.Cost)
+	}
 	return g.transport.Send(from, broadcaster.GrantResponse, &response{
 		Number: r.Number, Decided: ok, OK: d.OK, RetryAfterMS: d.RetryAfter.Milliseconds(), Level: d.Level, Fraction: d.Fraction,
 	})
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -13,6 +13,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 	"github.com/auburnnotch/auburnnotch/pkg/roster"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
@@ -59,6 +60,11 @@
 	return limiter.Decision{OK: cost <= 10, RetryAfter: time.Second, Level: 5, Fraction: 0.5}, d.knows
 }
 
+// GrantUpstream admits requests to upstreams that take at least one a second.
+func (d decider) GrantUpstream(s ratetracker.Statement) (limiter.Decision, bool) {
+	return limiter.Decision{OK: s.Rate >= 1, RetryAfter: time.Second, Level: 5, Fraction: 0.5}, d.knows
+}
+
 func newLink(nodes []traffic.Node, knows bool) (*Granter, *link) {
 	l := &link{handlers: map[string]map[broadcaster.Kind]broadcaster.Handler{}, silent: map[string]bool{}, sent: map[string]int{}}
 	fleet := roster.New(nodes)
@@ -174,15 +180,22 @@
 func TestMalformedRequestGetsNoAnswer(t *testing.T) {
 	for _, cost := range []float64{math.NaN(), math.Inf(1), -1} {
 		_, l := newLink(threeNodes(traffic.CurrentProtocol), true)
-		if err := (port{l, "c"}).Send("a", broadcaster.GrantRequest, &request{1, "w", cost}); err == nil || l.sent["c"] > 0 {
+		if err := (port{l, "c"}).Send("a", broadcaster.GrantRequest, &request{Number: 1, Workspace: "w", Cost: cost}); err == nil || l.sent["c"] > 0 {
 			t.Errorf("cost %v: error %v, %d responses", cost, err, l.sent["c"])
 		}
 	}
 }
 
+// requestOfSix has the fields of protocols six and seven, in their order.
+type requestOfSix struct {
+	Number    uint64
+	Workspace string
+	Cost      float64
+}
+
 // Nodes of two releases run side by side during each upgrade.
 func TestMessagesOfProtocolSix(t *testing.T) {
-	q, a := request{1, "w", 2.5}, response{3, true, true, 4, 5.5, 0.5}
+	q, a := requestOfSix{1, "w", 2.5}, response{3, true, true, 4, 5.5, 0.5}
 	for name, m := range map[string]any{"protocol-6-grant-request": &q, "protocol-6-grant-response": &a} {
 		b, err := packer.Pack(m)
 		if err != nil {
@@ -194,3 +207,50 @@
 		}
 	}
 }
+
+func TestMessagesOfProtocolEight(t *testing.T) {
+	q := request{Number: 1, Statement: ratetracker.Statement{Upstream: 2, Rate: 3.5, AgeMS: 4}}
+	b, err := packer.Pack(&q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got request
+	if err := packer.New(testlib.Golden(t, "protocol-8-grant-request", b)).Unpack(&got); err != nil || got != q {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	var old requestOfSix
+	if err := packer.New(b).Unpack(&old); err != nil || old != (requestOfSix{Number: 1}) {
+		t.Errorf("an earlier release reads %+v, error %v", old, err)
+	}
+	q = request{}
+	if b, err = packer.Pack(&requestOfSix{1, "w", 2.5}); err != nil {
+		t.Fatal(err)
+	}
+	if err := packer.New(b).Unpack(&q); err != nil || q != (request{Number: 1, Workspace: "w", Cost: 2.5}) {
+		t.Errorf("this release reads %+v of an earlier one, error %v", q, err)
+	}
+}
+
+// Guards against LIMIT: two nodes decide about the rate of one upstream.
+func TestFirstAggregatorDecidesAboutUpstreams(t *testing.T) {
+	g, l := newLink(threeNodes(traffic.CurrentProtocol), true)
+	for rate, admitted := range map[float64]bool{1: true, 0.5: false} {
+		d, ok := g.AskUpstream(t.Context(), ratetracker.Statement{Upstream: 1, Rate: rate})
+		if !ok || d.OK != admitted {
+			t.Errorf("rate %v: decision %+v, %v", rate, d, ok)
+		}
+	}
+	if l.sent["a"] != 2 || l.sent["b"] != 0 {
+		t.Errorf("asked %v", l.sent)
+	}
+	fleet := roster.New(threeNodes(traffic.CurrentProtocol))
+	first := New(systemclock.New(), "a", func() *roster.Roster { return fleet })
+	first.Attach(port{l, "a"}, decider{true})
+	if d, ok := first.AskUpstream(t.Context(), ratetracker.Statement{Upstream: 1, Rate: 1}); !ok || !d.OK || l.sent["b"] != 0 {
+		t.Errorf("decision %+v, %v of the first aggregator itself; asked %v", d, ok, l.sent)
+	}
+	g, l = newLink(threeNodes(traffic.ProtocolUpstreamRates-1), true)
+	if _, ok := g.AskUpstream(t.Context(), ratetracker.Statement{Upstream: 1, Rate: 1}); ok || len(l.sent) > 0 {
+		t.Errorf("nodes of an earlier release were asked: %v", l.sent)
+	}
+}
--- a/internal/relayer/availability.go
+++ b/internal/relayer/availability.go
@@ -9,6 +9,7 @@
 // recordAvailability records what an upstream says in a response on whether it wants further
 // requests. Requests that are on their way stay there.
 func (u *relay) recordAvailability(a ResponseInfo) {
+	u.recordRate(a)
 	if !a.Leaving && a.TurnAway <= 0 || u.isOtherUpstream(a) {
 		return
 	}
--- a/internal/relayer/hedge.go
+++ b/internal/relayer/hedge.go
@@ -134,6 +134,9 @@
 		q = s.placementQuery()
 		v = c.reserveUpstream(&q)
 	}
+	if v == hedger.Allowed && !s.admitUpstream() {
+		v = hedger.NoUpstream
+	}
 	if v != hedger.Allowed {
 		if s.ctx.Err() == nil { // otherwise the first attempt has a response by now
 			s.r.Meter.RecordHedge(hedgeWithheld, string(v))
--- a/internal/relayer/limit.go
+++ b/internal/relayer/limit.go
@@ -107,12 +107,13 @@
 	r.limiter.SetLimits(r.Clock.Now(), limits)
 }
 
-// SetFleet sets what the limits of workspaces need to know of the fleet. It must be called before
+// SetFleet sets what the limits of workspaces and upstreams need to know of the fleet. It must be called before
 // each TakeReport.
 func (r *Relayer) SetFleet(f limiter.Fleet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.limiter.SetFleet(r.Clock.Now(), f)
+	r.upstreamLimiter.SetFleet(r.Clock.Now(), f)
 }
 
 // takeUsage returns what this node tells the others about the limits of workspaces. The relayer's
--- a/internal/relayer/pick.go
+++ b/internal/relayer/pick.go
@@ -31,8 +31,10 @@
 		q := u.placementQuery()
 		ok, budget := u.reserveUpstream(&q)
 		switch {
-		case ok:
+		case ok && u.admitUpstream():
 			return q, true
+		case ok:
+			continue // with another upstream
 		case !budget:
 			u.reason = "retry budget exhausted"
 			u.fail(failure.Overloaded)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/hedger"
 	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -88,6 +89,9 @@
 	leaving       []uint32 // for the next report
 	limiter       *limiter.Limiter
 	limitedBy     *traffic.Catalog // whose limits the limiter has
+	// upstreamRates has the rates that upstreams have named, which upstreamLimiter keeps.
+	upstreamRates   *ratetracker.Tracker
+	upstreamLimiter *limiter.Limiter
 }
 
 // New returns a Relayer without upstreams.
@@ -99,6 +103,7 @@
 	return &Relayer{
 		settings: s, Dependencies: deps, placer: pl, detector: detector.New(deps.Rand), estimator: estimator.New(),
 		limiter: limiter.New(deps.Clock.Now(), deps.Rand), retryBudgets: map[string]*budgeter.Budgeter{},
+		upstreamRates: ratetracker.New(), upstreamLimiter: limiter.New(deps.Clock.Now(), deps.Rand),
 		hedger: hedger.New(s.HedgeShare, s.RetryBudget.Window),
 		// Question numbers of earlier incarnations of this node are smaller.
 		lastQuestion: uint64(deps.Clock.Now().UnixMicro()), openQuestions: map[uint64]struct{}{},
@@ -137,6 +142,10 @@
 	Leaving []uint32
 	// Usage is what this node has used of the limits of workspaces.
 	Usage limiter.Report
+	// UpstreamRates are changes of the rates that upstreams have named, and UpstreamUsage what
+	// this node has used of them.
+	UpstreamRates []ratetracker.Statement
+	UpstreamUsage limiter.Report
 	// Summary has the workspaces in shortage. It is valid if Summarized is set, on nodes that
 	// receive all reports.
 	Summary    limiter.Summary
@@ -159,7 +168,8 @@
 	usage, summary, summarized := r.takeUsage(now)
 	return TrafficReport{
 		Usage: usage, Summary: summary, Summarized: summarized,
-		Leaving:    leaving,
+		Leaving:       leaving,
+		UpstreamRates: r.upstreamRates.Changes(now), UpstreamUsage: r.upstreamLimiter.TakeUsage(now),
 		Report:     placer.Report{Loads: r.placer.LocalLoads(now), Settled: settled, Tripped: r.placer.Tripped(now)},
 		Placements: r.placer.TakePlacements(),
 		Samples:    r.placer.TakeSamples(),
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -10,6 +10,7 @@
 	"github.com/auburnnotch/auburnnotch/pkg/matcher"
 	"github.com/auburnnotch/auburnnotch/pkg/placer"
 	"github.com/auburnnotch/auburnnotch/pkg/prover"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 	"github.com/auburnnotch/auburnnotch/pkg/traffic"
 )
 
@@ -106,6 +107,10 @@
 	// TurnAway is for how long the upstream wants no requests of this node; 0 if it
 	// doesn't say.
 	TurnAway time.Duration
+	// RateLimited reports that the upstream takes only Rate requests per second from all
+	// nodes together.
+	RateLimited bool
+	Rate        float64
 }
 
 // Dialect encodes attempts and decodes response headers in the protocol of the
@@ -172,4 +177,6 @@
 type Granter interface {
 	// Ask returns ok=false if no decision arrives in time.
 	Ask(ctx context.Context, workspace string, cost float64) (d limiter.Decision, ok bool)
+	// AskUpstream is the same for a request to an upstream that limits its requests.
+	AskUpstream(ctx context.Context, s ratetracker.Statement) (d limiter.Decision, ok bool)
 }
--- a/pkg/limiter/grant.go
+++ b/pkg/limiter/grant.go
@@ -29,6 +29,27 @@
 	return l.decide(b, t, cost), true
 }
 
+// TakeShare decides about a request by this node's part of the rate alone, for a node that no
+// aggregator answers. The parts of all registered nodes add up to the rate.
+func (l *Limiter) TakeShare(now time.Time, workspace string, cost float64) Decision {
+	b := l.byName[workspace]
+	if b == nil {
+		return Decision{OK: true, Fraction: 1}
+	}
+	t, nodes := l.seconds(now), float64(l.fleet.Nodes)
+	cost = b.charged(cost)
+	d := Decision{Fraction: 1, Level: b.takeShare(t, cost, nodes)}
+	if cost > d.Level {
+		d.Fraction = d.Level / cost
+	}
+	d.OK = d.Fraction >= 1 || l.rnd.Float64() < d.Fraction
+	l.recordUse(b, t, cost, d.OK)
+	if !d.OK {
+		d.RetryAfter = l.retryAfter((cost - d.Level) * nodes / b.rate)
+	}
+	return d
+}
+
 // decide admits a request if the bucket has room for it. Requests larger than the burst need a full
 // bucket.
 func (l *Limiter) decide(b *bucket, t, cost float64) Decision {
--- a/pkg/traffic/upstream.go
+++ b/pkg/traffic/upstream.go
@@ -101,8 +101,11 @@
 	// ProtocolCompleteness is the first protocol with the revision up to which the sender of
 	// changes knows all isolated workspaces.
 	ProtocolCompleteness = 7
+	// ProtocolUpstreamRates is the first protocol with the rates that upstreams have named, the
+	// usage of these, and decisions about single requests to such an upstream.
+	ProtocolUpstreamRates = 8
 	// CurrentProtocol is the protocol of this release.
-	CurrentProtocol = ProtocolCompleteness
+	CurrentProtocol = ProtocolUpstreamRates
 )
 
 // Leader is the node that sends orders to engines.
