--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -71,6 +71,7 @@
 	v.checkWalls()
 	v.checkLimits()
 	v.checkNotices()
+	v.checkRates()
 	for _, p := range h.Poisons {
 		v.checkPoison(p)
 	}
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -75,6 +75,8 @@
 	Aborted bool
 	// Leaving is set if the response says that the upstream is leaving.
 	Leaving bool
+	// Rate is how many requests per second the upstream says that it takes, 0 if it doesn't say.
+	Rate float64
 	// Faulty is set if the upstream had faults.
 	Faulty bool
 }
--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -117,6 +117,13 @@
 		Upstream   int
 		Pause, For time.Duration
 	}
+	// UpstreamNamesRate makes the responses of an upstream say how many requests per second it
+	// takes from all nodes.
+	UpstreamNamesRate struct {
+		Upstream int
+		Rate     float64
+		For      time.Duration
+	}
 	// UpstreamPauses holds all bytes to and from an upstream back.
 	UpstreamPauses struct {
 		Upstream int
@@ -218,6 +225,7 @@
 func (UpstreamStalls) fault()         {}
 func (UpstreamLeaves) fault()         {}
 func (UpstreamSaysLeaving) fault()    {}
+func (UpstreamNamesRate) fault()      {}
 func (UpstreamTurnsAway) fault()      {}
 func (UpstreamPauses) fault()         {}
 func (UpstreamUnframed) fault()       {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -60,6 +60,9 @@
 	minSurge, surgeSpread = 5 * time.Second, 4 * time.Second
 	// minNotices is the smallest number of upstreams in a plan that speak of themselves, if any.
 	minNotices = 3
+	// namedRates is how many upstreams name rates, and rateStartSpan the time after startupTime
+	// within which they begin.
+	namedRates, rateStartSpan = 3, time.Second
 	// minWalls is the smallest number of changes of walls in a plan with any.
 	minWalls = 3
 	// removalSpan is the time in which a workspace becomes isolated that is then removed.
@@ -99,6 +102,7 @@
 	// walls draws changed walls, lone a LonePoison, and notices what upstreams say of
 	// themselves. Each is nil for nine seeds of ten.
 	walls, lone, notices *rand.Rand
+	rates                *rand.Rand // for the rates that upstreams name
 	// removals draws the isolated workspace that is removed. It is nil for nineteen seeds of
 	// twenty.
 	removals *rand.Rand
@@ -135,6 +139,7 @@
 		p.lone = source(0x50a9)
 	case 4:
 		p.notices = source(0x50aa)
+		p.rates = source(0x4a7e)
 	case 1, 5:
 		p.changes = source(0x50ab)
 	}
@@ -200,6 +205,9 @@
 	if p.changes != nil {
 		out = append(out, p.drawSeries()...)
 	}
+	if p.rates != nil {
+		out = append(out, p.drawRates()...)
+	}
 	if p.surges != nil {
 		out = append(out, p.drawSurge())
 	}
@@ -343,6 +351,16 @@
 	return OddRegistration{Shape: up}
 }
 
+// drawRates draws upstreams that name rates, well below what they get, until the end of the soak.
+func (p *Planner) drawRates() []Step {
+	var out []Step
+	for _, up := range p.rates.Perm(p.opts.Upstreams)[:namedRates] {
+		at := startupTime + time.Duration(p.rates.Int64N(int64(rateStartSpan)))
+		out = append(out, Step{At: at, Fault: UpstreamNamesRate{Upstream: up, Rate: 0.5 + 1.5*p.rates.Float64(), For: p.opts.Length - at}})
+	}
+	return out
+}
+
 func (p *Planner) drawNotice() Fault {
 	up, d := p.notices.IntN(p.opts.Upstreams), time.Second+time.Duration(p.notices.Int64N(int64(maxDuration)))
 	if p.notices.IntN(2) == 0 {
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -88,6 +88,13 @@
 				s.drainUpstream(ctx, ep)
 			}
 		})
+	case planner.UpstreamNamesRate:
+		s.runAsync(func() {
+			server := s.endpoints[f.Upstream].current.Load().server
+			server.NameRate(f.Rate)
+			clock.Sleep(ctx, s.clk, f.For)
+			server.NameRate(0)
+		})
 	case planner.UpstreamPauses:
 		proxy := s.endpoints[f.Upstream].proxy
 		proxy.SetPaused(true)
--- a/internal/soak/soaker/upstreams.go
+++ b/internal/soak/soaker/upstreams.go
@@ -289,7 +289,7 @@
 	r.s.history.Runs = append(r.s.history.Runs, checker.Run{
 		ID: run.ID, Upstream: run.Upstream, Service: r.service, StartedAt: run.At, Workspace: run.Workspace, Method: run.Method, Target: run.Target,
 		BodyHash: run.BodyHash, Key: run.APIKey, CacheSalt: run.CacheSalt, ResumedAfter: run.LastEventID,
-		Leaving: run.Leaving, Faulty: run.Faulty, Aborted: r.inc.stopped,
+		Leaving: run.Leaving, Rate: run.Rate, Faulty: run.Faulty, Aborted: r.inc.stopped,
 	})
 }
 
