--- a/internal/closer/disconnect_test.go
+++ b/internal/closer/disconnect_test.go
@@ -84,3 +84,30 @@
 		}
 	}
 }
+
+// BenchmarkDisconnected measures the check of a connection that stays, of which a request needs
+// two or more.
+func BenchmarkDisconnected(b *testing.B) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	k := closer.New(systemclock.New())
+	s := &http.Server{ConnState: k.ConnState, ConnContext: k.ConnContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		for b.Loop() {
+			if closer.Disconnected(r.Context()) {
+				b.Error("disconnected")
+				return
+			}
+		}
+	})}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(k.Wrap(l)) })
+	defer wg.Wait()
+	defer s.Close()
+	resp, err := http.Get("http://" + l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	resp.Body.Close()
+}
