--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -59,8 +59,11 @@
 		v.requests[r.ID] = r
 		v.checkRequest(r, v.runs[r.ID])
 	}
+	left := h.hasLeft()
 	for _, run := range h.Runs {
-		if r := v.requests[run.ID]; r == nil {
+		if r := v.requests[run.ID]; left[run.ID] {
+			continue
+		} else if r == nil {
 			v.add("unasked", run.ID, "an upstream ran a request that no caller sent")
 		} else {
 			v.checkRun(r, &run)
@@ -72,6 +75,7 @@
 	v.checkLimits()
 	v.checkNotices()
 	v.checkRates()
+	v.checkLeft()
 	for _, p := range h.Poisons {
 		v.checkPoison(p)
 	}
--- a/internal/soak/checker/history.go
+++ b/internal/soak/checker/history.go
@@ -127,6 +127,9 @@
 	Requests []Request
 	Runs     []Run
 	Orders   []Order
+	// Left lists the requests whose callers have left right after sending them, which aren't in
+	// Requests.
+	Left []Left
 	// TurnAways lists the requests that upstreams rejected, asking for no more.
 	TurnAways []TurnAway
 	// RevokedAt holds the time at which each key was revoked, DrainedAt the time at
--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -117,6 +117,11 @@
 		Upstream   int
 		Pause, For time.Duration
 	}
+	// CallersLeave freezes a node, to which callers send requests meanwhile, and leave.
+	CallersLeave struct {
+		Node, Callers int
+		For           time.Duration
+	}
 	// UpstreamNamesRate makes the responses of an upstream say how many requests per second it
 	// takes from all nodes.
 	UpstreamNamesRate struct {
@@ -226,6 +231,7 @@
 func (UpstreamLeaves) fault()         {}
 func (UpstreamSaysLeaving) fault()    {}
 func (UpstreamNamesRate) fault()      {}
+func (CallersLeave) fault()           {}
 func (UpstreamTurnsAway) fault()      {}
 func (UpstreamPauses) fault()         {}
 func (UpstreamUnframed) fault()       {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -63,6 +63,10 @@
 	// namedRates is how many upstreams name rates, and rateStartSpan the time after startupTime
 	// within which they begin.
 	namedRates, rateStartSpan = 3, time.Second
+	// minLeaving is the smallest number of callers that leave, leavingStartSpan the time after
+	// startupTime within which they do, and minLeavingFreeze the shortest time after that until
+	// their node runs again.
+	minLeaving, leavingStartSpan, minLeavingFreeze = 30, 4 * time.Second, 700 * time.Millisecond
 	// minWalls is the smallest number of changes of walls in a plan with any.
 	minWalls = 3
 	// removalSpan is the time in which a workspace becomes isolated that is then removed.
@@ -102,7 +106,8 @@
 	// walls draws changed walls, lone a LonePoison, and notices what upstreams say of
 	// themselves. Each is nil for nine seeds of ten.
 	walls, lone, notices *rand.Rand
-	rates                *rand.Rand // for the rates that upstreams name
+	// rates draws the rates that upstreams name, leaving the callers that leave.
+	rates, leaving *rand.Rand
 	// removals draws the isolated workspace that is removed. It is nil for nineteen seeds of
 	// twenty.
 	removals *rand.Rand
@@ -140,6 +145,7 @@
 	case 4:
 		p.notices = source(0x50aa)
 		p.rates = source(0x4a7e)
+		p.leaving = source(0x1ea7)
 	case 1, 5:
 		p.changes = source(0x50ab)
 	}
@@ -208,6 +214,9 @@
 	if p.rates != nil {
 		out = append(out, p.drawRates()...)
 	}
+	if p.leaving != nil {
+		out = append(out, p.drawLeaving())
+	}
 	if p.surges != nil {
 		out = append(out, p.drawSurge())
 	}
@@ -351,6 +360,13 @@
 	return OddRegistration{Shape: up}
 }
 
+// drawLeaving draws callers that leave while their node is frozen.
+func (p *Planner) drawLeaving() Step {
+	return Step{At: startupTime + time.Duration(p.leaving.Int64N(int64(leavingStartSpan))), Fault: CallersLeave{
+		Node: p.leaving.IntN(p.opts.Nodes), Callers: minLeaving + p.leaving.IntN(minLeaving), For: minLeavingFreeze + time.Duration(p.leaving.Int64N(int64(minLeavingFreeze))),
+	}}
+}
+
 // drawRates draws upstreams that name rates, well below what they get, until the end of the soak.
 func (p *Planner) drawRates() []Step {
 	var out []Step
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -88,6 +88,8 @@
 				s.drainUpstream(ctx, ep)
 			}
 		})
+	case planner.CallersLeave:
+		s.runAsync(func() { s.leaveWhileFrozen(ctx, f) })
 	case planner.UpstreamNamesRate:
 		s.runAsync(func() {
 			server := s.endpoints[f.Upstream].current.Load().server
