test(orderer): nodes of the tests run in a bubble of testing/synctest

The simulated clock moved on by 20 ms for each 300 us of real time, whether or not the goroutines of the nodes had run; the lead of d over e is 400 ms of simulated time, 6 ms of real time. Beside 24 busy processes 11 of 240 runs failed. Ruled out: the order of succession itself, which the test compares on a roster that doesn't change.

Change: the fleets of the tests run in a bubble, so that the clock moves on only when all nodes wait. The limits and what is checked are the same. Tests on a store behind HTTP (late_test.go) can't run in a bubble and stay in real time.

Measured: 1,200 runs beside 24 busy processes pass. With the roster's rank in place of the order of succession the test still fails.

--- a/internal/orderer/office_test.go
+++ b/internal/orderer/office_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
@@ -95,7 +96,7 @@
 func (f *fleet) pass(d time.Duration) {
 	for end := f.clk.Now().Add(d); f.clk.Now().Before(end); {
 		f.clk.Step(20 * time.Millisecond)
-		time.Sleep(300 * time.Microsecond) // the nodes' goroutines run in real time
+		time.Sleep(300 * time.Microsecond) // the nodes run meanwhile; in a bubble until all of them wait
 	}
 }
 
@@ -119,100 +120,108 @@
 // Guards against an outage of the store after which engines get no orders for seconds, though
 // the leader's lease has not ended.
 func TestLeaderGoesOnAfterOutage(t *testing.T) {
-	f := newFleet(t)
-	before := f.lead("a")
-	f.start("b")
-	f.store.SetError(platform.Unavailable)
-	f.pass(8 * time.Second)
-	f.store.SetError(nil)
-	back := f.clk.Now()
-	order := f.next("3")
-	if d := order.at.Sub(back); d > resumption {
-		t.Errorf("first order %v after the outage, want at most %v", d, resumption)
-	}
-	if order.leader != "a" || order.token != before.token {
-		t.Errorf("order of %s with token %d, want the office of a with token %d to go on", order.leader, order.token, before.token)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		before := f.lead("a")
+		f.start("b")
+		f.store.SetError(platform.Unavailable)
+		f.pass(8 * time.Second)
+		f.store.SetError(nil)
+		back := f.clk.Now()
+		order := f.next("3")
+		if d := order.at.Sub(back); d > resumption {
+			t.Errorf("first order %v after the outage, want at most %v", d, resumption)
+		}
+		if order.leader != "a" || order.token != before.token {
+			t.Errorf("order of %s with token %d, want the office of a with token %d to go on", order.leader, order.token, before.token)
+		}
+	})
 }
 
 // Guards against an outage of the store, in which leases end, after which engines get no orders
 // for seconds, though no other node has been the leader since.
 func TestFormerLeaderNeedsNoHandoverGap(t *testing.T) {
-	f := newFleet(t)
-	before := f.lead("a")
-	f.start("b")
-	f.pass(time.Second)
-	f.store.SetError(platform.Unavailable)
-	f.pass(4 * time.Second)
-	f.store.ExpireLeases()
-	f.store.SetError(nil)
-	back := f.clk.Now()
-	order := f.next("3")
-	if d := order.at.Sub(back); d > resumption {
-		t.Errorf("first order %v after the outage, want at most %v", d, resumption)
-	}
-	if order.leader != "a" || order.token <= before.token {
-		t.Errorf("order of %s with token %d, want one of a with a token above %d", order.leader, order.token, before.token)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		before := f.lead("a")
+		f.start("b")
+		f.pass(time.Second)
+		f.store.SetError(platform.Unavailable)
+		f.pass(4 * time.Second)
+		f.store.ExpireLeases()
+		f.store.SetError(nil)
+		back := f.clk.Now()
+		order := f.next("3")
+		if d := order.at.Sub(back); d > resumption {
+			t.Errorf("first order %v after the outage, want at most %v", d, resumption)
+		}
+		if order.leader != "a" || order.token <= before.token {
+			t.Errorf("order of %s with token %d, want one of a with a token above %d", order.leader, order.token, before.token)
+		}
+	})
 }
 
 // Guards against an order of the last office that arrives after one of the next, if the lease
 // ends early.
 func TestFormerLeaderLetsItsOrdersArrive(t *testing.T) {
-	f := newFleet(t)
-	st := &reach{Store: f.store, clk: f.clk}
-	f.startWith("a", st)
-	for n := range 5 {
-		last := f.next(strconv.Itoa(n + 3))
-		f.pass(time.Duration(n) * 200 * time.Millisecond)
-		renewedAt := st.lastRenewal()
-		f.store.ExpireLeases()
-		f.until("an order of the next office", func() bool { l := f.ups.list(); return l[len(l)-1].token > last.token })
-		for _, g := range f.ups.list() {
-			if d := g.at.Sub(renewedAt); g.token > last.token && d < orderRights+orderFlight {
-				t.Errorf("order of the next office %v after the last renewal of the one before, want at least %v", d, orderRights+orderFlight)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		st := &reach{Store: f.store, clk: f.clk}
+		f.startWith("a", st)
+		for n := range 5 {
+			last := f.next(strconv.Itoa(n + 3))
+			f.pass(time.Duration(n) * 200 * time.Millisecond)
+			renewedAt := st.lastRenewal()
+			f.store.ExpireLeases()
+			f.until("an order of the next office", func() bool { l := f.ups.list(); return l[len(l)-1].token > last.token })
+			for _, g := range f.ups.list() {
+				if d := g.at.Sub(renewedAt); g.token > last.token && d < orderRights+orderFlight {
+					t.Errorf("order of the next office %v after the last renewal of the one before, want at least %v", d, orderRights+orderFlight)
+				}
 			}
 		}
-	}
+	})
 }
 
 // Guards against a former leader that skips the handover gap, though another node was the
 // leader while it couldn't reach the store, whose orders may still arrive.
 func TestOfficeThatAnotherNodeHeldNeedsHandoverGap(t *testing.T) {
 	for _, released := range []bool{false, true} {
-		f := newFleet(t)
-		f.gap = 2 * gap
-		a, b := &reach{Store: f.store}, &reach{Store: f.store}
-		f.startWith("a", a)
-		f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
-		f.pass(time.Second)
-		a.setCut(true)
-		f.pass(lease)
-		f.store.ExpireLeases()
-		_, stopB := f.startWith("b", b)
-		f.store.Set("weights", "3")
-		f.until("an order of b", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "b" })
-		if released {
-			stopB()
-		} else {
-			b.setCut(true)
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			f.gap = 2 * gap
+			a, b := &reach{Store: f.store}, &reach{Store: f.store}
+			f.startWith("a", a)
+			f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+			f.pass(time.Second)
+			a.setCut(true)
 			f.pass(lease)
 			f.store.ExpireLeases()
-		}
-		a.setCut(false)
-		f.until("an order of a", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "a" })
-		var last receivedOrder
-		for i, g := range f.ups.list() {
-			if i > 0 && g.leader != last.leader {
-				if d := g.at.Sub(last.at); d < f.gap {
-					t.Errorf("released %t: %s sent an order %v after %s", released, g.leader, d, last.leader)
-				}
-				if g.token <= last.token {
-					t.Errorf("released %t: token went from %d to %d", released, last.token, g.token)
+			_, stopB := f.startWith("b", b)
+			f.store.Set("weights", "3")
+			f.until("an order of b", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "b" })
+			if released {
+				stopB()
+			} else {
+				b.setCut(true)
+				f.pass(lease)
+				f.store.ExpireLeases()
+			}
+			a.setCut(false)
+			f.until("an order of a", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "a" })
+			var last receivedOrder
+			for i, g := range f.ups.list() {
+				if i > 0 && g.leader != last.leader {
+					if d := g.at.Sub(last.at); d < f.gap {
+						t.Errorf("released %t: %s sent an order %v after %s", released, g.leader, d, last.leader)
+					}
+					if g.token <= last.token {
+						t.Errorf("released %t: token went from %d to %d", released, last.token, g.token)
+					}
 				}
+				last = g
 			}
-			last = g
-		}
+		})
 	}
 }
 
@@ -227,29 +236,31 @@
 // Guards against a former leader that skips the handover gap, though a node of the release
 // before was the leader while it couldn't reach the store.
 func TestOfficeThatFormerReleaseHeldNeedsHandoverGap(t *testing.T) {
-	f := newFleet(t)
-	f.gap = 2 * gap
-	f.store.Set("node/a", strconv.Itoa(traffic.CurrentProtocol))
-	f.store.Set("node/b", strconv.Itoa(traffic.ProtocolEvidence))
-	a, b := &reach{Store: f.store}, &reach{Store: f.store}
-	f.startWith("a", a)
-	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
-	f.pass(time.Second)
-	a.setCut(true)
-	f.pass(lease)
-	f.store.ExpireLeases()
-	f.startWith("b", formerRelease{b})
-	f.store.Set("weights", "3")
-	f.until("an order of b", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "b" })
-	b.setCut(true)
-	f.pass(lease)
-	f.store.ExpireLeases()
-	a.setCut(false)
-	f.until("an order of a", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "a" })
-	l := f.ups.list()
-	for i := 1; i < len(l); i++ {
-		if d := l[i].at.Sub(l[i-1].at); l[i].leader != l[i-1].leader && d < f.gap {
-			t.Errorf("%s sent an order %v after %s", l[i].leader, d, l[i-1].leader)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.gap = 2 * gap
+		f.store.Set("node/a", strconv.Itoa(traffic.CurrentProtocol))
+		f.store.Set("node/b", strconv.Itoa(traffic.ProtocolEvidence))
+		a, b := &reach{Store: f.store}, &reach{Store: f.store}
+		f.startWith("a", a)
+		f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+		f.pass(time.Second)
+		a.setCut(true)
+		f.pass(lease)
+		f.store.ExpireLeases()
+		f.startWith("b", formerRelease{b})
+		f.store.Set("weights", "3")
+		f.until("an order of b", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "b" })
+		b.setCut(true)
+		f.pass(lease)
+		f.store.ExpireLeases()
+		a.setCut(false)
+		f.until("an order of a", func() bool { l := f.ups.list(); return l[len(l)-1].leader == "a" })
+		l := f.ups.list()
+		for i := 1; i < len(l); i++ {
+			if d := l[i].at.Sub(l[i-1].at); l[i].leader != l[i-1].leader && d < f.gap {
+				t.Errorf("%s sent an order %v after %s", l[i].leader, d, l[i-1].leader)
+			}
 		}
-	}
+	})
 }
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
@@ -184,7 +185,7 @@
 			return
 		}
 		f.clk.Step(20 * time.Millisecond)
-		time.Sleep(300 * time.Microsecond) // the nodes' goroutines run in real time
+		time.Sleep(300 * time.Microsecond) // the nodes run meanwhile; in a bubble until all of them wait
 	}
 	f.t.Fatalf("%s didn't happen within a minute", what)
 }
@@ -192,70 +193,76 @@
 // Guards against orders of two leaders within the handover gap, which engines
 // that check no fencing token would accept, and against tokens that don't rise.
 func TestLeadersKeepHandoverGap(t *testing.T) {
-	f := newFleet(t)
-	_, stopA := f.start("a")
-	f.until("an order of a", func() bool { return len(f.ups.list()) >= 3 })
-	f.start("b")
-	stopA()
-	f.until("an order of b", func() bool {
-		l := f.ups.list()
-		return l[len(l)-1].leader == "b"
-	})
-	var last receivedOrder
-	for i, g := range f.ups.list() {
-		if i > 0 && g.leader != last.leader {
-			if d := g.at.Sub(last.at); d < gap {
-				t.Errorf("%s sent an order %v after %s, within the handover gap", g.leader, d, last.leader)
-			}
-			if g.token <= last.token {
-				t.Errorf("fencing token went from %d to %d", last.token, g.token)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		_, stopA := f.start("a")
+		f.until("an order of a", func() bool { return len(f.ups.list()) >= 3 })
+		f.start("b")
+		stopA()
+		f.until("an order of b", func() bool {
+			l := f.ups.list()
+			return l[len(l)-1].leader == "b"
+		})
+		var last receivedOrder
+		for i, g := range f.ups.list() {
+			if i > 0 && g.leader != last.leader {
+				if d := g.at.Sub(last.at); d < gap {
+					t.Errorf("%s sent an order %v after %s, within the handover gap", g.leader, d, last.leader)
+				}
+				if g.token <= last.token {
+					t.Errorf("fencing token went from %d to %d", last.token, g.token)
+				}
 			}
+			last = g
 		}
-		last = g
-	}
+	})
 }
 
 // Guards against a leader that loses the store and sends orders until its lease
 // ends, when another node may be the leader already.
 func TestLeaderWithoutStoreStopsSendingOrders(t *testing.T) {
-	f := newFleet(t)
-	f.start("a")
-	f.until("an order", func() bool { return len(f.ups.list()) >= 1 })
-	f.store.SetError(platform.Unavailable)
-	lost := f.clk.Now()
-	for f.clk.Now().Sub(lost) < 6*time.Second {
-		f.clk.Step(20 * time.Millisecond)
-		time.Sleep(300 * time.Microsecond)
-	}
-	const lease = 3 * time.Second
-	for _, g := range f.ups.list() {
-		if d := g.at.Sub(lost); d > lease-time.Second {
-			t.Errorf("order sent %v after the store failed", d)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.start("a")
+		f.until("an order", func() bool { return len(f.ups.list()) >= 1 })
+		f.store.SetError(platform.Unavailable)
+		lost := f.clk.Now()
+		for f.clk.Now().Sub(lost) < 6*time.Second {
+			f.clk.Step(20 * time.Millisecond)
+			time.Sleep(300 * time.Microsecond)
 		}
-	}
+		const lease = 3 * time.Second
+		for _, g := range f.ups.list() {
+			if d := g.at.Sub(lost); d > lease-time.Second {
+				t.Errorf("order sent %v after the store failed", d)
+			}
+		}
+	})
 }
 
 // A node that starts while no other node is running reads announcement times
 // from the store.
 func TestAnnouncementsSurviveNodeRestarts(t *testing.T) {
-	f := newFleet(t)
-	_, stop := f.start("a")
-	f.until("the announcement in the store", func() bool { _, ok := f.store.Item(orderer.AnnouncementsPrefix + "m"); return ok })
-	obs, _ := f.start("witness")
-	f.until("the view", func() bool { v := obs.View(); return v != nil && len(v.Versions["m"]) == 1 })
-	first := f.clk.Now().Sub(obs.View().Versions["m"][0].AnnouncedAt)
-	stop()
-	before := f.clk.Now()
-	for f.clk.Now().Sub(before) < 7*time.Second {
-		f.clk.Step(50 * time.Millisecond)
-		time.Sleep(100 * time.Microsecond)
-	}
-	later, _ := f.start("b")
-	f.until("the view", func() bool { v := later.View(); return v != nil && len(v.Versions["m"]) == 1 })
-	age := f.clk.Now().Sub(later.View().Versions["m"][0].AnnouncedAt)
-	if want := first + f.clk.Now().Sub(before); age < want-time.Second || age > want+time.Second {
-		t.Errorf("weights were announced %v ago, want about %v", age, want)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		_, stop := f.start("a")
+		f.until("the announcement in the store", func() bool { _, ok := f.store.Item(orderer.AnnouncementsPrefix + "m"); return ok })
+		obs, _ := f.start("witness")
+		f.until("the view", func() bool { v := obs.View(); return v != nil && len(v.Versions["m"]) == 1 })
+		first := f.clk.Now().Sub(obs.View().Versions["m"][0].AnnouncedAt)
+		stop()
+		before := f.clk.Now()
+		for f.clk.Now().Sub(before) < 7*time.Second {
+			f.clk.Step(50 * time.Millisecond)
+			time.Sleep(100 * time.Microsecond)
+		}
+		later, _ := f.start("b")
+		f.until("the view", func() bool { v := later.View(); return v != nil && len(v.Versions["m"]) == 1 })
+		age := f.clk.Now().Sub(later.View().Versions["m"][0].AnnouncedAt)
+		if want := first + f.clk.Now().Sub(before); age < want-time.Second || age > want+time.Second {
+			t.Errorf("weights were announced %v ago, want about %v", age, want)
+		}
+	})
 }
 
 func packed(t *testing.T, v any) string {
@@ -276,13 +283,15 @@
 		"versions backwards": packed(t, []traffic.Announcement{{Version: 9}, {Version: 1}}),
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t)
-			f.store.Set(orderer.AnnouncementsPrefix+"m", odd)
-			f.start("a")
-			f.until("the replacement", func() bool {
-				it, _ := f.store.Item(orderer.AnnouncementsPrefix + "m")
-				n, err := orderer.DecodeAnnouncements(it)
-				return err == nil && len(n.Announcements) == 1 && n.Announcements[0].Version == 2
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				f.store.Set(orderer.AnnouncementsPrefix+"m", odd)
+				f.start("a")
+				f.until("the replacement", func() bool {
+					it, _ := f.store.Item(orderer.AnnouncementsPrefix + "m")
+					n, err := orderer.DecodeAnnouncements(it)
+					return err == nil && len(n.Announcements) == 1 && n.Announcements[0].Version == 2
+				})
 			})
 		})
 	}
@@ -311,35 +320,37 @@
 // Guards against a leader that counts its lease from the response to the grant
 // instead of from the call.
 func TestLeaseIsCountedFromGrantCall(t *testing.T) {
-	f := newFleet(t)
-	st := &slowGrantStore{Store: f.store, clk: f.clk}
-	log, _ := logtest.NewNullLogger()
-	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
-	obs.SetListener(f.ups)
-	o := orderer.New(orderer.Settings{Node: "a", HandoverGap: 800 * time.Millisecond}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
-	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = obs.Run(ctx) })
-	wg.Go(func() { _ = o.Run(ctx) })
-	t.Cleanup(func() { cancel(); wg.Wait() })
-	f.until("the leader record", func() bool { it, ok := f.store.Item(orderer.LeaderKey); return ok && len(it.Value) > 0 })
-	f.store.SetError(platform.Unavailable)
-	taken := f.clk.Now()
-	for f.clk.Now().Sub(taken) < 5*time.Second {
-		f.clk.Step(20 * time.Millisecond)
-		time.Sleep(300 * time.Microsecond)
-	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	const (
-		lease    = 3 * time.Second
-		sendTime = 800 * time.Millisecond // time for sending an order
-	)
-	for _, g := range f.ups.list() {
-		if d := g.at.Sub(st.granted); d+sendTime > lease {
-			t.Errorf("order sent %v after the grant of a lease of %v", d, lease)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		st := &slowGrantStore{Store: f.store, clk: f.clk}
+		log, _ := logtest.NewNullLogger()
+		obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
+		obs.SetListener(f.ups)
+		o := orderer.New(orderer.Settings{Node: "a", HandoverGap: 800 * time.Millisecond}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = obs.Run(ctx) })
+		wg.Go(func() { _ = o.Run(ctx) })
+		t.Cleanup(func() { cancel(); wg.Wait() })
+		f.until("the leader record", func() bool { it, ok := f.store.Item(orderer.LeaderKey); return ok && len(it.Value) > 0 })
+		f.store.SetError(platform.Unavailable)
+		taken := f.clk.Now()
+		for f.clk.Now().Sub(taken) < 5*time.Second {
+			f.clk.Step(20 * time.Millisecond)
+			time.Sleep(300 * time.Microsecond)
 		}
-	}
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		const (
+			lease    = 3 * time.Second
+			sendTime = 800 * time.Millisecond // time for sending an order
+		)
+		for _, g := range f.ups.list() {
+			if d := g.at.Sub(st.granted); d+sendTime > lease {
+				t.Errorf("order sent %v after the grant of a lease of %v", d, lease)
+			}
+		}
+	})
 }
 
 // releaseStore records how long the release of the leadership may take, and fails it.
@@ -366,21 +377,23 @@
 // Guards against a kill at the end of the grace period: the leader waited longer for a
 // silent store than the 0.5 s that are left once the last requests have ended.
 func TestReleaseOfLeadershipIsShort(t *testing.T) {
-	f := newFleet(t)
-	st := &releaseStore{Store: f.store}
-	log, _ := logtest.NewNullLogger()
-	obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
-	obs.SetListener(f.ups)
-	o := orderer.New(orderer.Settings{Node: "a", HandoverGap: gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
-	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = obs.Run(ctx) })
-	wg.Go(func() { _ = o.Run(ctx) })
-	f.until("the leader record", func() bool { it, ok := f.store.Item(orderer.LeaderKey); return ok && len(it.Value) > 0 })
-	f.until("an order", func() bool { return len(f.ups.list()) >= 1 })
-	cancel()
-	wg.Wait()
-	if st.releases != 1 || st.limit == 0 || st.limit > 500*time.Millisecond {
-		t.Errorf("%d releases with a limit of %v, want one with a limit of 500 ms at most", st.releases, st.limit)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		st := &releaseStore{Store: f.store}
+		log, _ := logtest.NewNullLogger()
+		obs := observer.New(f.clk, f.clk, log, st, observer.Layout{OperatorPrefix: "none/", Decode: decode})
+		obs.SetListener(f.ups)
+		o := orderer.New(orderer.Settings{Node: "a", HandoverGap: gap}, f.clk, f.clk, log, st, obs, f.ups, f.ups)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = obs.Run(ctx) })
+		wg.Go(func() { _ = o.Run(ctx) })
+		f.until("the leader record", func() bool { it, ok := f.store.Item(orderer.LeaderKey); return ok && len(it.Value) > 0 })
+		f.until("an order", func() bool { return len(f.ups.list()) >= 1 })
+		cancel()
+		wg.Wait()
+		if st.releases != 1 || st.limit == 0 || st.limit > 500*time.Millisecond {
+			t.Errorf("%d releases with a limit of %v, want one with a limit of 500 ms at most", st.releases, st.limit)
+		}
+	})
 }
--- a/internal/orderer/stop_test.go
+++ b/internal/orderer/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/auburnnotch/auburnnotch/internal/orderer"
@@ -88,26 +89,28 @@
 	for _, call := range []string{grantCall, commitCall} {
 		t.Run(call, func(t *testing.T) {
 			t.Parallel()
-			f := newSlowFleet(t)
-			f.register("a", "b")
-			st := &lateStore{Store: f.store}
-			st.delay(call)
-			_, a, _ := f.startOn("a's machine", "a", st)
-			f.stopInCampaign(a, st)
-			f.pass(time.Second)
-			if it, _ := f.store.Item(orderer.LeaderKey); string(it.Value) != "" || f.hasTaken("a") {
-				t.Errorf("leader record %q, a became the leader: %t; want a release without", it.Value, f.hasTaken("a"))
-			}
-			stopped := f.clk.Now()
-			f.start("b")
-			f.untilLeads("b")
-			if d := f.clk.Now().Sub(stopped); d > lease {
-				t.Errorf("b leads %v after its start, want at most %v", d, lease)
-			}
-			f.until("an order of b", func() bool { return len(f.ups.list()) > 0 })
-			if first := f.ups.list()[0]; first.leader != "b" {
-				t.Errorf("first order of %s, want b", first.leader)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newSlowFleet(t)
+				f.register("a", "b")
+				st := &lateStore{Store: f.store}
+				st.delay(call)
+				_, a, _ := f.startOn("a's machine", "a", st)
+				f.stopInCampaign(a, st)
+				f.pass(time.Second)
+				if it, _ := f.store.Item(orderer.LeaderKey); string(it.Value) != "" || f.hasTaken("a") {
+					t.Errorf("leader record %q, a became the leader: %t; want a release without", it.Value, f.hasTaken("a"))
+				}
+				stopped := f.clk.Now()
+				f.start("b")
+				f.untilLeads("b")
+				if d := f.clk.Now().Sub(stopped); d > lease {
+					t.Errorf("b leads %v after its start, want at most %v", d, lease)
+				}
+				f.until("an order of b", func() bool { return len(f.ups.list()) > 0 })
+				if first := f.ups.list()[0]; first.leader != "b" {
+					t.Errorf("first order of %s, want b", first.leader)
+				}
+			})
 		})
 	}
 }
@@ -116,52 +119,56 @@
 // office back during its shutdown.
 func TestOfficeWonBackAtStopPassesOnHistory(t *testing.T) {
 	t.Parallel()
-	f := newSlowFleet(t)
-	f.register("a", "b")
-	st := &lateStore{Store: f.store}
-	_, a, stop := f.startOn("a's machine", "a", st)
-	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
-	last := f.lastOrder()
-	f.pass(time.Second) // a learns at which revision it became the leader
-	f.logs["a"].Reset()
-	st.delay(commitCall)
-	f.store.ExpireLeases()
-	f.stopInCampaign(a, st)
-	f.pass(time.Second)
-	if it, _ := f.store.Item(orderer.LeaderKey); string(it.Value) != "" || f.hasTaken("a") {
-		t.Errorf("leader record %q, a became the leader: %t; want a release without", it.Value, f.hasTaken("a"))
-	}
-	stop()
-	f.store.Set("weights", "3")
-	f.start("b")
-	f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
-	if d := f.lastOrder().at.Sub(last.at); d < f.gap || d > f.gap+takeover {
-		t.Errorf("first order of b %v after the last one of a, want %v to %v", d, f.gap, f.gap+takeover)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowFleet(t)
+		f.register("a", "b")
+		st := &lateStore{Store: f.store}
+		_, a, stop := f.startOn("a's machine", "a", st)
+		f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+		last := f.lastOrder()
+		f.pass(time.Second) // a learns at which revision it became the leader
+		f.logs["a"].Reset()
+		st.delay(commitCall)
+		f.store.ExpireLeases()
+		f.stopInCampaign(a, st)
+		f.pass(time.Second)
+		if it, _ := f.store.Item(orderer.LeaderKey); string(it.Value) != "" || f.hasTaken("a") {
+			t.Errorf("leader record %q, a became the leader: %t; want a release without", it.Value, f.hasTaken("a"))
+		}
+		stop()
+		f.store.Set("weights", "3")
+		f.start("b")
+		f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
+		if d := f.lastOrder().at.Sub(last.at); d < f.gap || d > f.gap+takeover {
+			t.Errorf("first order of b %v after the last one of a, want %v to %v", d, f.gap, f.gap+takeover)
+		}
+	})
 }
 
 // Guards against an order within the handover gap after one that was in progress when its node won
 // the office back during its shutdown.
 func TestOfficeWonBackAtStopTellsOfOrderInProgress(t *testing.T) {
 	t.Parallel()
-	f := newSlowFleet(t)
-	f.register("a", "b")
-	st := &lateStore{Store: f.store}
-	_, a, stop := f.startOn("a's machine", "a", st)
-	f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
-	f.pass(longGap)
-	answer := f.ups.hold()
-	last := f.next("3")
-	st.delay(commitCall)
-	f.store.ExpireLeases()
-	f.stopInCampaign(a, st)
-	f.pass(40 * time.Millisecond)
-	answer()
-	f.pass(time.Second)
-	stop()
-	f.start("b")
-	f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
-	if d := f.lastOrder().at.Sub(last.at); d < f.gap || d > f.gap+takeover {
-		t.Errorf("first order of b %v after the last one of a, want %v to %v", d, f.gap, f.gap+takeover)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowFleet(t)
+		f.register("a", "b")
+		st := &lateStore{Store: f.store}
+		_, a, stop := f.startOn("a's machine", "a", st)
+		f.until("the orders of a", func() bool { return len(f.ups.list()) >= 12 })
+		f.pass(longGap)
+		answer := f.ups.hold()
+		last := f.next("3")
+		st.delay(commitCall)
+		f.store.ExpireLeases()
+		f.stopInCampaign(a, st)
+		f.pass(40 * time.Millisecond)
+		answer()
+		f.pass(time.Second)
+		stop()
+		f.start("b")
+		f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
+		if d := f.lastOrder().at.Sub(last.at); d < f.gap || d > f.gap+takeover {
+			t.Errorf("first order of b %v after the last one of a, want %v to %v", d, f.gap, f.gap+takeover)
+		}
+	})
 }
