fix: a store that comes back from an older copy undoes nothing

Cause: nodes compared revisions and lease IDs as if the store never gave one out twice. After it had come back from an older copy (Store-Era in its responses, which nothing read), they took no change until the revisions had caught up, could renew the lease of another node as their own, overwrite what they had never read, and lead twice within the handover gap, as the copy tells of an earlier leader.

The observer keeps the newer configuration, running upstreams that have yet to write again, upstreams that drain, and knowledge of all isolated workspaces. A leader takes nothing that an office of an earlier era told for true.

--- a/internal/observer/items.go
+++ b/internal/observer/items.go
@@ -56,6 +56,8 @@
 			o.log.WithFields(logrus.Fields{"event": "registrationStale", "upstream": u.Incarnation(), "known": before.StartedMS}).
 				Info("ignoring a registration of an earlier incarnation")
 			f = before
+		} else if ok && drainingIsLost(before, u) && platform.Era(it.Revision) > platform.Era(old.revision) {
+			f = before // it writes again that it drains
 		}
 	}
 	o.items[it.Key] = knownItem{revision: it.Revision, record: f, item: it}
@@ -71,6 +73,11 @@
 	}
 }
 
+// drainingIsLost reports whether an upstream that drains doesn't any more.
+func drainingIsLost(before, now *traffic.Upstream) bool {
+	return before.Incarnation() == now.Incarnation() && before.Draining && !now.Draining
+}
+
 // withoutLongValue returns the item without its value if that is too long to be one of
 // the fleet. All nodes then decode the same, also those that get it from a peer.
 func (o *Observer) withoutLongValue(it platform.Item) platform.Item {
@@ -83,6 +90,9 @@
 func (o *Observer) setCatalog(c *traffic.Catalog, it platform.Item) {
 	if o.catalog != nil && c.Version <= o.catalog.Version {
 		o.isolated = o.isolated.WithSuperseded(c.Workspaces)
+		if c.Version == o.catalog.Version && platform.Era(it.Revision) > platform.Era(o.isolated.Config()) {
+			o.isolated = o.isolated.WithConfigAt(it.Revision) // operators have written it again
+		}
 		return
 	}
 	o.catalog = c
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -319,7 +319,12 @@
 	othersRead := now.Sub(o.feed.receivedAt) < outageThreshold && o.feed.latestRevision > o.revision
 	o.endOutage(now, othersRead)
 	initial := o.lastRead.IsZero()
+	restored := !initial && platform.Era(r.first) > platform.Era(o.revision)
 	o.lastRead, o.revision = now, max(o.revision, r.first)
+	if restored {
+		o.recovered = now // upstreams write again what the copy lacks
+		o.log.WithFields(logrus.Fields{"event": "storeRestored", "era": platform.Era(r.first)}).Warn("the platform store came back from an older copy")
+	}
 	o.feed.recordRead(now, r.first)
 	seen := make(map[string]bool, len(r.items))
 	for _, it := range r.items {
@@ -334,6 +339,9 @@
 	if o.catalog != nil && !stale {
 		o.proof = o.proof.WithProof(o.catalog.Version, sent)
 	}
+	if restored {
+		o.recordRestoredConfig(r.first)
+	}
 	o.publish()
 	o.isolated = o.isolated.WithHistory(o.configRevision(), r.first) // no configuration came after it
 	o.noticeMissed()
@@ -412,10 +420,10 @@
 func (o *Observer) watchFrom(after uint64) uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch {
-	case o.isolated.Complete():
-		return max(after, o.isolated.CompleteTo())
-	case after == 0:
+	if complete := o.isolated.CompleteTo(); o.isolated.Complete() && platform.Era(complete) == platform.Era(o.revision) {
+		return max(after, complete)
+	}
+	if after == 0 {
 		return o.revision
 	}
 	return after
--- a/internal/observer/superseded.go
+++ b/internal/observer/superseded.go
@@ -30,6 +30,17 @@
 	return 0
 }
 
+// recordRestoredConfig records that the store came back from an older copy, as read at a revision.
+// Operators write again what it lacks: configurations up to the version in force are known, and a
+// node that knew all names before still does. o.mu must be held.
+func (o *Observer) recordRestoredConfig(revision uint64) {
+	for _, k := range o.items {
+		if c, ok := k.record.(*traffic.Catalog); ok && o.isolated.Complete() && c.Version <= o.catalog.Version {
+			o.isolated = o.isolated.WithCompleteTo(revision)
+		}
+	}
+}
+
 // catchUp reads the store's history whenever configurations may have been superseded before the node
 // has seen them, until ctx ends. It holds up no other read.
 func (o *Observer) catchUp(ctx context.Context) {
--- a/internal/orderer/handover.go
+++ b/internal/orderer/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,22 +51,40 @@
 	return successor.Told(seenAt, time.Duration(since)*time.Millisecond, r.Machine), nil
 }
 
+// officeEra returns the era of the lease in a value of lastHolderKey, 0 if it isn't known.
+func officeEra(value []byte) uint64 {
+	var r handover
+	if packer.New(value).Unpack(&r) == nil {
+		return platform.Era(r.Lease)
+	}
+	lease, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return platform.Era(lease)
+}
+
 // readHandover returns a vacancy with what the leader told. Any later leader writes the same key,
-// unless allWriteHolder is false.
+// unless allWriteHolder is false, or the store lost that when it came back from an older copy.
 func (o *Orderer) readHandover(ctx context.Context, v vacancy) vacancy {
 	v = vacancy{revision: v.revision, seenAt: v.seenAt, read: true}
-	if v.revision == 0 || !allWriteHolder(o.obs.Snapshot().Roster) {
+	s := o.obs.Snapshot()
+	hasEras := platform.Era(s.AsOfRevision) > 0
+	if v.revision == 0 && !hasEras || !allWriteHolder(s.Roster) {
 		return v
 	}
 	p, err := o.store.Range(ctx, platform.LineOrders, lastHolderKey, "", false)
 	if err != nil {
+		v.pastEra = hasEras
 		return v
 	}
 	for _, it := range p.Items {
 		if it.Key != lastHolderKey {
 			continue
 		}
-		if h, err := DecodeHandover(it.Value, v.seenAt); err == nil {
+		if officeEra(it.Value) < platform.Era(it.Revision) {
+			v.pastEra = true
+		} else if h, err := DecodeHandover(it.Value, v.seenAt); err == nil && v.revision != 0 {
 			v.told, v.history, v.toldAt = true, h, it.Revision
 		}
 	}
--- a/internal/orderer/late_test.go
+++ b/internal/orderer/late_test.go
@@ -211,3 +211,43 @@
 		return err == nil && k > 2 && n.Announcements[k-3].Version == 2 && n.Announcements[k-2].Version == 3 && n.Announcements[k-1].Version == 4
 	})
 }
+
+// Guards against orders of two leaders within the handover gap, and roll-outs that stand still,
+// after the store came back from a copy in which the last leader had not been elected yet: its
+// lease is lost but may not have expired, and the copy holds what the one before it told.
+func TestLeaderOfLostEraKeepsHandoverGap(t *testing.T) {
+	for name, released := range map[string]bool{"copy of a released leadership": true, "copy without a leader": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newLossyFleet(t)
+			for i, node := range []string{"a", "b", "c"} {
+				f.meta.Put("node/"+node, fmt.Appendf(nil, "%d %d", traffic.CurrentProtocol, i))
+			}
+			f.name(2)
+			_, stop := f.startWith("a", f.client("a"))
+			f.untilInPlace(2)
+			f.pass(2 * f.gap)
+			if !released {
+				f.meta.SetFaults("a", metastore.Faults{Down: true})
+			}
+			stop()
+			f.pass(lease + time.Second) // the leadership of a has ended
+			backup := f.meta.Backup()
+			f.startWith("b", f.client("b"))
+			f.name(3)
+			f.until("an order of b", func() bool { return f.lastOrder().leader == "b" })
+			f.meta.SetFaults("b", metastore.Faults{Down: true}) // b doesn't learn of the new era
+			f.meta.Restore(backup)
+			f.startWith("c", f.client("c"))
+			f.name(3)
+			f.untilInPlace(3)
+			f.pass(2 * f.gap)
+			f.name(4)
+			f.untilInPlace(4)
+			if got := f.lastOrder().leader; got != "c" {
+				t.Errorf("the last order was one of %s, want c", got)
+			}
+			f.checkGaps()
+		})
+	}
+}
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -29,6 +29,9 @@
 	told     bool          // the leader told of its orders
 	history  successor.History
 	toldAt   uint64 // revision of lastHolderKey
+	// pastEra is set if another node may have been the leader since, in an era of the store that
+	// has ended.
+	pastEra bool
 }
 
 // next returns the vacancy in a newer snapshot, of which l is the leader record.
@@ -222,6 +225,9 @@
 		expect[0].Revision = released.revision
 		inFlight = orderTimeout
 	}
+	if released.pastEra {
+		inFlight = maxRenewalAge + orderTimeout // its lease is lost, but hasn't expired
+	}
 	if held == 0 && released.told {
 		expect = append(expect, platform.Expectation{Key: lastHolderKey, Revision: released.toldAt})
 	}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -95,6 +95,9 @@
 // history that can be watched. Errors are Conflict (of Commit, a ConflictError), Unavailable (nothing was
 // changed), Uncertain (a change may have taken effect or may still do so),
 // Throttled, Compacted and LeaseEnded.
+//
+// If the store comes back from an older copy, a new era begins: see Era. Watches from an earlier
+// era are Compacted, leases of one have ended, and conditions on a revision of one don't hold.
 type Store interface {
 	// Range reads the keys with prefix that sort after the key after. The result
 	// is linearizable unless stale is set.
--- a/internal/registrar/late_test.go
+++ b/internal/registrar/late_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -269,3 +270,25 @@
 		})
 	}
 }
+
+// Guards against a node that stays unregistered, or renews the lease of another one as its own,
+// after the store came back from a copy that is older than its registration.
+func TestNodeRegistersAgainAfterOlderCopyOfStore(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	backup := f.meta.Backup()
+	f.run("a", 1)
+	f.advance(time.Second)
+	f.expect(1, "at the start")
+	f.meta.Restore(backup)
+	f.expect(0, "after the restore")
+	other, err := f.client("other").GrantLease(f.t.Context(), platform.LineFleet, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.advance(2 * time.Second)
+	f.expect(1, "in the next era")
+	if err := f.client("other").RenewLease(f.t.Context(), platform.LineFleet, other); !errors.Is(err, platform.LeaseEnded) {
+		t.Errorf("%v, want the lease of the other node to have ended: its ID was that of this node's lease before", err)
+	}
+}
--- a/internal/soak/planner/faults.go
+++ b/internal/soak/planner/faults.go
@@ -117,6 +117,12 @@
 		Upstream   int
 		Pause, For time.Duration
 	}
+	// StoreRestored makes the store come back from a copy that is Age old, after it was Away. What
+	// operators and upstreams wrote since is written again after Silence, and then a key is revoked.
+	StoreRestored struct {
+		Age, Away, Silence time.Duration
+		Key                int
+	}
 	// CallersLeave freezes a node, to which callers send requests meanwhile, and leave.
 	CallersLeave struct {
 		Node, Callers int
@@ -232,6 +238,7 @@
 func (UpstreamSaysLeaving) fault()    {}
 func (UpstreamNamesRate) fault()      {}
 func (CallersLeave) fault()           {}
+func (StoreRestored) fault()          {}
 func (UpstreamTurnsAway) fault()      {}
 func (UpstreamPauses) fault()         {}
 func (UpstreamUnframed) fault()       {}
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -67,6 +67,9 @@
 	// startupTime within which they do, and minLeavingFreeze the shortest time after that until
 	// their node runs again.
 	minLeaving, leavingStartSpan, minLeavingFreeze = 30, 4 * time.Second, 700 * time.Millisecond
+	// minCopyAge and copyAgeSpread bound the age of a copy from which the store comes back, and
+	// maxRestoreTime limits the time that it is away, and that until the writes are repeated.
+	minCopyAge, copyAgeSpread, maxRestoreTime = time.Second, 3 * time.Second, 1500 * time.Millisecond
 	// minWalls is the smallest number of changes of walls in a plan with any.
 	minWalls = 3
 	// removalSpan is the time in which a workspace becomes isolated that is then removed.
@@ -116,6 +119,8 @@
 	hasty *rand.Rand
 	// changes draws a series of changes and large bodies. It is nil for eight seeds of ten.
 	changes *rand.Rand
+	// copies draws a StoreRestored. It is nil for nineteen seeds of twenty.
+	copies *rand.Rand
 	// surges draws a Surge. It is nil for nineteen seeds of twenty.
 	surges *rand.Rand
 	opts   Options
@@ -137,6 +142,9 @@
 	if seed%20 == 18 {
 		p.hasty = source(0x50ad)
 	}
+	if seed%20 == 16 {
+		p.copies = source(0x50ae)
+	}
 	switch seed % 10 {
 	case 6:
 		p.walls = source(0x50a8)
@@ -217,6 +225,9 @@
 	if p.leaving != nil {
 		out = append(out, p.drawLeaving())
 	}
+	if p.copies != nil {
+		out = append(out, p.drawRestore())
+	}
 	if p.surges != nil {
 		out = append(out, p.drawSurge())
 	}
@@ -377,6 +388,19 @@
 	return out
 }
 
+// drawRestore draws a store that comes back from an older copy, and in time for what was written
+// since to be written again.
+func (p *Planner) drawRestore() Step {
+	f := StoreRestored{
+		Age:     minCopyAge + time.Duration(p.copies.Int64N(int64(copyAgeSpread))),
+		Away:    time.Duration(p.copies.Int64N(int64(maxRestoreTime))),
+		Silence: time.Duration(p.copies.Int64N(int64(maxRestoreTime))),
+		Key:     p.copies.IntN(p.opts.Keys),
+	}
+	latest := p.opts.Length - recoveryTime - startupTime - f.Age - f.Away - f.Silence
+	return Step{At: startupTime + time.Duration(p.copies.Int64N(int64(latest))), Fault: f}
+}
+
 func (p *Planner) drawNotice() Fault {
 	up, d := p.notices.IntN(p.opts.Upstreams), time.Second+time.Duration(p.notices.Int64N(int64(maxDuration)))
 	if p.notices.IntN(2) == 0 {
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -43,8 +43,8 @@
 			}
 		}
 	}
-	if len(kinds) != 39 {
-		t.Errorf("%d types of faults, want 39: %v", len(kinds), kinds)
+	if len(kinds) != 40 {
+		t.Errorf("%d types of faults, want 40: %v", len(kinds), kinds)
 	}
 	if overlapping < 50 {
 		t.Errorf("only %d faults start within 400 ms of the previous one", overlapping)
--- a/internal/soak/soaker/faults.go
+++ b/internal/soak/soaker/faults.go
@@ -65,6 +65,8 @@
 			s.store.ExpireLeases()
 		}
 		s.addDisturbance(checker.Disturbance{Node: -1, From: now, To: now, StoreOnly: true})
+	case planner.StoreRestored:
+		s.runAsync(func() { s.restoreStore(ctx, f) })
 	case planner.Link:
 		s.runAsync(func() { s.injectLinkFault(ctx, f) })
 	case planner.UpstreamCrash:
@@ -283,6 +285,29 @@
 	})
 }
 
+// lostWrites is the number of writes of other users of the store that it loses.
+const lostWrites = 1000
+
+// restoreStore makes the store come back from an older copy. The disturbance lasts until what it
+// lost is written again.
+func (s *Soaker) restoreStore(ctx context.Context, f planner.StoreRestored) {
+	backup := s.store.Backup()
+	s.store.WriteElsewhere(lostWrites)
+	if !clock.Sleep(ctx, s.clk, f.Age) {
+		return
+	}
+	disturbance := s.beginDisturbance(checker.Disturbance{Node: int(planner.All), StoreOnly: true})
+	defer s.endDisturbance(disturbance)
+	s.store.SetFaults("", metastore.Faults{Down: true})
+	clock.Sleep(ctx, s.clk, f.Away)
+	s.store.Restore(backup)
+	s.store.SetFaults("", metastore.Faults{})
+	clock.Sleep(ctx, s.clk, f.Silence)
+	s.store.RepeatWrites()
+	s.revokeKey(key(f.Key))
+	s.log.WithFields(logrus.Fields{"event": "storeRestored", "ageMs": f.Age.Milliseconds()}).Info("store came back from an older copy")
+}
+
 // checkDirectories checks that each node's directory names all nodes once late writes have
 // had their effect, which is when the leases that were granted before have ended.
 func (s *Soaker) checkDirectories(ctx context.Context) {
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -65,6 +65,19 @@
 	return r.withUnstored(slices.Concat(r.unstored, without(isolatedNames(workspaces), known)))
 }
 
+// Config returns the position of the configuration in force, 0 without one.
+func (r Recorder) Config() uint64 { return r.config }
+
+// WithConfigAt returns a Recorder for which the configuration in force is at a later position, with
+// none that it hasn't seen in between.
+func (r Recorder) WithConfigAt(config uint64) Recorder {
+	if r.Complete() {
+		r.completeTo = max(r.completeTo, config)
+	}
+	r.config = config
+	return r
+}
+
 // WithHistory returns a Recorder that has seen all configurations after since up to to.
 func (r Recorder) WithHistory(since, to uint64) Recorder {
 	if since > 0 && r.completeTo >= since {
