feat(serve): nodes together keep to the rates that upstreams name

The interface of `serve` had no header for a rate, and nothing on `serve` counts requests over all nodes.

Change: X-Request-Rate in any response to an attempt. Before each send (first attempts, retries, resumed streams) a node asks the arbiter of the upstream, chosen by rendezvous hashing as for suspects (member.Arbiter, moved out of the isolator). The arbiter decides with pkg/limiter and refills at rate x live nodes / known nodes. A node that it doesn't answer uses a third of its part. What has no room goes to another upstream or is rejected at once, without a unit of the retry budget.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -44,7 +44,7 @@
 	s := &upstreamer.Spec{
 		Method: j.method, URL: u + j.path, ContentType: j.contentType, Body: j.body, Header: h, ResumeFrom: -1,
 		FirstByteTimeout: r.attemptTimeout(r.f.limits.FirstByteSeconds), ChunkTimeout: r.attemptTimeout(r.f.limits.ChunkSeconds),
-		NewConnection: !j.repeatable,
+		NewConnection: !j.repeatable, OnHeader: func(h http.Header) { r.f.pacer.Record(r.send.Target.Upstream, h) },
 	}
 	switch {
 	case j.streaming:
@@ -96,6 +96,10 @@
 		r.handle(dispatcher.Refused{Attempt: r.send.Attempt})
 		return
 	}
+	if r.run == nil && !r.f.pacer.Allow(r.ctx, r.send.Target.Upstream) { // resumed there without being routed
+		r.handle(dispatcher.Refused{Attempt: r.send.Attempt})
+		return
+	}
 	if r.callerGone() { // while the request waited for permission to run
 		r.endRun(scheduler.Result{Refused: true})
 		r.handleRefusal()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
 	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
+	"github.com/auburnnotch/auburnnotch/internal/pacer"
 	"github.com/auburnnotch/auburnnotch/internal/scheduler"
 	"github.com/auburnnotch/auburnnotch/internal/selector"
 	"github.com/auburnnotch/auburnnotch/internal/token"
@@ -42,6 +43,7 @@
 	Isolator  *isolator.Isolator
 	Ledger    *ledger.Ledger
 	Upstreams *upstreamer.Upstreamer
+	Pacer     *pacer.Pacer
 	Hinter    *hinter.Hinter
 	Selector  selector.Selector
 	Drainer   *drainer.Drainer
@@ -59,6 +61,7 @@
 	isolator  *isolator.Isolator
 	ledger    *ledger.Ledger
 	upstreams *upstreamer.Upstreamer
+	pacer     *pacer.Pacer
 	hinter    *hinter.Hinter
 	selector  selector.Selector
 	drainer   *drainer.Drainer
@@ -79,7 +82,7 @@
 	}
 	return &Front{
 		clk: deps.Clock, log: deps.Log, meter: deps.Meter, memory: deps.Memory, config: deps.Config, members: deps.Members, sched: deps.Scheduler, isolator: deps.Isolator,
-		ledger: deps.Ledger, upstreams: deps.Upstreams, hinter: deps.Hinter, selector: deps.Selector, drainer: deps.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
+		ledger: deps.Ledger, upstreams: deps.Upstreams, pacer: deps.Pacer, hinter: deps.Hinter, selector: deps.Selector, drainer: deps.Drainer, settings: s, limits: s.Limits, signer: token.New(s.PeerSecret),
 		listener: netutil.LimitListener(closer.Expose(ln), s.Limits.Connections),
 	}, nil
 }
--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -199,7 +200,8 @@
 
 func (r *runner) routeQuery(exclude []string) router.Query {
 	return router.Query{
-		Pool: r.job.pool, RecomputeWeight: r.job.workspace.RecomputeWeight, Rank: admitter.Rank(r.job.class), Exclude: exclude,
+		Pool: r.job.pool, RecomputeWeight: r.job.workspace.RecomputeWeight, Rank: admitter.Rank(r.job.class),
+		Exclude: slices.Concat(exclude, r.f.pacer.Full()),
 	}
 }
 
@@ -228,10 +230,16 @@
 	if a.Retry {
 		r.f.meter.RecordRetry()
 	}
-	q := r.routeQuery(a.Exclude)
+	q, retry := r.routeQuery(a.Exclude), a.Retry
 	for {
-		p := r.pick(q, a.Retry)
+		p := r.pick(q, retry)
 		switch {
+		case p.Found() && !r.f.pacer.Allow(r.ctx, p.Run.Choice.ID):
+			r.log.WithFields(logrus.Fields{"event": "upstreamRateReached", "upstream": p.Run.Choice.ID}).
+				Info("upstream takes no more requests for now; looking for another one")
+			r.f.sched.RecordEnd(p.Run, scheduler.Result{Refused: true})
+			q.Exclude, retry = append(slices.Clone(q.Exclude), p.Run.Choice.ID), false // it is a retry only once
+			continue
 		case p.Quarantine:
 			r.log.WithField("event", "requestQuarantined").Warn("request is in quarantine: it crashed too many upstreams")
 			r.handle(dispatcher.Quarantined{})
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -248,6 +248,14 @@
 	return g.machine.Live()
 }
 
+// Known returns the number of members that this node has heard of within two hours, itself and
+// dead ones included.
+func (g *Gossiper) Known() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Known()
+}
+
 // Self returns the current description of this node.
 func (g *Gossiper) Self() member.Info {
 	g.mu.Lock()
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
@@ -65,7 +64,7 @@
 // that it is dead, it may have permitted a run elsewhere.
 func (i *Isolator) Ask(ctx context.Context, f quarantiner.Fingerprint) quarantiner.Verdict {
 	req := permitter.Request{Fingerprint: f, Node: nodeName(i.members.Self()), Reports: i.suspects.SuspectState(f).Reports}
-	arbiter := i.arbiter(f)
+	arbiter := member.Arbiter(i.members.Live(), i.members.Self(), uint64(f))
 	if arbiter.Name == i.members.Self().Name {
 		return i.permit(ctx, req).Verdict
 	}
@@ -148,19 +147,4 @@
 	return quarantiner.State{}, nil
 }
 
-// arbiter returns the node that gives the permissions to run f. Nodes that are suspected
-// to be dead count, since the others may not suspect them.
-func (i *Isolator) arbiter(f quarantiner.Fingerprint) member.Info {
-	best, score := i.members.Self(), uint64(0)
-	for _, m := range i.members.Live() {
-		if m.State == member.Leaving {
-			continue
-		}
-		if h := xxhash.Sum64String(fmt.Sprintf("%s/%d", m.Name, f)); h >= score {
-			best, score = m, h
-		}
-	}
-	return best
-}
-
 func nodeName(m member.Info) string { return fmt.Sprintf("%s@%d", m.Name, m.BootID) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/auburnnotch/auburnnotch/internal/ledger"
 	"github.com/auburnnotch/auburnnotch/internal/memorykeeper"
 	"github.com/auburnnotch/auburnnotch/internal/meter"
+	"github.com/auburnnotch/auburnnotch/internal/pacer"
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/platform"
 	"github.com/auburnnotch/auburnnotch/internal/poller"
@@ -68,20 +69,21 @@
 	claims := ledger.New(clk, log, store, link, gossip, rand.New(rand.NewPCG(rnd.Uint64(), 2)))
 	sched := scheduler.New(clk, s.Limits.QueueLength, rand.New(rand.NewPCG(rnd.Uint64(), 3)))
 	suspects := isolator.New(clk, link, gossip, sched)
+	pace := pacer.New(clk, log, rand.New(rand.NewPCG(rnd.Uint64(), 4)), link, gossip)
 	upstreams := upstreamer.New(clk)
 	polls := poller.New(clk, log, upstreams, sched, store)
 	keeper.OnChange(polls.Update)
 	orders := drainer.New(clk, log, store, upstreams, keeper.Current, func() bool {
 		return rank(gossip.Live(), gossip.Self(), "orders/", false) < leaderCandidates
 	})
-	link.SetHandler(messageHandler(gossip, keeper, claims, suspects, sched))
+	link.SetHandler(messageHandler(gossip, keeper, claims, suspects, pace, sched))
 	nodes := selector.New(s.DataCentre, keeper.Region)
 	hints := hinter.New(clk, link, func(workspace string, weight int) []member.Info {
 		return nodes.Select(gossip.Live(), workspace, weight)
 	}, s.Name)
 	f, err := front.New(s, front.Dependencies{
 		Clock: clk, Log: log, Meter: metrics, Memory: memory, Config: keeper, Members: gossip,
-		Scheduler: sched, Isolator: suspects, Ledger: claims, Upstreams: upstreams, Hinter: hints, Selector: nodes, Drainer: orders,
+		Scheduler: sched, Isolator: suspects, Ledger: claims, Upstreams: upstreams, Pacer: pace, Hinter: hints, Selector: nodes, Drainer: orders,
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -95,7 +97,7 @@
 
 // messageHandler returns a handler for the messages of peers. It offers a message
 // to each service in turn until one returns a reply; the result is nil if none does.
-func messageHandler(g *gossiper.Gossiper, k *configkeeper.Keeper, l *ledger.Ledger, i *isolator.Isolator, s *scheduler.Scheduler) peerlink.Handler {
+func messageHandler(g *gossiper.Gossiper, k *configkeeper.Keeper, l *ledger.Ledger, i *isolator.Isolator, p *pacer.Pacer, s *scheduler.Scheduler) peerlink.Handler {
 	return func(ctx context.Context, m *peerlink.Message) *peerlink.Message {
 		if out := g.HandleMessage(ctx, m); out != nil {
 			return out
@@ -109,6 +111,9 @@
 		if out := i.HandleMessage(ctx, m); out != nil {
 			return out
 		}
+		if out := p.HandleMessage(m); out != nil {
+			return out
+		}
 		if m.Suspects != nil {
 			s.MergeReports(m.Suspects)
 			return &peerlink.Message{OK: true}
--- /dev/null
+++ b/internal/pacer/pacer.go
@@ -0,0 +1,187 @@
+package pacer
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburnnotch/auburnnotch/internal/peerlink"
+	"github.com/auburnnotch/auburnnotch/pkg/clock"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
+	"github.com/auburnnotch/auburnnotch/pkg/member"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
+	"github.com/auburnnotch/auburnnotch/pkg/wire"
+)
+
+const (
+	// rateBurst is the time whose requests an upstream takes at once, at least one request.
+	rateBurst = 250 * time.Millisecond
+	// arbiterTimeout allows for a round trip between regions.
+	arbiterTimeout = 400 * time.Millisecond
+	// unansweredCost is what a request counts for without an answer of the arbiter, which may still
+	// answer others and give out the whole rate to them. All nodes together then send a third more at most.
+	unansweredCost = 3
+)
+
+// Exchanger sends a message to a peer and returns the peer's reply.
+type Exchanger interface {
+	ExchangeWithin(ctx context.Context, addr string, m *peerlink.Message, limit time.Duration) (*peerlink.Message, error)
+}
+
+// Members provides the live members, the number of those heard of, dead ones included, and the
+// description of this node.
+type Members interface {
+	Live() []member.Info
+	Known() int
+	Self() member.Info
+}
+
+// Pacer has the rates of upstreams. It is safe for concurrent use.
+type Pacer struct {
+	clk     clock.Clock
+	log     logrus.FieldLogger
+	peers   Exchanger
+	members Members
+
+	mu      sync.Mutex
+	rates   *ratetracker.Tracker
+	limiter *limiter.Limiter
+	full    map[string]time.Time // when an upstream has room again for this node
+}
+
+// New returns a Pacer that knows no rates.
+func New(clk clock.Clock, log logrus.FieldLogger, rnd *rand.Rand, peers Exchanger, members Members) *Pacer {
+	return &Pacer{
+		clk: clk, log: log, peers: peers, members: members,
+		rates: ratetracker.New(), limiter: limiter.New(clk.Now(), rnd), full: map[string]time.Time{},
+	}
+}
+
+// Record records the rate that an upstream names in the header of a response, or that it names
+// none.
+func (p *Pacer) Record(upstream string, h http.Header) {
+	rate := ratetracker.Unlimited
+	if v, err := strconv.ParseFloat(h.Get(wire.HeaderRate), 64); err == nil && v >= 0 && !math.IsInf(v, 0) {
+		rate = v
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clk.Now()
+	if !p.rates.Record(now, key(upstream), rate) {
+		return
+	}
+	delete(p.full, upstream)
+	p.updateLimits(now)
+	p.log.WithFields(logrus.Fields{"event": "upstreamRate", "upstream": upstream, "limited": rate >= 0, "rate": rate}).
+		Info("upstream has changed the rate of requests that it takes from all nodes")
+}
+
+// updateLimits applies the rates that upstreams have named. mu must be held.
+func (p *Pacer) updateLimits(now time.Time) {
+	var limits []limiter.Limit
+	for _, s := range p.rates.Limited(now) {
+		limits = append(limits, limiter.Limit{Workspace: limitName(s.Upstream), Rate: s.Rate, Burst: max(1, s.Rate*rateBurst.Seconds())})
+	}
+	p.limiter.SetLimits(now, limits)
+}
+
+// Allow reports whether an upstream takes another request of this node. If not, it is one of Full
+// for a while.
+func (p *Pacer) Allow(ctx context.Context, upstream string) bool {
+	p.mu.Lock()
+	s, limited := p.rates.Find(p.clk.Now(), key(upstream))
+	p.mu.Unlock()
+	if !limited {
+		return true
+	}
+	d, ok := p.ask(ctx, s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clk.Now()
+	if !ok {
+		p.setFleet(now)
+		d = p.limiter.TakeShare(now, limitName(s.Upstream), unansweredCost)
+	}
+	if !d.OK {
+		p.full[upstream] = now.Add(d.RetryAfter)
+	}
+	return d.OK
+}
+
+// ask asks the arbiter of an upstream. ok is false if it doesn't decide.
+func (p *Pacer) ask(ctx context.Context, s ratetracker.Statement) (d limiter.Decision, ok bool) {
+	self := p.members.Self()
+	arbiter := member.Arbiter(p.members.Live(), self, uint64(s.Upstream))
+	if arbiter.Name == self.Name {
+		return p.grant(s)
+	}
+	m, err := p.peers.ExchangeWithin(ctx, arbiter.Address, &peerlink.Message{Pace: &s}, arbiterTimeout)
+	if err != nil || m.Paced == nil {
+		return limiter.Decision{}, false
+	}
+	return *m.Paced, true
+}
+
+// HandleMessage processes a message on rates from a peer and returns the reply. It returns nil for
+// messages of other services. A reply without a decision means that this node can't decide.
+func (p *Pacer) HandleMessage(m *peerlink.Message) *peerlink.Message {
+	if m.Pace == nil {
+		return nil
+	}
+	d, ok := p.grant(*m.Pace)
+	if !ok {
+		return &peerlink.Message{OK: true}
+	}
+	return &peerlink.Message{Paced: &d}
+}
+
+// grant decides as the arbiter about a request to an upstream that has said s.
+func (p *Pacer) grant(s ratetracker.Statement) (d limiter.Decision, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clk.Now()
+	if p.rates.Merge(now, []ratetracker.Statement{s}) {
+		p.updateLimits(now)
+	}
+	if _, limited := p.rates.Find(now, s.Upstream); !limited {
+		return limiter.Decision{OK: true, Fraction: 1}, true // the peer doesn't know yet
+	}
+	p.setFleet(now)
+	return p.limiter.Grant(now, limitName(s.Upstream), 1)
+}
+
+// setFleet tells the limiter which nodes are alive. mu must be held.
+func (p *Pacer) setFleet(now time.Time) {
+	for _, m := range p.members.Live() {
+		if m.Name != p.members.Self().Name {
+			p.limiter.MergeUsage(now, m.Name, m.BootID, limiter.Report{})
+		}
+	}
+	p.limiter.SetFleet(now, limiter.Fleet{Nodes: p.members.Known(), ReceivesAll: true})
+}
+
+// Full returns the upstreams that have no room for this node now.
+func (p *Pacer) Full() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for upstream, until := range p.full {
+		if p.clk.Now().Before(until) {
+			out = append(out, upstream)
+		} else {
+			delete(p.full, upstream)
+		}
+	}
+	return out
+}
+
+func key(upstream string) uint32 { return uint32(xxhash.Sum64String(upstream)) }
+
+func limitName(key uint32) string { return strconv.FormatUint(uint64(key), 10) }
--- a/internal/peerlink/message.go
+++ b/internal/peerlink/message.go
@@ -3,9 +3,11 @@
 import (
 	"github.com/auburnnotch/auburnnotch/pkg/claimer"
 	"github.com/auburnnotch/auburnnotch/pkg/follower"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/member"
 	"github.com/auburnnotch/auburnnotch/pkg/permitter"
 	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 )
 
 // Hint is a placement hint: the upstream has computed these pieces of a prompt and
@@ -46,4 +48,8 @@
 	// Query asks a node for its state of a suspect. State is the reply.
 	Query *permitter.Query   `msgpack:"k,omitempty"`
 	State *quarantiner.State `msgpack:"s,omitempty"`
+	// Pace asks the arbiter of an upstream, which has said this, whether it takes a request. Paced
+	// is the reply.
+	Pace  *ratetracker.Statement `msgpack:"w,omitempty"`
+	Paced *limiter.Decision      `msgpack:"x,omitempty"`
 }
--- a/internal/peerlink/releases_test.go
+++ b/internal/peerlink/releases_test.go
@@ -14,19 +14,23 @@
 	"github.com/auburnnotch/auburnnotch/internal/peerlink"
 	"github.com/auburnnotch/auburnnotch/internal/systemclock"
 	"github.com/auburnnotch/auburnnotch/internal/testlib"
+	"github.com/auburnnotch/auburnnotch/pkg/limiter"
 	"github.com/auburnnotch/auburnnotch/pkg/permitter"
 	"github.com/auburnnotch/auburnnotch/pkg/quarantiner"
+	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 )
 
 // Nodes of two releases run side by side during each upgrade, and read each other's
-// messages on suspects.
-func TestMessagesOnSuspectsKeepTheirEncoding(t *testing.T) {
+// messages on suspects and on the rates of upstreams.
+func TestMessagesKeepTheirEncoding(t *testing.T) {
 	reports := []quarantiner.Report{{Fingerprint: 1, Crashes: 2, Until: time.Unix(1_800_000_000, 0), Upstream: "e1"}}
 	for name, m := range map[string]peerlink.Message{
 		"suspects":  {Suspects: reports},
 		"permit":    {Permit: &permitter.Request{Fingerprint: 1, Node: "n1@2", Reports: reports}},
 		"permitted": {Permitted: &permitter.Reply{Verdict: quarantiner.Isolated, Reports: reports}},
 		"query":     {Query: &permitter.Query{Fingerprint: 1}},
+		"pace":      {Pace: &ratetracker.Statement{Upstream: 3, Rate: 1.5, AgeMS: 200}},
+		"paced":     {Paced: &limiter.Decision{RetryAfter: 400 * time.Millisecond, Level: -0.5, Fraction: 0.25}},
 		"state":     {State: &quarantiner.State{Running: true, Verdict: quarantiner.Quarantined, Reports: reports}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/upstreamer/upstreamer.go
+++ b/internal/upstreamer/upstreamer.go
@@ -35,6 +35,8 @@
 	// FirstByteTimeout bounds the time until the response begins, ChunkTimeout
 	// the time between its chunks.
 	FirstByteTimeout, ChunkTimeout time.Duration
+	// OnHeader, if set, is called with the header of each response to this attempt.
+	OnHeader func(http.Header)
 }
 
 // Outcome is the result of opening an attempt.
@@ -147,6 +149,9 @@
 		a.Close()
 		return nil, Broken, errors.Errorf("upstream responded with status %d", resp.StatusCode)
 	}
+	if s.OnHeader != nil {
+		s.OnHeader(resp.Header)
+	}
 	a.Extend()
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(wire.HeaderNotRun) == "true" {
 		a.Close()
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -162,6 +162,9 @@
 	return live
 }
 
+// Known returns the number of nodes that this one has heard of, itself and dead ones included.
+func (m *Member) Known() int { return 1 + len(m.peers) }
+
 // Digest returns the digest to send to the member named to. If that member is
 // suspect or dead, its own entry comes first, so that it can refute it.
 func (m *Member) Digest(revision uint64, to string) Digest {
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -18,6 +18,9 @@
 	// HeaderNotRun is set by an upstream that refuses a request without having
 	// run it.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderRate is set by an upstream that limits its requests: how many per second it takes
+	// from all nodes together, as a decimal number. It holds until a response without it.
+	HeaderRate = "X-Request-Rate"
 	// HeaderIdempotencyKey is set by callers and forwarded to upstreams.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderLastEventID is set by callers that resume a stream.
