fix: large lease IDs are kept as the store gives them out

Cause: put the era of the store into the upper bits of lease IDs and cut them to 40 bits, also where a store names no era. The users' store gives out IDs of 48 bits: no node could register or lead. The tests had counted leases from 1, so that none failed.

Change: lease IDs stay; the client remembers the era in which each was granted. What a leader records of its office has the era above the lower 48 bits of its lease.

--- a/internal/orderer/handover.go
+++ b/internal/orderer/handover.go
@@ -19,7 +19,7 @@
 // leads, and where its release doesn't write this, the value is that of holderValue, so that a
 // leader of an earlier release leaves none. New fields are added at the end.
 type handover struct {
-	Lease uint64
+	Office uint64
 	// SinceArrivalMS and Machine are what successor.History tells.
 	SinceArrivalMS int64
 	Machine        string
@@ -31,11 +31,11 @@
 	maxSinceArrivalMS = math.MaxInt32
 )
 
-// EncodeHandover encodes what the leader under a lease tells of the orders so far at now.
-func EncodeHandover(lease uint64, h successor.History, now time.Duration) ([]byte, error) {
+// EncodeHandover encodes what the leader in an office tells of the orders so far at now.
+func EncodeHandover(office uint64, h successor.History, now time.Duration) ([]byte, error) {
 	since, machine := h.Tell(now)
 	// A millisecond less makes the last order later, wherever the division rounds to.
-	return packer.Pack(handover{Lease: lease, SinceArrivalMS: (since - time.Millisecond).Milliseconds(), Machine: machine})
+	return packer.Pack(handover{Office: office, SinceArrivalMS: (since - time.Millisecond).Milliseconds(), Machine: machine})
 }
 
 // DecodeHandover decodes what a leader told by seenAt, a boot time.
@@ -44,24 +44,24 @@
 	if err := packer.New(value).Unpack(&r); err != nil {
 		return successor.History{}, errors.Annotate(err, "decode the handover")
 	}
-	if r.Lease == 0 {
-		return successor.History{}, errors.NotValidf("handover without lease")
+	if r.Office == 0 {
+		return successor.History{}, errors.NotValidf("handover without office")
 	}
 	since := min(max(r.SinceArrivalMS, minSinceArrivalMS), maxSinceArrivalMS)
 	return successor.Told(seenAt, time.Duration(since)*time.Millisecond, r.Machine), nil
 }
 
-// officeEra returns the era of the lease in a value of lastHolderKey, 0 if it isn't known.
-func officeEra(value []byte) uint64 {
+// decodeOffice returns the office in a value of lastHolderKey, 0 if it can't be decoded.
+func decodeOffice(value []byte) uint64 {
 	var r handover
 	if packer.New(value).Unpack(&r) == nil {
-		return platform.Era(r.Lease)
+		return r.Office
 	}
-	lease, err := strconv.ParseUint(string(value), 10, 64)
+	office, err := strconv.ParseUint(string(value), 10, 64)
 	if err != nil {
 		return 0
 	}
-	return platform.Era(lease)
+	return office
 }
 
 // readHandover returns a vacancy with what the leader told. Any later leader writes the same key,
@@ -82,7 +82,7 @@
 		if it.Key != lastHolderKey {
 			continue
 		}
-		if officeEra(it.Value) < platform.Era(it.Revision) {
+		if officeEra(decodeOffice(it.Value)) < platform.Era(it.Revision) {
 			v.pastEra = true
 		} else if h, err := DecodeHandover(it.Value, v.seenAt); err == nil && v.revision != 0 {
 			v.told, v.history, v.toldAt = true, h, it.Revision
--- a/internal/orderer/office.go
+++ b/internal/orderer/office.go
@@ -51,11 +51,11 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	o.mu.Lock()
-	lease, history := o.lease, o.history
+	office, history := o.office, o.history
 	o.mu.Unlock()
 	now := o.boot.Elapsed()
 	since, machine := history.Tell(now)
-	value, err := EncodeHandover(lease, history, now)
+	value, err := EncodeHandover(office, history, now)
 	if err == nil {
 		_, err = o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 			Expect: []platform.Expectation{{Key: LeaderKey, Revision: token}}, Put: []platform.Put{{Key: LeaderKey}, {Key: lastHolderKey, Value: value}},
@@ -150,7 +150,7 @@
 		o.mu.Unlock()
 		return
 	}
-	lease, known := o.lease, o.holderRevision != 0
+	office, known := o.office, o.holderRevision != 0
 	o.mu.Unlock()
 	if known {
 		return
@@ -162,14 +162,24 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, it := range p.Items {
-		if it.Key == lastHolderKey && string(it.Value) == holderValue(lease) {
+		if it.Key == lastHolderKey && string(it.Value) == holderValue(office) {
 			o.holderRevision = it.Revision
 		}
 	}
 }
 
-// holderValue returns the value of lastHolderKey under a lease, which no other office has.
-func holderValue(lease uint64) string { return strconv.FormatUint(lease, 10) }
+// leaseBits is the number of lower bits of an office that hold the ID of its lease, or a part.
+const leaseBits = 48
+
+// newOffice returns an identifier of the office that is held under a lease of an era of the store. No
+// other office has it. An era of 0 leaves the ID of the lease, as far as it has leaseBits.
+func newOffice(era, lease uint64) uint64 { return era<<leaseBits | lease&(1<<leaseBits-1) }
+
+// officeEra returns the era of an office.
+func officeEra(office uint64) uint64 { return office >> leaseBits }
+
+// holderValue returns the value of lastHolderKey in an office.
+func holderValue(office uint64) string { return strconv.FormatUint(office, 10) }
 
 // campaignDelay returns the delay of this node's campaign. Its rank isn't known if it isn't
 // registered yet.
@@ -205,6 +215,7 @@
 //
 // A node that is told to stop campaigning in between releases what it has won, and sends no order.
 func (o *Orderer) campaign(ctx context.Context, released vacancy) bool {
+	era := platform.Era(o.obs.Snapshot().AsOfRevision)
 	sent := o.boot.Elapsed() // the lease runs from the arrival of the call, not from the response
 	lease, err := o.store.GrantLease(ctx, platform.LineOrders, leaseTTL)
 	if err != nil {
@@ -237,7 +248,7 @@
 	rev, err := o.store.Commit(ctx, platform.LineOrders, platform.Txn{
 		// The revision that is returned is that of the last write.
 		Expect: expect, Put: []platform.Put{
-			{Key: lastHolderKey, Value: []byte(holderValue(lease))}, {Key: LeaderKey, Value: []byte(o.set.Node), Lease: lease},
+			{Key: lastHolderKey, Value: []byte(holderValue(newOffice(era, lease)))}, {Key: LeaderKey, Value: []byte(o.set.Node), Lease: lease},
 		},
 	})
 	if errors.Is(err, platform.Conflict) {
@@ -249,7 +260,7 @@
 	}
 	o.mu.Lock()
 	now := o.boot.Elapsed()
-	o.lease = lease
+	o.lease, o.office = lease, newOffice(era, lease)
 	if held == 0 {
 		o.history = successor.New(now + inFlight)
 		if released.told {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -125,6 +125,7 @@
 	mu         sync.Mutex
 	roller     *roller.Roller
 	lease      uint64
+	office     uint64        // see newOffice
 	token      uint64        // 0 if this node isn't the leader
 	renewedAt  time.Duration // boot time at which the last confirmed renewal was sent
 	ordersFrom time.Duration // boot time from which on orders may be sent
