fix(serve): which upstreams are unavailable is looked at after the wait for admission

Cause: the pick on admission took the upstreams that had turned the node away when the request arrived. One whose time ended while the request waited for a slot was left out after all. Found by reading.

Change: the list is taken when the request is routed; a pick on admission is asked once more by Allow, as any.

Measured: the tests on rates and turned-away nodes pass. No test of its own: with all slots taken no response can turn the node away before.

--- a/internal/front/runner.go
+++ b/internal/front/runner.go
@@ -200,8 +200,7 @@
 
 func (r *runner) routeQuery(exclude []string) router.Query {
 	return router.Query{
-		Pool: r.job.pool, RecomputeWeight: r.job.workspace.RecomputeWeight, Rank: admitter.Rank(r.job.class),
-		Exclude: slices.Concat(exclude, r.f.pacer.Unavailable()),
+		Pool: r.job.pool, RecomputeWeight: r.job.workspace.RecomputeWeight, Rank: admitter.Rank(r.job.class), Exclude: exclude,
 	}
 }
 
@@ -230,7 +229,7 @@
 	if a.Retry {
 		r.f.meter.RecordRetry()
 	}
-	q, retry := r.routeQuery(a.Exclude), a.Retry
+	q, retry := r.routeQuery(slices.Concat(a.Exclude, r.f.pacer.Unavailable())), a.Retry
 	for {
 		p := r.pick(q, retry)
 		switch {
