refactor: one place turns the rates of upstreams into limits

Cause: internal/relayer and internal/pacer both made limits of the tracker's statements, with the same burst and names.

Change: pkg/ratetracker has Limits and LimitName; a pure move.

Measured: the tests of ratetracker and pacer and those on rates and upstreams of the relayer pass.

--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -23,8 +22,6 @@
 )
 
 const (
-	// rateBurst is the time whose requests an upstream takes at once, at least one request.
-	rateBurst = 250 * time.Millisecond
 	// arbiterTimeout allows for a round trip between regions.
 	arbiterTimeout = 400 * time.Millisecond
 	// maxTurnAway limits what a faulty Retry-After does. Nodes come back up to a tenth of the time
@@ -89,7 +86,7 @@
 		return
 	}
 	delete(p.full, upstream)
-	p.updateLimits(now)
+	p.limiter.SetLimits(now, p.rates.Limits(now))
 	p.log.WithFields(logrus.Fields{"event": "upstreamRate", "upstream": upstream, "limited": limited, "rate": rate}).
 		Info("upstream has changed the rate of requests that it takes from all nodes")
 }
@@ -108,15 +105,6 @@
 	}
 }
 
-// updateLimits applies the rates that upstreams have named. mu must be held.
-func (p *Pacer) updateLimits(now time.Time) {
-	var limits []limiter.Limit
-	for _, s := range p.rates.Limited(now) {
-		limits = append(limits, limiter.Limit{Workspace: limitName(s.Upstream), Rate: s.Rate, Burst: max(1, s.Rate*rateBurst.Seconds())})
-	}
-	p.limiter.SetLimits(now, limits)
-}
-
 // Allow reports whether an upstream takes another request of this node. If not, it is one of
 // Unavailable for a while.
 func (p *Pacer) Allow(ctx context.Context, upstream string) bool {
@@ -134,7 +122,7 @@
 	now = p.clk.Now()
 	if !ok {
 		p.setFleet(now)
-		d = p.limiter.TakeShare(now, limitName(s.Upstream), unansweredCost)
+		d = p.limiter.TakeShare(now, ratetracker.LimitName(s.Upstream), unansweredCost)
 	}
 	if !d.OK {
 		p.full[upstream] = now.Add(d.RetryAfter)
@@ -175,13 +163,13 @@
 	defer p.mu.Unlock()
 	now := p.clk.Now()
 	if p.rates.Merge(now, []ratetracker.Statement{s}) {
-		p.updateLimits(now)
+		p.limiter.SetLimits(now, p.rates.Limits(now))
 	}
 	if _, limited := p.rates.Find(now, s.Upstream); !limited {
 		return limiter.Decision{OK: true, Fraction: 1}, true // the peer doesn't know yet
 	}
 	p.setFleet(now)
-	return p.limiter.Grant(now, limitName(s.Upstream), 1)
+	return p.limiter.Grant(now, ratetracker.LimitName(s.Upstream), 1)
 }
 
 // setFleet tells the limiter which nodes are alive. mu must be held.
@@ -207,5 +195,3 @@
 }
 
 func key(upstream string) uint32 { return uint32(xxhash.Sum64String(upstream)) }
-
-func limitName(key uint32) string { return strconv.FormatUint(uint64(key), 10) }
--- a/internal/relayer/upstreamrate.go
+++ b/internal/relayer/upstreamrate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,9 +11,6 @@
 	"github.com/auburnnotch/auburnnotch/pkg/ratetracker"
 )
 
-// rateBurst is the time whose requests an upstream that limits its rate takes at once, at least one.
-const rateBurst = 250 * time.Millisecond
-
 // recordRate records the rate that an upstream names in a response, or that it names none.
 func (u *relay) recordRate(a ResponseInfo) {
 	if !a.Stamped && !a.NotRun || u.isOtherUpstream(a) {
@@ -36,16 +32,9 @@
 
 // updateUpstreamLimits applies the rates that upstreams have named. The relayer's lock must be held.
 func (r *Relayer) updateUpstreamLimits(now time.Time) {
-	var limits []limiter.Limit
-	for _, s := range r.upstreamRates.Limited(now) {
-		limits = append(limits, limiter.Limit{Workspace: limitName(s.Upstream), Rate: s.Rate, Burst: max(1, s.Rate*rateBurst.Seconds())})
-	}
-	r.upstreamLimiter.SetLimits(now, limits)
+	r.upstreamLimiter.SetLimits(now, r.upstreamRates.Limits(now))
 }
 
-// limitName returns the name of an upstream's limit.
-func limitName(upstream uint32) string { return strconv.FormatUint(uint64(upstream), 10) }
-
 // admitUpstream reports whether the chosen upstream takes the request. If it limits its requests and
 // has no room, the choice is undone, and this node leaves the upstream out until there is room again.
 func (u *relay) admitUpstream() bool {
@@ -81,7 +70,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.upstreamLimiter.TakeShare(r.Clock.Now(), limitName(upstream), 1)
+	return r.upstreamLimiter.TakeShare(r.Clock.Now(), ratetracker.LimitName(upstream), 1)
 }
 
 func (r *Relayer) findRate(upstream uint32) (ratetracker.Statement, bool) {
@@ -100,7 +89,7 @@
 	if _, limited := r.upstreamRates.Find(now, s.Upstream); !limited {
 		return limiter.Decision{OK: true, Fraction: 1}, true // that node doesn't know yet
 	}
-	return r.upstreamLimiter.Grant(now, limitName(s.Upstream), 1)
+	return r.upstreamLimiter.Grant(now, ratetracker.LimitName(s.Upstream), 1)
 }
 
 // MergeUpstreamRates merges what upstreams have said to a peer.
