--- a/review/tool2/fleet.go
+++ b/review/tool2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -118,14 +119,36 @@
 	return l.Addr().String(), nil
 }
 
+// Ports of nodes are below those that systems give to outgoing connections, so that a node
+// finds its ports free when it starts again.
+const (
+	firstPort = 12000
+	ports     = 16000
+	portTries = 200
+)
+
 // freeAddress returns an address with a port that is free for TCP and UDP.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", loopback+":0")
+	for range portTries {
+		address := net.JoinHostPort(loopback, strconv.Itoa(firstPort+rand.IntN(ports)))
+		if isFree(address) {
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
-		return "", errors.Trace(err)
+		return false
 	}
 	defer l.Close()
-	return l.Addr().String(), nil
+	c, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	return c.Close() == nil
 }
 
 // addNode adds a node that isn't started yet. store is the address at which it reaches the
