--- a/review/tool2/drill.go
+++ b/review/tool2/drill.go
@@ -17,9 +17,9 @@
 	// revokeTime is revoke-ms. drillDelay is when after the ack of the revocation the store
 	// goes away, awayTime for how long, and copyLead how long before the ack the copy was made.
 	revokeTime = 5 * time.Second
-	drillDelay = 5500 * time.Millisecond
+	drillDelay = 4300 * time.Millisecond
 	awayTime   = time.Second
-	copyLead   = 500 * time.Millisecond
+	copyLead   = 100 * time.Millisecond
 	// repeatDelay is how long after the store's return the operator has written again what the
 	// copy lacks.
 	repeatDelay = time.Second
