--- a/review/tool2/fleet.go
+++ b/review/tool2/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -85,7 +86,18 @@
 		return nil, errors.Trace(err)
 	}
 	st := metastore.New(systemclock.New())
-	return &fleet{rec: rec, dir: dir, store: st, op: operator.New(st), ends: map[string]func(){}}, nil
+	f := &fleet{rec: rec, dir: dir, store: st, op: operator.New(st), ends: map[string]func(){}}
+	go f.stopOnSignal()
+	return f, nil
+}
+
+// stopOnSignal ends what the fleet has started if this program is told to end.
+func (f *fleet) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	<-signals
+	f.stop()
+	os.Exit(couldNot)
 }
 
 // stop ends all processes and listeners that the fleet has started.
