--- a/review/tool2/fleet.go
+++ b/review/tool2/fleet.go
@@ -27,8 +27,10 @@
 	loopback = "127.0.0.1"
 	// heartbeatInterval is heartbeat-ms of the settings in DEPLOY.md.
 	heartbeatInterval = 1200 * time.Millisecond
-	readyTimeout      = 20 * time.Second
-	exitTimeout       = 10 * time.Second
+	// contactTime is contact-ms: a machine is in touch so long after its start.
+	contactTime  = 3 * time.Second
+	readyTimeout = 20 * time.Second
+	exitTimeout  = 10 * time.Second
 )
 
 // settings are the settings of a node, with the names of deploy/entry.json.tmpl and the
@@ -215,6 +217,7 @@
 			return errors.Errorf("node %s doesn't become ready", n.settings.Name)
 		}
 	}
+	time.Sleep(contactTime) // the start of a machine is no excuse afterwards
 	return nil
 }
 
